--- /dev/null
+++ b/cmake/Libraries.cmake
@@ -0,0 +1,44 @@
+# External libraries and the helpers with which each module is declared.
+find_program(CCACHE ccache)
+if(CCACHE)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE})
+endif()
+
+set(THREADS_PREFER_PTHREAD_FLAG ON)
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS system filesystem)
+find_package(gflags REQUIRED)
+find_package(glog REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_library(CPPREST_LIBRARY cpprest REQUIRED)
+find_library(NGHTTP2_LIBRARY nghttp2 REQUIRED)
+find_library(XXHASH_LIBRARY xxhash REQUIRED)
+
+add_compile_options(-Wall -Wextra -Werror -fno-omit-frame-pointer)
+add_compile_definitions(BOOST_ERROR_CODE_HEADER_ONLY MSGPACK_USE_BOOST
+                        BOOST_BIND_GLOBAL_PLACEHOLDERS
+                        BERGAMOTSCALE_VERSION="${PROJECT_VERSION}")
+if(BERGAMOTSCALE_SANITIZE)
+  add_compile_options(-fsanitize=${BERGAMOTSCALE_SANITIZE} -g -O1)
+  add_link_options(-fsanitize=${BERGAMOTSCALE_SANITIZE})
+endif()
+
+# bergamotscale_module(NAME [LIBS...]): a static library of every source file
+# in the current directory, under src/NAME.
+function(bergamotscale_module name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+  add_library(${name} STATIC ${sources})
+  target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/include
+                                            ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${name} PUBLIC ${ARGN})
+endfunction()
+
+# bergamotscale_binary(NAME MAIN [LIBS...]): one executable.
+function(bergamotscale_binary name main)
+  add_executable(${name} ${main})
+  target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR})
+  target_link_libraries(${name} PRIVATE ${ARGN})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY
+                                           ${PROJECT_BINARY_DIR}/bin)
+endfunction()
--- /dev/null
+++ b/include/bergamotscale/error.h
@@ -0,0 +1,80 @@
+// The one enumeration of errors and the table of their messages.
+#ifndef BERGAMOTSCALE_ERROR_H_
+#define BERGAMOTSCALE_ERROR_H_
+
+#include <string>
+#include <system_error>
+
+#include <msgpack.hpp>
+
+namespace bergamotscale {
+
+enum class ErrorCode {
+  kOk = 0,
+  // Faults of the caller.
+  kMalformedBody,
+  kBodyTooLarge,
+  kHeadersTooLarge,
+  kCallerTooSlow,
+  kUnauthorized,
+  kUnknownModel,
+  kUnknownClass,
+  kUnknownPath,
+  kMissingIdempotencyKey,
+  kKeyReusedForOtherBody,
+  kKeyExpired,
+  // Refusals under load.
+  kRateLimited,
+  kOverloaded,
+  kDeadlineUnreachable,
+  kDeadlineExceeded,
+  kQuarantined,
+  kNoUpstream,
+  kLeaving,
+  kNotConfigured,
+  // Faults of upstreams, links and the platform.
+  kUpstreamFailed,
+  kUpstreamUnreachable,
+  kLinkClosed,
+  kLinkSilent,
+  kProtocolError,
+  kLogUnavailable,
+  kLogOutcomeUnknown,
+  kRecordsExpired,
+  kClaimedElsewhere,
+  kCancelled,
+  // Faults of operators.
+  kInvalidSettings,
+  kInvalidConfig,
+  kConfigConflict,
+  kStaleFence,
+  kNotFound,
+  kInternal,
+};
+
+// @return the stable name used in JSON and logs, such as "rate_limited".
+// Lifetime: static.
+const char* ErrorName(ErrorCode code);
+
+// @return the code with the given stable name, or kInternal if there is none.
+ErrorCode ErrorFromName(const std::string& name);
+
+// @return the HTTP status with which an entry answers a caller.
+int HttpStatusOf(ErrorCode code);
+
+// @return the std::error_category of ErrorCode. Lifetime: static.
+const std::error_category& BergamotCategory();
+
+// Lets an ErrorCode convert to std::error_code.
+std::error_code make_error_code(ErrorCode code);  // NOLINT: std customization
+
+}  // namespace bergamotscale
+
+namespace std {
+template <>
+struct is_error_code_enum<bergamotscale::ErrorCode> : true_type {};
+}  // namespace std
+
+MSGPACK_ADD_ENUM(bergamotscale::ErrorCode)
+
+#endif  // BERGAMOTSCALE_ERROR_H_
--- /dev/null
+++ b/src/http/listener.cc
@@ -0,0 +1,173 @@
+#include "src/http/listener.h"
+
+#include <map>
+#include <utility>
+
+#include <cpprest/http_listener.h>
+#include <cpprest/uri.h>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace bergamotscale::http {
+namespace {
+
+constexpr int64_t kMillisPerSecond = 1000;
+
+struct RouteKey {
+  std::string method_;
+  std::string path_;
+  friend bool operator<(const RouteKey& a, const RouteKey& b) {
+    return a.path_ != b.path_ ? a.path_ < b.path_ : a.method_ < b.method_;
+  }
+};
+
+// A reply fails when the caller has left; there is nobody to tell.
+void IgnoreFailure(const pplx::task<void>& task) {
+  task.then([](const pplx::task<void>& finished) {
+    try {
+      finished.get();
+    } catch (const std::exception& failure) {
+      VLOG(1) << "reply not delivered: " << failure.what();
+    }
+  });
+}
+
+}  // namespace
+
+class Listener::Impl {
+ public:
+  explicit Impl(std::string url) : url_(std::move(url)), listener_(url_) {
+    listener_.support(
+        [this](web::http::http_request request) { Handle(request); });
+  }
+
+  void Handle(web::http::http_request request) {
+    const RouteKey key{request.method(), request.request_uri().path()};
+    const auto found = routes_.find(key);
+    if (found != routes_.end()) {
+      found->second(std::move(request));
+    } else if (others_) {
+      others_(std::move(request));
+    } else {
+      ReplyError(std::move(request), ErrorCode::kUnknownPath, Verdict::kNotRun);
+    }
+  }
+
+  std::string url_;
+  web::http::experimental::listener::http_listener listener_;
+  std::map<RouteKey, Handler> routes_;
+  Handler others_;
+};
+
+Listener::Listener(std::string address, uint16_t port)
+    : impl_(std::make_unique<Impl>("http://" + address + ":" +
+                                   std::to_string(port))) {}
+
+Listener::~Listener() {
+  Close();
+}
+
+void Listener::Route(const std::string& method,
+                     const std::string& path,
+                     Handler handler) {
+  impl_->routes_[RouteKey{method, path}] = std::move(handler);
+}
+
+void Listener::RouteOthers(Handler handler) {
+  impl_->others_ = std::move(handler);
+}
+
+Status Listener::Open() {
+  try {
+    impl_->listener_.open().wait();
+  } catch (const std::exception& failure) {
+    return Error(ErrorCode::kInternal, impl_->url_ + ": " + failure.what());
+  }
+  return Done{};
+}
+
+void Listener::Close() {
+  try {
+    impl_->listener_.close().wait();
+  } catch (const std::exception& failure) {
+    VLOG(1) << "close: " << failure.what();
+  }
+}
+
+std::string Listener::url() const {
+  return impl_->url_;
+}
+
+void AddSideRoutes(Listener& listener, SideHooks hooks) {
+  listener.Route("GET", "/healthz", [](web::http::http_request request) {
+    ReplyText(std::move(request), 200, "ok\n", "text/plain");
+  });
+  listener.Route("GET", "/readyz",
+                 [ready = hooks.ready_](web::http::http_request request) {
+                   const bool is_ready = ready();
+                   ReplyText(std::move(request), is_ready ? 200 : 503,
+                             is_ready ? "ready\n" : "not ready\n",
+                             "text/plain");
+                 });
+  listener.Route("GET", "/metrics",
+                 [metrics = hooks.metrics_](web::http::http_request request) {
+                   ReplyText(std::move(request), 200,
+                             metrics == nullptr ? "" : metrics->Render(),
+                             "text/plain");
+                 });
+  listener.Route("GET", "/timeline",
+                 [timeline = hooks.timeline_](web::http::http_request request) {
+                   ReplyText(std::move(request), 200,
+                             timeline ? timeline() : "",
+                             "application/x-ndjson");
+                 });
+}
+
+std::string ErrorJson(const Error& error, Verdict verdict) {
+  const nlohmann::json body = {{"error",
+                                {{"code", ErrorName(error.code_)},
+                                 {"message", error.Message()},
+                                 {"verdict", VerdictName(verdict)}}}};
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void ReplyError(web::http::http_request request,
+                const Error& error,
+                Verdict verdict,
+                Millis retry_after) {
+  web::http::http_response response(
+      static_cast<web::http::status_code>(HttpStatusOf(error.code_)));
+  response.set_body(ErrorJson(error, verdict), "application/json");
+  if (retry_after > Millis(0)) {
+    const int64_t seconds =
+        (retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond;
+    response.headers().add("Retry-After", std::to_string(seconds));
+  }
+  IgnoreFailure(request.reply(response));
+}
+
+void ReplyText(web::http::http_request request,
+               int status,
+               const std::string& body,
+               const std::string& content_type) {
+  web::http::http_response response(
+      static_cast<web::http::status_code>(status));
+  response.set_body(body, content_type);
+  IgnoreFailure(request.reply(response));
+}
+
+std::string QueryValue(const web::http::http_request& request,
+                       const std::string& name,
+                       const std::string& fallback) {
+  const auto query = web::uri::split_query(request.request_uri().query());
+  const auto found = query.find(name);
+  return found == query.end() ? fallback : web::uri::decode(found->second);
+}
+
+std::string HeaderValue(const web::http::http_request& request,
+                        const std::string& name) {
+  const auto found = request.headers().find(name);
+  return found == request.headers().end() ? std::string() : found->second;
+}
+
+}  // namespace bergamotscale::http
--- /dev/null
+++ b/src/http/listener.h
@@ -0,0 +1,87 @@
+// HTTP server of a process: routes over cpprestsdk's listener.
+#ifndef BERGAMOTSCALE_SRC_HTTP_LISTENER_H_
+#define BERGAMOTSCALE_SRC_HTTP_LISTENER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <cpprest/http_msg.h>
+
+#include "bergamotscale/result.h"
+#include "bergamotscale/verdict.h"
+#include "src/http/metrics.h"
+
+namespace bergamotscale::http {
+
+// Thread safety: add routes before Open(); handlers run on the HTTP library's
+// threads, several at once, and must not block.
+class Listener {
+ public:
+  using Handler = std::function<void(web::http::http_request)>;
+
+  // @param address an IP number. @param port not zero.
+  Listener(std::string address, uint16_t port);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  // Adds a route for a method and a whole path.
+  void Route(const std::string& method,
+             const std::string& path,
+             Handler handler);
+  // Adds the handler of all requests without a route.
+  void RouteOthers(Handler handler);
+
+  Status Open();
+  // Stops accepting and waits for handlers that have not replied.
+  void Close();
+
+  // @return such as "http://127.0.0.1:8080".
+  std::string url() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// What /healthz, /readyz and /metrics of a process tell.
+struct SideHooks {
+  std::function<bool()> ready_;
+  const Metrics* metrics_ = nullptr;  // may be null
+  // @return the time line as JSON lines; may be empty.
+  std::function<std::string()> timeline_;
+};
+
+// Adds GET /healthz, /readyz, /metrics and /timeline.
+void AddSideRoutes(Listener& listener, SideHooks hooks);
+
+// Replies with a JSON error: {"error":{"code","message","verdict"}}, and with
+// Retry-After in whole seconds, rounded up, if retry_after is above zero.
+void ReplyError(web::http::http_request request,
+                const Error& error,
+                Verdict verdict,
+                Millis retry_after = Millis(0));
+
+// @return that JSON text.
+std::string ErrorJson(const Error& error, Verdict verdict);
+
+// Replies with a body of a content type.
+void ReplyText(web::http::http_request request,
+               int status,
+               const std::string& body,
+               const std::string& content_type);
+
+// @return the value of a query parameter, or the fallback.
+std::string QueryValue(const web::http::http_request& request,
+                       const std::string& name,
+                       const std::string& fallback);
+
+// @return the value of a header, or an empty string.
+std::string HeaderValue(const web::http::http_request& request,
+                        const std::string& name);
+
+}  // namespace bergamotscale::http
+
+#endif  // BERGAMOTSCALE_SRC_HTTP_LISTENER_H_
--- /dev/null
+++ b/src/http/metrics.h
@@ -0,0 +1,43 @@
+// Counters and distributions, shown as text at /metrics.
+#ifndef BERGAMOTSCALE_SRC_HTTP_METRICS_H_
+#define BERGAMOTSCALE_SRC_HTTP_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace bergamotscale::http {
+
+// Thread safety: safe.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  // Adds to a counter. @param label the value of its one label; may be empty.
+  void Add(const std::string& name,
+           const std::string& label = {},
+           int64_t amount = 1);
+  // Sets a gauge.
+  void Set(const std::string& name, const std::string& label, double value);
+  // Adds a sample to a distribution; its count, mean, p50, p95 and p99 show.
+  void Observe(const std::string& name,
+               const std::string& label,
+               double sample);
+
+  // @return the value of a counter; zero if it was never added to.
+  int64_t Counter(const std::string& name, const std::string& label = {}) const;
+
+  // @return everything in the text format of Prometheus.
+  std::string Render() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::http
+
+#endif  // BERGAMOTSCALE_SRC_HTTP_METRICS_H_
--- /dev/null
+++ b/src/link/link.h
@@ -0,0 +1,146 @@
+// Streams of framed messages between instances: HTTP/2 by nghttp2 over
+// Boost.Asio sockets, with a heartbeat on every connection.
+#ifndef BERGAMOTSCALE_SRC_LINK_LINK_H_
+#define BERGAMOTSCALE_SRC_LINK_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+#include "bergamotscale/result.h"
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::link {
+
+// An IP number and port.
+struct Endpoint {
+  std::string address_;
+  uint16_t port_ = 0;
+
+  friend bool operator==(const Endpoint& a, const Endpoint& b) {
+    return a.address_ == b.address_ && a.port_ == b.port_;
+  }
+  friend bool operator<(const Endpoint& a, const Endpoint& b) {
+    return a.address_ != b.address_ ? a.address_ < b.address_
+                                    : a.port_ < b.port_;
+  }
+  std::string ToString() const {
+    return address_ + ":" + std::to_string(port_);
+  }
+};
+
+// Reads "1.2.3.4:567". @return kInvalidSettings if text is not of that form.
+Result<Endpoint> ParseEndpoint(const std::string& text);
+
+struct LinkOptions {
+  // A PING is sent at this interval on every connection.
+  Millis heartbeat_interval_ = Millis(500);
+  // A connection with no answer for this long is closed as silent.
+  Millis heartbeat_timeout_ = Millis(2000);
+  Millis connect_timeout_ = Millis(1000);
+  // Wait before a client connects again.
+  Millis reconnect_delay_ = Millis(200);
+  Bytes max_frame_ = Bytes(8 * 1024 * 1024);
+};
+
+// How a stream ended.
+enum class StreamEnd {
+  kFinished,  // the peer closed its side after its last message
+  kReset,     // the peer reset the stream
+  kLost,      // the connection closed or went silent
+};
+
+// Hooks of one stream, called on the io_context's thread. on_end_ is the last
+// call and comes once, unless this side calls Reset() first.
+struct StreamHooks {
+  std::function<void(std::string_view frame)> on_message_;
+  std::function<void(StreamEnd end)> on_end_;
+};
+
+// One side of a stream. A copyable handle; calls after the end do nothing.
+// Thread safety: use on the io_context's thread only.
+class Stream {
+ public:
+  Stream() = default;
+
+  // Queues one message.
+  void Send(std::string frame);
+  // Queues the end of this side; the peer sees kFinished after the messages.
+  void Finish();
+  // Resets the stream at once; no hook is called any more.
+  void Reset();
+  // @return whether messages can still be sent.
+  bool open() const;
+  // @return bytes queued and not yet written to the socket.
+  Bytes queued() const;
+
+ private:
+  friend class Connection;
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+// Accepts connections.
+// Thread safety: construct anywhere; other calls on the io_context's thread.
+class LinkServer {
+ public:
+  // Called for each stream a peer opens. @return the stream's hooks.
+  using Accept =
+      std::function<StreamHooks(const std::string& path, Stream stream)>;
+
+  LinkServer(boost::asio::io_context& io, LinkOptions options, Accept accept);
+  ~LinkServer();
+  LinkServer(const LinkServer&) = delete;
+  LinkServer& operator=(const LinkServer&) = delete;
+
+  // Binds and starts. Port 0 takes a free one. @return the bound endpoint.
+  Result<Endpoint> Listen(const Endpoint& endpoint);
+  // Sends GOAWAY on all connections and accepts no new streams; open streams
+  // go on.
+  void Drain();
+  // @return streams that have not ended.
+  int open_streams() const;
+  // Closes everything.
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// Keeps one connection to a peer and connects again when it is lost.
+// Thread safety: use on the io_context's thread only.
+class LinkClient {
+ public:
+  // Called with true when the connection is up, with false when it is lost or
+  // draining (no new streams).
+  using StateHook = std::function<void(bool usable)>;
+
+  LinkClient(boost::asio::io_context& io,
+             Endpoint peer,
+             LinkOptions options,
+             StateHook on_state);
+  ~LinkClient();
+  LinkClient(const LinkClient&) = delete;
+  LinkClient& operator=(const LinkClient&) = delete;
+
+  // Starts connecting.
+  void Start();
+  bool usable() const;
+  // Opens a stream. @return kUpstreamUnreachable if not usable().
+  Result<Stream> Open(const std::string& path, StreamHooks hooks);
+  // Closes the connection and stays closed; streams end as kLost.
+  void Close();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::link
+
+#endif  // BERGAMOTSCALE_SRC_LINK_LINK_H_
--- /dev/null
+++ b/src/wire/messages.h
@@ -0,0 +1,279 @@
+// Messages between an entry and a sidecar. Each is one frame on a link stream.
+#ifndef BERGAMOTSCALE_SRC_WIRE_MESSAGES_H_
+#define BERGAMOTSCALE_SRC_WIRE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <msgpack.hpp>
+
+#include "bergamotscale/error.h"
+#include "bergamotscale/ids.h"
+#include "bergamotscale/result.h"
+#include "bergamotscale/units.h"
+#include "bergamotscale/verdict.h"
+
+namespace bergamotscale::wire {
+
+// Paths of the streams that an entry opens to a sidecar.
+inline constexpr char kWorkPath[] = "/work";      // Reserve, Work / Granted...
+inline constexpr char kStatusPath[] = "/status";  // Gossip both ways, Status
+
+// Entry to sidecar, first message of a work stream: asks for a slot. Nothing
+// runs before Work is sent; resetting the stream withdraws the reservation.
+struct Reserve {
+  RequestId request_id_;
+  int attempt_ = 0;
+  InstanceId entry_;
+  WorkspaceId workspace_;
+  ClassId class_;
+  Tier tier_ = Tier(1);
+  GroupId group_;
+  ModelId model_;
+  // Time the request has waited already, and what is left to its targets.
+  Millis waited_;
+  Millis first_token_target_;
+  Millis between_tokens_target_;
+  Millis deadline_left_;
+  Tokens prompt_tokens_;
+  Tokens expected_output_;
+  // Hashes of the prompt's prefixes, longest last.
+  std::vector<uint64_t> prefix_hashes_;
+  // Digest of what would be executed; the key of quarantine.
+  uint64_t digest_ = 0;
+  // A suspect must run alone.
+  bool suspect_ = false;
+  MSGPACK_DEFINE(request_id_,
+                 attempt_,
+                 entry_,
+                 workspace_,
+                 class_,
+                 tier_,
+                 group_,
+                 model_,
+                 waited_,
+                 first_token_target_,
+                 between_tokens_target_,
+                 deadline_left_,
+                 prompt_tokens_,
+                 expected_output_,
+                 prefix_hashes_,
+                 digest_,
+                 suspect_)
+};
+
+// Sidecar to entry: the slot is held for a short time; send Work or reset.
+struct Granted {
+  RequestId request_id_;
+  MSGPACK_DEFINE(request_id_)
+};
+
+// Entry to sidecar, second message: what to execute.
+struct Work {
+  RequestId request_id_;
+  std::string method_;
+  std::string path_;
+  std::string body_;
+  bool stream_ = false;
+  bool idempotent_ = true;
+  // Empty unless the request is an order.
+  IdempotencyKey key_;
+  // Answer text that the caller already has; the engine continues after it.
+  std::string resume_text_;
+  Tokens resume_tokens_;
+  MSGPACK_DEFINE(request_id_,
+                 method_,
+                 path_,
+                 body_,
+                 stream_,
+                 idempotent_,
+                 key_,
+                 resume_text_,
+                 resume_tokens_)
+};
+
+// Sidecar to entry: a piece of the answer, numbered from zero in an attempt.
+struct Chunk {
+  RequestId request_id_;
+  int64_t sequence_ = 0;
+  std::string text_;
+  Tokens tokens_;
+  MSGPACK_DEFINE(request_id_, sequence_, text_, tokens_)
+};
+
+// Sidecar to entry, last message of an answer that is whole.
+struct Finished {
+  RequestId request_id_;
+  int http_status_ = 200;
+  std::string content_type_;
+  // Body of a plain service's answer; empty for a stream of chunks.
+  std::string body_;
+  std::string finish_reason_;
+  Tokens prompt_tokens_;
+  Tokens output_tokens_;
+  Tokens cached_tokens_;
+  // True if this is the recorded outcome of an earlier execution.
+  bool replayed_ = false;
+  MSGPACK_DEFINE(request_id_,
+                 http_status_,
+                 content_type_,
+                 body_,
+                 finish_reason_,
+                 prompt_tokens_,
+                 output_tokens_,
+                 cached_tokens_,
+                 replayed_)
+};
+
+// Sidecar to entry, last message of an attempt that was refused or failed.
+struct Refused {
+  RequestId request_id_;
+  ErrorCode code_ = ErrorCode::kInternal;
+  Verdict verdict_ = Verdict::kMayHaveRun;
+  // Zero if waiting doesn't help.
+  Millis retry_after_;
+  std::string detail_;
+  MSGPACK_DEFINE(request_id_, code_, verdict_, retry_after_, detail_)
+};
+
+// Load of one class at a sidecar.
+struct ClassLoad {
+  ClassId class_;
+  int waiting_ = 0;
+  int running_ = 0;
+  MSGPACK_DEFINE(class_, waiting_, running_)
+};
+
+// Sidecar to entry, sent on every status stream several times a second.
+struct SidecarStatus {
+  InstanceId sidecar_;
+  GroupId group_;
+  ZoneId zone_;
+  // False once the instance is leaving or its upstream is unreachable.
+  bool accepting_ = false;
+  bool leaving_ = false;
+  int running_ = 0;
+  int slots_ = 0;
+  std::vector<ClassLoad> classes_;
+  Millis between_tokens_;
+  Millis expected_wait_;
+  std::vector<ModelId> models_;
+  std::vector<uint64_t> cached_prefixes_;
+  MSGPACK_DEFINE(sidecar_,
+                 group_,
+                 zone_,
+                 accepting_,
+                 leaving_,
+                 running_,
+                 slots_,
+                 classes_,
+                 between_tokens_,
+                 expected_wait_,
+                 models_,
+                 cached_prefixes_)
+};
+
+// A verdict on a request that crashes upstreams.
+struct CrashVerdict {
+  uint64_t digest_ = 0;
+  int crashes_ = 0;
+  bool convicted_ = false;
+  Millis expires_in_;
+  MSGPACK_DEFINE(digest_, crashes_, convicted_, expires_in_)
+};
+
+// Either way on a status stream: soft state that peers pass on. A peer with an
+// older revision is sent the document.
+struct Gossip {
+  InstanceId from_;
+  Revision revision_;
+  LogOffset config_offset_;
+  std::string document_;
+  std::vector<CrashVerdict> crash_verdicts_;
+  MSGPACK_DEFINE(from_, revision_, config_offset_, document_, crash_verdicts_)
+};
+
+// Any message, as one frame: the type's number, then its fields.
+enum class MessageType : uint8_t {
+  kReserve = 1,
+  kGranted = 2,
+  kWork = 3,
+  kChunk = 4,
+  kFinished = 5,
+  kRefused = 6,
+  kSidecarStatus = 7,
+  kGossip = 8,
+};
+
+template <typename T>
+struct MessageTypeOf;
+template <>
+struct MessageTypeOf<Reserve> {
+  static constexpr MessageType kType = MessageType::kReserve;
+};
+template <>
+struct MessageTypeOf<Granted> {
+  static constexpr MessageType kType = MessageType::kGranted;
+};
+template <>
+struct MessageTypeOf<Work> {
+  static constexpr MessageType kType = MessageType::kWork;
+};
+template <>
+struct MessageTypeOf<Chunk> {
+  static constexpr MessageType kType = MessageType::kChunk;
+};
+template <>
+struct MessageTypeOf<Finished> {
+  static constexpr MessageType kType = MessageType::kFinished;
+};
+template <>
+struct MessageTypeOf<Refused> {
+  static constexpr MessageType kType = MessageType::kRefused;
+};
+template <>
+struct MessageTypeOf<SidecarStatus> {
+  static constexpr MessageType kType = MessageType::kSidecarStatus;
+};
+template <>
+struct MessageTypeOf<Gossip> {
+  static constexpr MessageType kType = MessageType::kGossip;
+};
+
+// @return the type of a frame, or kProtocolError if the frame is empty or of
+// an unknown type. Thread safety: safe.
+Result<MessageType> PeekType(std::string_view frame);
+
+// @return the message as one frame. Thread safety: safe.
+template <typename T>
+std::string Encode(const T& message) {
+  msgpack::sbuffer buffer;
+  const char type = static_cast<char>(MessageTypeOf<T>::kType);
+  buffer.write(&type, sizeof(type));
+  msgpack::pack(buffer, message);
+  return std::string(buffer.data(), buffer.size());
+}
+
+// @return the message in a frame, or kProtocolError. Thread safety: safe.
+template <typename T>
+Result<T> Decode(std::string_view frame) {
+  Result<MessageType> type = PeekType(frame);
+  if (!type.ok()) {
+    return type.error();
+  }
+  if (type.value() != MessageTypeOf<T>::kType) {
+    return Error(ErrorCode::kProtocolError, "unexpected message type");
+  }
+  try {
+    const msgpack::object_handle handle =
+        msgpack::unpack(frame.data() + 1, frame.size() - 1);
+    return handle.get().as<T>();
+  } catch (const std::exception& failure) {
+    return Error(ErrorCode::kProtocolError, failure.what());
+  }
+}
+
+}  // namespace bergamotscale::wire
+
+#endif  // BERGAMOTSCALE_SRC_WIRE_MESSAGES_H_
--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,32 @@
+// Wire messages: round trip, and frames that are not messages.
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "src/wire/messages.h"
+
+namespace bergamotscale::wire {
+namespace {
+
+TEST_CASE("wire: a message survives the round trip") {
+  Work work;
+  work.request_id_ = RequestId("r-1");
+  work.body_ = std::string("a\0b", 3);
+  work.resume_tokens_ = Tokens(7);
+  const Result<Work> decoded = Decode<Work>(Encode(work));
+  REQUIRE(decoded.ok());
+  CHECK(decoded.value().request_id_ == work.request_id_);
+  CHECK(decoded.value().body_ == work.body_);
+  CHECK(decoded.value().resume_tokens_ == Tokens(7));
+}
+
+TEST_CASE("wire: a broken or foreign frame is a protocol error") {
+  const std::string frame = Encode(Granted{RequestId("r-1")});
+  CHECK(!Decode<Work>(frame).ok());
+  CHECK(!Decode<Granted>(frame.substr(0, frame.size() - 1)).ok());
+  CHECK(!Decode<Granted>("").ok());
+  CHECK(!PeekType("\x7f").ok());
+}
+
+}  // namespace
+}  // namespace bergamotscale::wire
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Builds and runs the tests: tools/test.sh [thread|address]. Ends with one
+# line "N passed, N failed". Tests listed in KNOWN-RED.txt are run and printed
+# but don't decide the exit code.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+variant="${1:-}"
+folder="build${variant:+-$variant}"
+tools/setup.sh
+tools/build.sh "$variant"
+
+red_tests() {
+  if [ -f KNOWN-RED.txt ]; then
+    sed -n 's/^test: //p' KNOWN-RED.txt
+  fi
+}
+
+# doctest reads a comma-separated list of filters.
+red_filter="$(red_tests | sed 's/,/\\,/g' | paste -sd, -)"
+passed=0
+failed=0
+binaries=(unit_tests)
+for binary in process_tests; do
+  [ -x "$folder/bin/$binary" ] && binaries+=("$binary")
+done
+for binary in "${binaries[@]}"; do
+  output="$folder/$binary.log"
+  arguments=()
+  [ -n "$red_filter" ] && arguments+=("--test-case-exclude=$red_filter")
+  status=0
+  "$folder/bin/$binary" "${arguments[@]}" >"$output" 2>&1 || status=$?
+  summary="$(grep -a 'test cases:' "$output" | tail -1 || true)"
+  ok="$(sed -n 's/.*| *\([0-9]*\) passed.*/\1/p' <<<"$summary")"
+  bad="$(sed -n 's/.*| *\([0-9]*\) failed.*/\1/p' <<<"$summary")"
+  passed=$((passed + ${ok:-0}))
+  failed=$((failed + ${bad:-0}))
+  if [ "$status" -ne 0 ]; then
+    # A crash leaves no summary and still counts.
+    [ "${bad:-0}" -gt 0 ] || failed=$((failed + 1))
+    echo "--- $binary failed (exit $status)"
+    tail -n 80 "$output"
+  fi
+done
+while read -r name; do
+  [ -n "$name" ] || continue
+  for binary in "${binaries[@]}"; do
+    echo "known red: $name"
+    "$folder/bin/$binary" "--test-case=$name" 2>&1 | grep -a 'test cases:' || true
+  done
+done < <(red_tests)
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
