--- /dev/null
+++ b/src/config/document_writer.cc
@@ -0,0 +1,75 @@
+// Canonical JSON of a configuration document: every field, keys sorted.
+#include <nlohmann/json.hpp>
+
+#include "src/config/document_reader.h"
+
+namespace bergamotscale::config {
+namespace {
+
+using nlohmann::json;
+
+json ToJson(const ServiceClass& entry) {
+  return {{"name", entry.name_.value()},
+          {"tier", entry.tier_.value()},
+          {"first_token_ms", entry.first_token_.count()},
+          {"between_tokens_ms", entry.between_tokens_.count()},
+          {"deadline_ms", entry.deadline_.count()},
+          {"floor_percent", entry.floor_percent_},
+          {"idempotent", entry.idempotent_}};
+}
+
+json ToJson(const Workspace& entry) {
+  json classes = json::array();
+  for (const ClassId& name : entry.classes_) {
+    classes.push_back(name.value());
+  }
+  return {{"name", entry.name_.value()},
+          {"key_hashes", entry.key_hashes_},
+          {"requests_per_second", entry.requests_per_second_},
+          {"burst", entry.burst_},
+          {"classes", classes}};
+}
+
+json ToJson(const UpstreamGroup& entry) {
+  const char* kind = entry.kind_ == GroupKind::kEngine ? "engine" : "service";
+  return {{"name", entry.name_.value()},
+          {"kind", kind},
+          {"checks_fence", entry.checks_fence_}};
+}
+
+json ToJson(const Model& entry) {
+  return {{"name", entry.name_.value()}, {"group", entry.group_.value()}};
+}
+
+json ToJson(const ServiceRoute& entry) {
+  return {{"path", entry.path_},
+          {"group", entry.group_.value()},
+          {"class", entry.class_.value()},
+          {"idempotent", entry.idempotent_}};
+}
+
+json ToJson(const Operator& entry) {
+  return {{"name", entry.name_}, {"password_hash", entry.password_hash_}};
+}
+
+template <typename T>
+json ToJsonArray(const std::vector<T>& entries) {
+  json array = json::array();
+  for (const T& entry : entries) {
+    array.push_back(ToJson(entry));
+  }
+  return array;
+}
+
+}  // namespace
+
+json ConfigDocumentToJson(const ConfigDocument& document) {
+  return {{"classes", ToJsonArray(document.classes_)},
+          {"workspaces", ToJsonArray(document.workspaces_)},
+          {"groups", ToJsonArray(document.groups_)},
+          {"models", ToJsonArray(document.models_)},
+          {"services", ToJsonArray(document.services_)},
+          {"operators", ToJsonArray(document.operators_)}};
+}
+
+}  // namespace bergamotscale::config
