--- a/src/log/log_client.h
+++ b/src/log/log_client.h
@@ -2,6 +2,7 @@
 #ifndef BERGAMOTSCALE_SRC_LOG_LOG_CLIENT_H_
 #define BERGAMOTSCALE_SRC_LOG_LOG_CLIENT_H_
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,6 +19,11 @@
 inline constexpr char kOrdersStream[] = "orders";
 inline constexpr char kPlacementStream[] = "placement";
 
+// As the start of a read: the oldest record that the service still keeps.
+inline constexpr LogOffset kFromOldest = LogOffset(-1);
+// A page of fewer records reached the end of the stream.
+inline constexpr size_t kMaxRecordsPerPage = 500;
+
 struct Record {
   LogOffset offset_;
   std::string payload_;
@@ -38,6 +44,7 @@
   using AppendHook = std::function<void(Result<LogOffset>)>;
   using ReadHook = std::function<void(Result<ReadPage>)>;
 
+  // Precondition: base_url is a valid URL.
   // @param base_url such as "http://127.0.0.1:9000".
   LogClient(std::string base_url, Millis timeout);
   ~LogClient();
@@ -49,9 +56,10 @@
   // appended; kLogOutcomeUnknown means it may have been: read the log.
   void Append(const std::string& stream, std::string payload, AppendHook hook);
 
-  // Reads records from an offset on. With wait above zero the service holds
-  // the answer until there is a record or the wait is over. Errors:
-  // kLogUnavailable; kRecordsExpired if from is older than the oldest kept.
+  // Reads up to kMaxRecordsPerPage records from an offset on. With wait above
+  // zero the service holds the answer until there is a record or the wait is
+  // over. Errors: kLogUnavailable; kRecordsExpired if from is older than the
+  // oldest kept.
   void Read(const std::string& stream,
             LogOffset from,
             Millis wait,
--- /dev/null
+++ b/tests/support_log.h
@@ -0,0 +1,79 @@
+// Helpers of tests that talk to a log stand-in inside the test process.
+#ifndef BERGAMOTSCALE_TESTS_SUPPORT_LOG_H_
+#define BERGAMOTSCALE_TESTS_SUPPORT_LOG_H_
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "src/log/log_client.h"
+#include "standins/platform/log_server.h"
+
+namespace bergamotscale::testing {
+
+// @return a port of loopback that was free a moment ago.
+inline uint16_t FreePort() {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+// @return a server that is open on a free port.
+inline std::unique_ptr<standins::LogServer> OpenLog(
+    standins::LogStoreOptions store = {}) {
+  for (;;) {
+    standins::LogServerOptions options;
+    options.port_ = FreePort();
+    options.store_ = store;
+    auto server = std::make_unique<standins::LogServer>(options);
+    if (server->Open().ok()) {
+      return server;
+    }
+  }
+}
+
+// @return true as soon as the condition holds, false after the limit.
+inline bool WaitUntil(
+    const std::function<bool()>& condition,
+    std::chrono::milliseconds limit = std::chrono::milliseconds(10000)) {
+  const auto end = std::chrono::steady_clock::now() + limit;
+  while (std::chrono::steady_clock::now() < end) {
+    if (condition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return condition();
+}
+
+inline Result<LogOffset> AppendAndWait(log::LogClient& client,
+                                       const std::string& stream,
+                                       const std::string& payload) {
+  std::promise<Result<LogOffset>> promise;
+  client.Append(stream, payload, [&](Result<LogOffset> offset) {
+    promise.set_value(std::move(offset));
+  });
+  return promise.get_future().get();
+}
+
+inline Result<log::ReadPage> ReadAndWait(log::LogClient& client,
+                                         const std::string& stream,
+                                         LogOffset from,
+                                         Millis wait = Millis(0)) {
+  std::promise<Result<log::ReadPage>> promise;
+  client.Read(stream, from, wait, [&](Result<log::ReadPage> page) {
+    promise.set_value(std::move(page));
+  });
+  return promise.get_future().get();
+}
+
+}  // namespace bergamotscale::testing
+
+#endif  // BERGAMOTSCALE_TESTS_SUPPORT_LOG_H_
