--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -45,11 +45,11 @@
     const RouteKey key{request.method(), request.request_uri().path()};
     const auto found = routes_.find(key);
     if (found != routes_.end()) {
-      found->second(std::move(request));
+      found->second(request);
     } else if (others_) {
-      others_(std::move(request));
+      others_(request);
     } else {
-      ReplyError(std::move(request), ErrorCode::kUnknownPath, Verdict::kNotRun);
+      ReplyError(request, ErrorCode::kUnknownPath, Verdict::kNotRun);
     }
   }
 
@@ -100,25 +100,24 @@
 
 void AddSideRoutes(Listener& listener, SideHooks hooks) {
   listener.Route("GET", "/healthz", [](web::http::http_request request) {
-    ReplyText(std::move(request), 200, "ok\n", "text/plain");
+    ReplyText(request, 200, "ok\n", "text/plain");
   });
   listener.Route("GET", "/readyz",
                  [ready = hooks.ready_](web::http::http_request request) {
                    const bool is_ready = ready();
-                   ReplyText(std::move(request), is_ready ? 200 : 503,
+                   ReplyText(request, is_ready ? 200 : 503,
                              is_ready ? "ready\n" : "not ready\n",
                              "text/plain");
                  });
   listener.Route("GET", "/metrics",
                  [metrics = hooks.metrics_](web::http::http_request request) {
-                   ReplyText(std::move(request), 200,
+                   ReplyText(request, 200,
                              metrics == nullptr ? "" : metrics->Render(),
                              "text/plain");
                  });
   listener.Route("GET", "/timeline",
                  [timeline = hooks.timeline_](web::http::http_request request) {
-                   ReplyText(std::move(request), 200,
-                             timeline ? timeline() : "",
+                   ReplyText(request, 200, timeline ? timeline() : "",
                              "application/x-ndjson");
                  });
 }
