Policy: headers of the decisions under load

Interfaces for the sidecar and the entry to be written against. A class's load in a sidecar's status carries the wait that its next request would have, which admission needs by class: a lower tier's load mustn't count for a higher one.

--- /dev/null
+++ b/src/policy/admission.h
@@ -0,0 +1,73 @@
+// Whether an entry takes a request in.
+#ifndef BERGAMOTSCALE_SRC_POLICY_ADMISSION_H_
+#define BERGAMOTSCALE_SRC_POLICY_ADMISSION_H_
+
+#include <memory>
+#include <vector>
+
+#include "bergamotscale/config_document.h"
+#include "bergamotscale/error.h"
+#include "bergamotscale/ids.h"
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::policy {
+
+// What admission needs of a request.
+struct AdmissionRequest {
+  WorkspaceId workspace_;
+  ClassId class_;
+  // What is left until the first token is due and until it is given up.
+  Millis first_token_left_;
+  Millis deadline_left_;
+  // How long it would run, by class and expected output.
+  Millis expected_run_;
+  // Expected wait of its class at the best upstream; counts only work of its
+  // own and higher tiers. See Dispatcher::BestWait.
+  Millis expected_wait_;
+};
+
+struct AdmissionDecision {
+  // kOk, kRateLimited, kOverloaded or kDeadlineUnreachable.
+  ErrorCode code_ = ErrorCode::kOk;
+  // When to come again, if refused.
+  Millis retry_after_;
+
+  bool admitted() const { return code_ == ErrorCode::kOk; }
+};
+
+// Refuses early what can't meet its deadline, and what its workspace's limits
+// don't cover. The most urgent tier is never refused for load that it could
+// outwait; a lower one is refused once its first token would be late.
+// Thread safety: none.
+class Admission {
+ public:
+  Admission();
+  ~Admission();
+  Admission(Admission&&) noexcept;
+  Admission& operator=(Admission&&) noexcept;
+
+  // Takes over classes and workspace limits; buckets of known workspaces keep
+  // their level.
+  void Configure(const std::vector<ServiceClass>& classes,
+                 const std::vector<Workspace>& workspaces);
+
+  // Sets this entry's share of a workspace's limits, 0 to 1. Soft state: until
+  // it is told, or if it is told 0, the share is whole, so that lost state
+  // serves too much rather than too little.
+  void SetShare(const WorkspaceId& workspace, double share);
+
+  // Decides on a request and, if it is admitted, charges its workspace.
+  AdmissionDecision Admit(const AdmissionRequest& request, Millis now);
+
+  // @return requests per second that this entry has seen of a workspace,
+  // admitted or not: the soft state from which shares are reckoned.
+  double Demand(const WorkspaceId& workspace, Millis now) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_ADMISSION_H_
--- /dev/null
+++ b/src/policy/concurrency_limiter.h
@@ -0,0 +1,64 @@
+// How many requests an engine runs at once.
+#ifndef BERGAMOTSCALE_SRC_POLICY_CONCURRENCY_LIMITER_H_
+#define BERGAMOTSCALE_SRC_POLICY_CONCURRENCY_LIMITER_H_
+
+#include "bergamotscale/units.h"
+#include "src/policy/types.h"
+
+namespace bergamotscale::policy {
+
+struct ConcurrencyLimiterOptions {
+  int initial_ = 16;
+  int max_ = 512;
+  // Share of the limit, in percent, that lower tiers leave to the top tier.
+  int urgent_percent_ = 12;
+};
+
+// Learns the limit from the engine's own time between tokens, as the sidecar
+// sees it, against the tightest target. The limit grows only while it is used
+// and is never below 1.
+// Thread safety: none.
+class ConcurrencyLimiter {
+ public:
+  explicit ConcurrencyLimiter(ConcurrencyLimiterOptions options = {});
+
+  // @param target the tightest time between tokens among the classes that the
+  // upstream serves; 0 sets no target, and the limit stays.
+  void SetTarget(Millis between_tokens);
+
+  // Takes in one chunk of one running request.
+  // @param tokens tokens in the chunk; 0 is ignored.
+  // @param elapsed time since the request's previous chunk.
+  // @param running requests that run at the engine.
+  void ObserveChunk(Millis now, Tokens tokens, Millis elapsed, int running);
+
+  // The engine refused a request for want of memory while `running` ran.
+  void ObserveRefusal(int running);
+
+  // @return how many may run at once, at least 1.
+  int limit() const { return limit_; }
+
+  // @return the recent mean time between tokens; 0 if unknown.
+  Millis between_tokens() const;
+
+  // @return the slots that are free while `running` requests run or are
+  // granted.
+  FreeSlots Free(int running, bool suspect_running) const;
+
+ private:
+  void CloseWindow(Millis now);
+
+  ConcurrencyLimiterOptions options_;
+  Millis target_;
+  int limit_;
+  double mean_gap_ = 0;  // ms
+  Millis window_start_;
+  bool window_open_ = false;
+  int64_t window_tokens_ = 0;
+  int64_t window_elapsed_ = 0;  // ms
+  int window_peak_running_ = 0;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_CONCURRENCY_LIMITER_H_
--- /dev/null
+++ b/src/policy/output_estimator.h
@@ -0,0 +1,42 @@
+// How many tokens an answer will have, which nobody says beforehand.
+#ifndef BERGAMOTSCALE_SRC_POLICY_OUTPUT_ESTIMATOR_H_
+#define BERGAMOTSCALE_SRC_POLICY_OUTPUT_ESTIMATOR_H_
+
+#include <memory>
+
+#include "bergamotscale/ids.h"
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::policy {
+
+// Online quantiles of output length by class, over about the last thousand
+// answers of each. Memory is bounded by the number of classes.
+// Thread safety: none.
+class OutputEstimator {
+ public:
+  OutputEstimator();
+  ~OutputEstimator();
+  OutputEstimator(OutputEstimator&&) noexcept;
+  OutputEstimator& operator=(OutputEstimator&&) noexcept;
+
+  // Takes in the length of a whole answer.
+  void Observe(const ClassId& class_id, Tokens output);
+
+  // @return the expected length of an answer that hasn't begun.
+  Tokens Expected(const ClassId& class_id) const;
+
+  // @return the expected number of tokens to come once `written` have been.
+  // At least 1.
+  Tokens Remaining(const ClassId& class_id, Tokens written) const;
+
+  // @param percent 1 to 99.
+  Tokens Quantile(const ClassId& class_id, int percent) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_OUTPUT_ESTIMATOR_H_
--- /dev/null
+++ b/src/policy/quarantine.h
@@ -0,0 +1,79 @@
+// Finds requests that crash the upstreams that run them.
+#ifndef BERGAMOTSCALE_SRC_POLICY_QUARANTINE_H_
+#define BERGAMOTSCALE_SRC_POLICY_QUARANTINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::policy {
+
+enum class Suspicion {
+  kClear,
+  // Was running when one upstream crashed: runs as the only suspect.
+  kSuspect,
+  // Was running when two upstreams crashed: refused.
+  kConvicted,
+};
+
+// What one process tells another of a digest.
+struct SuspicionRecord {
+  uint64_t digest_ = 0;
+  int crashes_ = 0;  // 0 clears
+  bool convicted_ = false;
+  Millis expires_in_;
+};
+
+struct QuarantineOptions {
+  size_t max_digests_ = 10'000;
+  Millis suspect_lifetime_ = Millis(10 * 60 * 1000);
+  Millis conviction_lifetime_ = Millis(24 * 60 * 60 * 1000);
+};
+
+// Keeps, for each digest, in how many crashes it took part. A crash makes
+// suspects of all that ran; when the crashed upstream ran a suspect, that
+// suspect is convicted and its neighbours are left alone. Since at most one
+// suspect runs at an upstream, this is the intersection of the crash sets.
+//
+// Records are soft state; peers merge them by taking the worse.
+// Thread safety: none.
+class Quarantine {
+ public:
+  explicit Quarantine(QuarantineOptions options = {});
+  ~Quarantine();
+  Quarantine(Quarantine&&) noexcept;
+  Quarantine& operator=(Quarantine&&) noexcept;
+
+  // @return what is known of a digest.
+  Suspicion Check(uint64_t digest, Millis now) const;
+
+  // An upstream crashed while it ran these.
+  // @return the records that changed, to be told to peers.
+  std::vector<SuspicionRecord> OnCrash(const std::vector<uint64_t>& running,
+                                       Millis now);
+
+  // A request ran to its end.
+  // @return the record that changed, if it was a suspect.
+  std::vector<SuspicionRecord> OnCompleted(uint64_t digest, Millis now);
+
+  // Takes in a peer's record.
+  // @return true if it changed anything here, so that it is passed on.
+  bool Merge(const SuspicionRecord& record, Millis now);
+
+  // @return the newest records, at most `limit`, for gossip.
+  std::vector<SuspicionRecord> Records(Millis now, size_t limit) const;
+
+  // @return how many digests are kept.
+  size_t size() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_QUARANTINE_H_
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -23,7 +23,23 @@
   Millis deadline_;
   Tokens prompt_tokens_;
   Tokens expected_output_;
-  bool suspect_ = false;  // runs alone
+  bool suspect_ = false;  // at most one suspect runs at an upstream
+};
+
+// Slots that are free at an upstream now.
+struct FreeSlots {
+  int total_ = 0;
+  // Of these, the last ones, kept for the most urgent tier. Each tier below it
+  // leaves this many free; the floor of a class may use them.
+  int kept_for_urgent_ = 0;
+  // True while a suspect runs: no second one may start.
+  bool suspect_running_ = false;
+};
+
+// Expected wait of a class's next request at one upstream.
+struct ClassWait {
+  ClassId class_;
+  Millis wait_;
 };
 
 // What an entry knows of an upstream, from its last status message.
@@ -41,6 +57,8 @@
   Millis expected_wait_;
   Millis report_age_;
   std::vector<uint64_t> cached_prefixes_;
+  // Waits by class where known; expected_wait_ stands in for the others.
+  std::vector<ClassWait> class_waits_;
 };
 
 }  // namespace bergamotscale::policy
--- /dev/null
+++ b/src/policy/work_queue.h
@@ -0,0 +1,79 @@
+// The queue of one upstream, which holds the reservations of all entries and
+// says which to grant next.
+#ifndef BERGAMOTSCALE_SRC_POLICY_WORK_QUEUE_H_
+#define BERGAMOTSCALE_SRC_POLICY_WORK_QUEUE_H_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "bergamotscale/config_document.h"
+#include "src/policy/types.h"
+
+namespace bergamotscale::policy {
+
+// Orders requests by the slack to their class's first-token target, weighted
+// by tier. A class goes before one of a higher tier only if the latter's
+// requests can wait that long, or if its floor share of the work is due. In a
+// class, requests that can still be on time go before late ones.
+//
+// Use: Push() a reservation; when a slot is free, PopNext() and grant; when
+// the grant is turned down, Return(); when the request has ended, Settle().
+// Push, Withdraw and PopNext take O(log n) with n requests waiting, and
+// PopNext O(k log n) with k classes that have requests waiting.
+// Thread safety: none; one thread owns a queue.
+class WorkQueue {
+ public:
+  WorkQueue();
+  ~WorkQueue();
+  WorkQueue(WorkQueue&&) noexcept;
+  WorkQueue& operator=(WorkQueue&&) noexcept;
+
+  // Takes over targets and floors. Requests waiting stay; a class that isn't
+  // configured has no floor.
+  void Configure(const std::vector<ServiceClass>& classes);
+
+  // Adds a request. Precondition: its handle isn't in the queue.
+  void Push(const QueueItem& item, Millis now);
+
+  // Removes a request.
+  // @return false if the handle isn't in the queue.
+  bool Withdraw(uint64_t handle, Millis now);
+
+  // Removes the next request to start and charges its work to its class.
+  // @return nothing if no request may start with these slots.
+  std::optional<QueueItem> PopNext(Millis now, const FreeSlots& slots);
+
+  // Takes back the charge of a popped request that didn't start here.
+  void Return(const QueueItem& item);
+
+  // Corrects the charge of a request that has ended.
+  // @param output tokens that it wrote here.
+  void Settle(const QueueItem& item, Tokens output);
+
+  // Tells how long a first token takes once a request has started, so that
+  // lateness is judged by when the first token comes.
+  void ObserveStart(Millis start_to_first_token);
+
+  // Removes the requests whose deadline has passed.
+  std::vector<QueueItem> TakeExpired(Millis now);
+
+  // @return the time that a request of that class, pushed now, would wait.
+  // @param slots the slots free now.
+  Millis ExpectedWait(const ClassId& class_id,
+                      Millis now,
+                      const FreeSlots& slots) const;
+
+  // @return how many requests wait, in all and of one class.
+  size_t size() const;
+  size_t SizeOf(const ClassId& class_id) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_WORK_QUEUE_H_
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -142,7 +142,9 @@
   ClassId class_;
   int waiting_ = 0;
   int running_ = 0;
-  MSGPACK_DEFINE(class_, waiting_, running_)
+  // What the next request of the class would wait.
+  Millis expected_wait_ = Millis(0);
+  MSGPACK_DEFINE(class_, waiting_, running_, expected_wait_)
 };
 
 // Sidecar to entry, sent on every status stream several times a second.
