Policy: the queue counts what runs

Floors and the top tier go beyond the limit by a few slots, so that neither waits for a slot that a long request holds and a floor takes none from a higher tier. That needs to know which running requests began on a floor: the queue counts them by its own items, so that its owner can't miscount.

--- a/src/policy/concurrency_limiter.h
+++ b/src/policy/concurrency_limiter.h
@@ -10,8 +10,9 @@
 struct ConcurrencyLimiterOptions {
   int initial_ = 16;
   int max_ = 512;
-  // Share of the limit, in percent, that lower tiers leave to the top tier.
+  // Percent of the limit by which the top tier, and floors, may go beyond it.
   int urgent_percent_ = 12;
+  int floor_percent_ = 6;
 };
 
 // Learns the limit from the engine's own time between tokens, as the sidecar
@@ -41,9 +42,8 @@
   // @return the recent mean time between tokens; 0 if unknown.
   Millis between_tokens() const;
 
-  // @return the slots that are free while `running` requests run or are
-  // granted.
-  FreeSlots Free(int running, bool suspect_running) const;
+  // @return the limits for WorkQueue::PopNext().
+  SlotLimits Limits() const;
 
  private:
   void CloseWindow(Millis now);
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -24,16 +24,20 @@
   Tokens prompt_tokens_;
   Tokens expected_output_;
   bool suspect_ = false;  // at most one suspect runs at an upstream
+  // The caller has a part of the answer already: goes first in its class.
+  bool resumed_ = false;
+  // Set by the queue: started on its class's floor share.
+  bool by_floor_ = false;
 };
 
-// Slots that are free at an upstream now.
-struct FreeSlots {
-  int total_ = 0;
-  // Of these, the last ones, kept for the most urgent tier. Each tier below it
-  // leaves this many free; the floor of a class may use them.
-  int kept_for_urgent_ = 0;
-  // True while a suspect runs: no second one may start.
-  bool suspect_running_ = false;
+// How many requests an upstream runs at once.
+struct SlotLimits {
+  int limit_ = 1;
+  // The top tier may go beyond the limit by so many, the next by half.
+  int urgent_extra_ = 0;
+  // Requests started on a floor share may go beyond the limit by so many, so
+  // that they take no slot from a higher tier.
+  int floor_extra_ = 0;
 };
 
 // Expected wait of a class's next request at one upstream.
--- a/src/policy/work_queue.h
+++ b/src/policy/work_queue.h
@@ -15,13 +15,16 @@
 
 // Orders requests by the slack to their class's first-token target, weighted
 // by tier. A class goes before one of a higher tier only if the latter's
-// requests can wait that long, or if its floor share of the work is due. In a
-// class, requests that can still be on time go before late ones.
+// requests can wait that long. In a class, requests that can still be on time
+// go before late ones. A class whose floor share of the work is due starts
+// beyond the limit, if nothing may start within it.
 //
-// Use: Push() a reservation; when a slot is free, PopNext() and grant; when
-// the grant is turned down, Return(); when the request has ended, Settle().
+// Use: Push() a reservation; when something changes, call PopNext() until it
+// yields nothing, and grant what it yields. Each item popped ends by one call:
+// Return() if the grant was turned down or lapsed, or Settle() when the
+// request has ended, however it did. The queue counts what runs by these.
 // Push, Withdraw and PopNext take O(log n) with n requests waiting, and
-// PopNext O(k log n) with k classes that have requests waiting.
+// PopNext O(k) with k classes.
 // Thread safety: none; one thread owns a queue.
 class WorkQueue {
  public:
@@ -41,14 +44,15 @@
   // @return false if the handle isn't in the queue.
   bool Withdraw(uint64_t handle, Millis now);
 
-  // Removes the next request to start and charges its work to its class.
-  // @return nothing if no request may start with these slots.
-  std::optional<QueueItem> PopNext(Millis now, const FreeSlots& slots);
+  // Removes the next request to start, counts it as running and charges its
+  // work to its class.
+  // @return nothing if no request may start now.
+  std::optional<QueueItem> PopNext(Millis now, const SlotLimits& limits);
 
-  // Takes back the charge of a popped request that didn't start here.
+  // A popped request didn't start here: takes back count and charge.
   void Return(const QueueItem& item);
 
-  // Corrects the charge of a request that has ended.
+  // A popped request has ended: corrects the charge.
   // @param output tokens that it wrote here.
   void Settle(const QueueItem& item, Tokens output);
 
@@ -60,15 +64,18 @@
   std::vector<QueueItem> TakeExpired(Millis now);
 
   // @return the time that a request of that class, pushed now, would wait.
-  // @param slots the slots free now.
   Millis ExpectedWait(const ClassId& class_id,
                       Millis now,
-                      const FreeSlots& slots) const;
+                      const SlotLimits& limits) const;
 
   // @return how many requests wait, in all and of one class.
   size_t size() const;
   size_t SizeOf(const ClassId& class_id) const;
 
+  // @return how many popped requests run, in all and of one class.
+  int running() const;
+  int RunningOf(const ClassId& class_id) const;
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
