--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -23,7 +23,27 @@
   Millis deadline_;
   Tokens prompt_tokens_;
   Tokens expected_output_;
-  bool suspect_ = false;  // runs alone
+  bool suspect_ = false;  // at most one suspect runs at an upstream
+  // The caller has a part of the answer already: goes first in its class.
+  bool resumed_ = false;
+  // Set by the queue: started on its class's floor share.
+  bool by_floor_ = false;
+};
+
+// How many requests an upstream runs at once.
+struct SlotLimits {
+  int limit_ = 1;
+  // The top tier may go beyond the limit by so many, the next by half.
+  int urgent_extra_ = 0;
+  // Requests started on a floor share may go beyond the limit by so many, so
+  // that they take no slot from a higher tier.
+  int floor_extra_ = 0;
+};
+
+// Expected wait of a class's next request at one upstream.
+struct ClassWait {
+  ClassId class_;
+  Millis wait_;
 };
 
 // What an entry knows of an upstream, from its last status message.
@@ -41,6 +61,8 @@
   Millis expected_wait_;
   Millis report_age_;
   std::vector<uint64_t> cached_prefixes_;
+  // Waits by class where known; expected_wait_ stands in for the others.
+  std::vector<ClassWait> class_waits_;
 };
 
 }  // namespace bergamotscale::policy
