--- /dev/null
+++ b/src/config/config_follower.cc
@@ -0,0 +1,246 @@
+#include "src/config/config_follower.h"
+
+#include <mutex>
+#include <random>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "src/config/document_reader.h"
+
+namespace bergamotscale::config {
+namespace {
+
+using nlohmann::json;
+
+// The jitter is up to this part of the age at which a snapshot is due.
+constexpr int64_t kJitterDivisor = 4;
+constexpr Millis kAppendRetryDelay = Millis(1000);
+
+}  // namespace
+
+class ConfigFollower::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(log::LogClient& client,
+       ConfigFollowerOptions options,
+       ChangeHook on_change)
+      : client_(client),
+        options_(std::move(options)),
+        on_change_(std::move(on_change)),
+        random_(options_.seed_) {
+    DrawJitter();
+  }
+
+  void Start() {
+    log::FollowerHooks hooks;
+    hooks.on_record_ = [this](const log::Record& record) { OnRecord(record); };
+    hooks.on_expired_ = [this](LogOffset next) { OnLost(next); };
+    hooks.on_caught_up_ = [this] { AppendSnapshotIfDue(); };
+    follower_ = std::make_unique<log::StreamFollower>(
+        client_, log::kConfigStream, options_.reading_, std::move(hooks),
+        options_.steady_);
+    follower_->Start();
+  }
+
+  void Stop() {
+    if (follower_) {
+      follower_->Stop();
+    }
+  }
+
+  void Offer(Revision revision, LogOffset offset, const std::string& text) {
+    SnapshotRecord state;
+    state.revision_ = revision;
+    state.as_of_ = offset;
+    state.document_ = json::parse(text, nullptr, /*allow_exceptions=*/false);
+    if (!state.document_.is_object()) {
+      return;
+    }
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    fold_.Offer(state);
+    PutInForce();
+  }
+
+  std::shared_ptr<const ConfigSnapshot> Current() const {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    return current_;
+  }
+
+  Revision revision() const {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    return fold_.revision();
+  }
+
+  bool caught_up() const {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    return fold_.complete() && follower_ && follower_->caught_up();
+  }
+
+  Millis Staleness() const { return follower_->Staleness(); }
+
+  std::optional<PublicationOutcome> FindOutcome(const PublicationId& id) const {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    const PublicationOutcome* outcome = fold_.FindOutcome(id);
+    return outcome == nullptr ? std::nullopt : std::make_optional(*outcome);
+  }
+
+  std::vector<PublicationOutcome> History() const {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    return fold_.History();
+  }
+
+ private:
+  void OnRecord(const log::Record& record) {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    fold_.Apply(record);
+    PutInForce();
+  }
+
+  void OnLost(LogOffset resumed) {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    fold_.OnLost(resumed);
+  }
+
+  // Precondition: mutex_ is held.
+  void PutInForce() {
+    if (fold_.revision_in_force() <= seen_) {
+      RefreshOffset();
+      return;
+    }
+    const SnapshotRecord state = fold_.InForce();
+    seen_ = state.revision_;
+    settings::FieldErrors errors;
+    ConfigSnapshot snapshot;
+    snapshot.document_ =
+        ReadConfigDocument(state.document_, "revision", &errors);
+    if (!errors.empty()) {
+      LOG(ERROR) << "revision " << seen_.value()
+                 << " is not valid for this binary; the one before it stays: "
+                 << settings::JoinErrors(errors);
+      return;
+    }
+    snapshot.revision_ = state.revision_;
+    snapshot.offset_ = state.as_of_;
+    snapshot.text_ = state.document_.dump();
+    snapshot.id_ = state.id_;
+    snapshot.author_ = state.author_;
+    snapshot.comment_ = state.comment_;
+    current_ = std::make_shared<const ConfigSnapshot>(std::move(snapshot));
+    LOG(INFO) << "configuration revision " << seen_.value() << " is in force";
+    if (on_change_) {
+      on_change_(*current_);
+    }
+  }
+
+  // A peer that starts from a later offset needs fewer records.
+  void RefreshOffset() {
+    if (current_ && current_->revision_ == fold_.revision() &&
+        fold_.complete() && current_->offset_ < fold_.next()) {
+      ConfigSnapshot newer = *current_;
+      newer.offset_ = fold_.next();
+      current_ = std::make_shared<const ConfigSnapshot>(std::move(newer));
+    }
+  }
+
+  bool SnapshotIsDue() const {
+    if (!fold_.complete() || fold_.revision() == Revision(0)) {
+      return false;
+    }
+    const Millis age = options_.wall_.Now() - fold_.restart_time();
+    const int64_t records =
+        fold_.next().value() - fold_.restart_offset().value();
+    return age > options_.snapshot_age_ + jitter_ ||
+           records > options_.snapshot_records_ ||
+           follower_->oldest() > fold_.restart_offset();
+  }
+
+  void AppendSnapshotIfDue() {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    const Millis now = options_.steady_.Now();
+    if (!SnapshotIsDue() || now < next_append_) {
+      return;
+    }
+    next_append_ = now + kAppendRetryDelay + jitter_;
+    DrawJitter();
+    VLOG(1) << "appending revision " << fold_.revision().value() << " again";
+    client_.Append(log::kConfigStream,
+                   EncodeRecord(fold_.MakeSnapshot(options_.wall_.Now())),
+                   [](const Result<LogOffset>& offset) {
+                     if (!offset.ok()) {
+                       LOG(WARNING) << "snapshot: " << offset.error().Message();
+                     }
+                   });
+  }
+
+  void DrawJitter() {
+    std::uniform_int_distribution<int64_t> spread(
+        0, options_.snapshot_age_.count() / kJitterDivisor);
+    jitter_ = Millis(spread(random_));
+  }
+
+  log::LogClient& client_;
+  const ConfigFollowerOptions options_;
+  const ChangeHook on_change_;
+  std::unique_ptr<log::StreamFollower> follower_;
+
+  // Held while the hook runs; recursive so that the hook may ask questions.
+  mutable std::recursive_mutex mutex_;
+  std::mt19937_64 random_;
+  Millis jitter_;
+  Millis next_append_;
+  ConfigFold fold_;
+  Revision seen_;
+  std::shared_ptr<const ConfigSnapshot> current_;
+};
+
+ConfigFollower::ConfigFollower(log::LogClient& client,
+                               ConfigFollowerOptions options,
+                               ChangeHook on_change)
+    : impl_(std::make_shared<Impl>(client,
+                                   std::move(options),
+                                   std::move(on_change))) {}
+
+ConfigFollower::~ConfigFollower() {
+  Stop();
+}
+
+void ConfigFollower::Start() {
+  impl_->Start();
+}
+
+void ConfigFollower::Stop() {
+  impl_->Stop();
+}
+
+void ConfigFollower::Offer(Revision revision,
+                           LogOffset offset,
+                           const std::string& text) {
+  impl_->Offer(revision, offset, text);
+}
+
+std::shared_ptr<const ConfigSnapshot> ConfigFollower::Current() const {
+  return impl_->Current();
+}
+
+Revision ConfigFollower::revision() const {
+  return impl_->revision();
+}
+
+bool ConfigFollower::caught_up() const {
+  return impl_->caught_up();
+}
+
+Millis ConfigFollower::Staleness() const {
+  return impl_->Staleness();
+}
+
+std::optional<PublicationOutcome> ConfigFollower::FindOutcome(
+    const PublicationId& id) const {
+  return impl_->FindOutcome(id);
+}
+
+std::vector<PublicationOutcome> ConfigFollower::History() const {
+  return impl_->History();
+}
+
+}  // namespace bergamotscale::config
--- a/src/config/document_writer.cc
+++ b/src/config/document_writer.cc
@@ -1,4 +1,10 @@
-// Canonical JSON of a configuration document: every field, keys sorted.
+// Canonical JSON of a configuration document: every field, keys and lists
+// sorted.
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <nlohmann/json.hpp>
 
 #include "src/config/document_reader.h"
@@ -52,11 +58,26 @@
   return {{"name", entry.name_}, {"password_hash", entry.password_hash_}};
 }
 
+template <typename T>
+std::string KeyOf(const T& entry) {
+  return entry.name_.value();
+}
+std::string KeyOf(const ServiceRoute& entry) {
+  return entry.path_;
+}
+std::string KeyOf(const Operator& entry) {
+  return entry.name_;
+}
+
 template <typename T>
 json ToJsonArray(const std::vector<T>& entries) {
-  json array = json::array();
+  std::map<std::string, json> by_key;
   for (const T& entry : entries) {
-    array.push_back(ToJson(entry));
+    by_key[KeyOf(entry)] = ToJson(entry);
+  }
+  json array = json::array();
+  for (auto& [key, value] : by_key) {
+    array.push_back(std::move(value));
   }
   return array;
 }
--- a/src/log/stream_follower.cc
+++ b/src/log/stream_follower.cc
@@ -21,6 +21,7 @@
         options_(options),
         hooks_(std::move(hooks)),
         clock_(std::move(clock)),
+        expired_(options.from_ == kFromOldest),
         next_(options.from_),
         fresh_at_(clock_.Now()) {}
 
@@ -53,6 +54,11 @@
     return clock_.Now() - fresh_at_;
   }
 
+  LogOffset oldest() const {
+    const std::lock_guard<std::mutex> lock(state_mutex_);
+    return oldest_;
+  }
+
   LogOffset next() const {
     const std::lock_guard<std::mutex> lock(state_mutex_);
     return next_;
@@ -83,13 +89,7 @@
   void Deliver(Millis started, const ReadPage& page) {
     if (expired_) {
       expired_ = false;
-      const LogOffset resumed =
-          page.records_.empty() ? page.next_ : page.records_.front().offset_;
-      LOG(WARNING) << stream_ << ": records before " << resumed.value()
-                   << " are lost to retention";
-      if (hooks_.on_expired_) {
-        hooks_.on_expired_(resumed);
-      }
+      TellExpired(page);
     }
     for (const Record& record : page.records_) {
       // A record that was delivered already must not be delivered again.
@@ -104,16 +104,35 @@
     if (page.next_ > next()) {
       SetNext(page.next_);
     }
+    SetOldest(page.oldest_);
     if (page.records_.size() < kMaxRecordsPerPage) {
       SetCaughtUp(started);
     }
   }
 
+  void TellExpired(const ReadPage& page) {
+    const LogOffset resumed =
+        page.records_.empty() ? page.next_ : page.records_.front().offset_;
+    if (resumed == LogOffset(0)) {
+      return;
+    }
+    LOG(WARNING) << stream_ << ": records before " << resumed.value()
+                 << " can't be read any more";
+    if (hooks_.on_expired_) {
+      hooks_.on_expired_(resumed);
+    }
+  }
+
   void SetNext(LogOffset next) {
     const std::lock_guard<std::mutex> lock(state_mutex_);
     next_ = next;
   }
 
+  void SetOldest(LogOffset oldest) {
+    const std::lock_guard<std::mutex> lock(state_mutex_);
+    oldest_ = oldest;
+  }
+
   void SetCaughtUp(Millis started) {
     {
       const std::lock_guard<std::mutex> lock(state_mutex_);
@@ -134,10 +153,12 @@
   // Held while hooks run; recursive so that a hook may stop the follower.
   std::recursive_mutex delivery_mutex_;
   bool stopped_ = false;
-  bool expired_ = false;
+  // The next page may start behind records that were never read.
+  bool expired_;
 
   mutable std::mutex state_mutex_;
   LogOffset next_;
+  LogOffset oldest_;
   bool caught_up_ = false;
   Millis fresh_at_;
 };
@@ -177,4 +198,8 @@
   return impl_->next();
 }
 
+LogOffset StreamFollower::oldest() const {
+  return impl_->oldest();
+}
+
 }  // namespace bergamotscale::log
--- a/src/log/stream_follower.h
+++ b/src/log/stream_follower.h
@@ -28,7 +28,8 @@
   std::function<void(const Record&)> on_record_;
   // After each read that reached the end of the stream.
   std::function<void()> on_caught_up_;
-  // Records before this one are lost to retention; it is delivered next.
+  // Records before this one can't be read any more, also at the start from
+  // kFromOldest; it is delivered next.
   std::function<void(LogOffset next)> on_expired_;
 };
 
@@ -66,6 +67,9 @@
   // @return the offset after the last record that was delivered.
   LogOffset next() const;
 
+  // @return the oldest offset that the service kept at the last read.
+  LogOffset oldest() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- /dev/null
+++ b/tests/config_fold_test.cc
@@ -0,0 +1,138 @@
+// Config fold: base matching, duplicates, snapshots, lost records.
+#include <string>
+#include <utility>
+
+#include <doctest/doctest.h>
+
+#include "src/config/config_fold.h"
+#include "src/config/delta.h"
+
+namespace bergamotscale::config {
+namespace {
+
+using nlohmann::json;
+
+json DocumentNamed(const std::string& name) {
+  return {{"models", {{{"name", name}, {"group", "g"}}}}};
+}
+
+log::Record Publication(int64_t offset,
+                        const std::string& id,
+                        int64_t base,
+                        json document) {
+  PublicationRecord record;
+  record.id_ = PublicationId(id);
+  record.base_ = Revision(base);
+  record.document_ = std::move(document);
+  return {LogOffset(offset), EncodeRecord(record)};
+}
+
+log::Record Snapshot(int64_t offset,
+                     int64_t revision,
+                     int64_t as_of,
+                     const std::string& name) {
+  SnapshotRecord record;
+  record.revision_ = Revision(revision);
+  record.as_of_ = LogOffset(as_of);
+  record.id_ = PublicationId("id-of-" + name);
+  record.document_ = DocumentNamed(name);
+  return {LogOffset(offset), EncodeRecord(record)};
+}
+
+TEST_CASE("config fold: the first publication with a matching base wins") {
+  ConfigFold fold;
+  fold.Apply(Publication(0, "a", 0, DocumentNamed("one")));
+  fold.Apply(Publication(1, "b", 0, DocumentNamed("two")));
+  fold.Apply(Publication(2, "a", 0, DocumentNamed("one")));
+  fold.Apply(Publication(3, "c", 1, DocumentNamed("three")));
+  fold.Apply({LogOffset(4), "not a record"});
+  CHECK(fold.revision() == Revision(2));
+  CHECK(fold.document() == DocumentNamed("three"));
+  CHECK(fold.FindOutcome(PublicationId("a"))->accepted_);
+  CHECK(!fold.FindOutcome(PublicationId("b"))->accepted_);
+  CHECK(fold.FindOutcome(PublicationId("b"))->revision_ == Revision(1));
+  CHECK(fold.History().size() == 3);
+  CHECK(fold.next() == LogOffset(5));
+}
+
+TEST_CASE("config fold: a delta changes the base document") {
+  json from = DocumentNamed("one");
+  json to = from;
+  to["models"].push_back({{"name", "two"}, {"group", "g"}});
+  PublicationRecord record;
+  record.id_ = PublicationId("b");
+  record.base_ = Revision(1);
+  record.delta_ = MakeDelta(from, to);
+  ConfigFold fold;
+  fold.Apply(Publication(0, "a", 0, from));
+  fold.Apply({LogOffset(1), EncodeRecord(record)});
+  CHECK(fold.document() == to);
+  CHECK(
+      !ApplyDelta(from, json::parse(R"([{"op":"remove","path":"/x"}])")).ok());
+}
+
+TEST_CASE("config fold: a snapshot gives a fresh process what was lost") {
+  ConfigFold fold;
+  fold.OnLost(LogOffset(7));
+  CHECK(!fold.complete());
+  // Which of these was accepted only a snapshot can tell.
+  fold.Apply(Publication(7, "x", 4, DocumentNamed("six")));
+  fold.Apply(Publication(8, "y", 5, DocumentNamed("five")));
+  CHECK(fold.revision() == Revision(0));
+  fold.Apply(Snapshot(9, 5, 8, "base"));
+  CHECK(fold.complete());
+  CHECK(fold.revision() == Revision(6));
+  CHECK(fold.document() == DocumentNamed("five"));
+  CHECK(fold.restart_offset() == LogOffset(8));
+}
+
+TEST_CASE("config fold: a snapshot from before the loss doesn't complete it") {
+  ConfigFold fold;
+  fold.OnLost(LogOffset(7));
+  fold.Apply(Snapshot(7, 5, 6, "old"));
+  CHECK(!fold.complete());
+  CHECK(fold.revision() == Revision(5));
+  fold.Apply(Publication(8, "z", 5, DocumentNamed("unknown")));
+  CHECK(fold.revision() == Revision(5));
+  fold.Apply(Snapshot(9, 6, 9, "new"));
+  CHECK(fold.complete());
+  CHECK(fold.revision() == Revision(6));
+}
+
+TEST_CASE("config fold: snapshots and offers never take a revision back") {
+  ConfigFold fold;
+  fold.Apply(Publication(0, "a", 0, DocumentNamed("one")));
+  fold.Apply(Publication(1, "b", 1, DocumentNamed("two")));
+  fold.Apply(Snapshot(2, 1, 1, "one"));
+  CHECK(fold.revision() == Revision(2));
+  SnapshotRecord state;
+  state.revision_ = Revision(1);
+  state.as_of_ = LogOffset(1);
+  fold.Offer(state);
+  CHECK(fold.revision_in_force() == Revision(2));
+  CHECK(fold.complete());
+}
+
+TEST_CASE("config fold: a peer's newer revision is in force, records go on") {
+  ConfigFold fold;
+  fold.Apply(Publication(0, "a", 0, DocumentNamed("one")));
+  SnapshotRecord state;
+  state.revision_ = Revision(3);
+  state.as_of_ = LogOffset(3);
+  state.document_ = DocumentNamed("three");
+  fold.Offer(state);
+  CHECK(fold.revision_in_force() == Revision(3));
+  CHECK(fold.InForce().document_ == DocumentNamed("three"));
+  // The outcomes of the records that the peer had seen are still found.
+  fold.Apply(Publication(1, "b", 1, DocumentNamed("two")));
+  CHECK(fold.revision_in_force() == Revision(3));
+  CHECK(fold.FindOutcome(PublicationId("b"))->accepted_);
+  // With those records lost the offer stands in for them.
+  fold.OnLost(LogOffset(3));
+  CHECK(fold.complete());
+  fold.Apply(Publication(3, "d", 3, DocumentNamed("four")));
+  CHECK(fold.revision() == Revision(4));
+}
+
+}  // namespace
+}  // namespace bergamotscale::config
