Emulated engine: interfaces, answers and prefix cache

The experiment, the stand-in and the checkers need one engine whose answers can be compared byte by byte.

--- /dev/null
+++ b/src/emulator/answer.h
@@ -0,0 +1,73 @@
+// The answers of the emulated engine. Each is a pure function of the model,
+// the prompt and the token's index, so that a checker can compare every answer
+// byte by byte and an answer that is resumed elsewhere stays the same.
+#ifndef BERGAMOTSCALE_SRC_EMULATOR_ANSWER_H_
+#define BERGAMOTSCALE_SRC_EMULATOR_ANSWER_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bergamotscale/ids.h"
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::emulator {
+
+// One message of a chat.
+struct ChatMessage {
+  std::string role_;
+  std::string content_;
+};
+
+// Number of tokens in one block of the prefix cache.
+inline constexpr Tokens kBlockTokens = Tokens(16);
+// Number of prompt bytes that count as one token.
+inline constexpr int64_t kBytesPerToken = 4;
+// Longest answer without a directive.
+inline constexpr Tokens kLongestAnswer = Tokens(2048);
+// A prompt with this text crashes the engine that runs it.
+inline constexpr char kCrashMarker[] = "[crash]";
+// A prompt with "[tokens=N]" is answered with N tokens.
+inline constexpr char kLengthDirective[] = "[tokens=";
+
+// All functions below are pure and safe to call from any thread.
+
+// @return the prompt that the messages make together.
+std::string PromptOf(const std::vector<ChatMessage>& messages);
+
+// @return the number of tokens of a prompt, at least one.
+Tokens CountPromptTokens(const std::string& prompt);
+
+// @return one hash for each whole block of the prompt; each covers the prompt
+// from its start, so equal hashes mean an equal prefix for an equal model.
+std::vector<uint64_t> PrefixHashes(const ModelId& model,
+                                   const std::string& prompt);
+
+// @return a digest of the whole prompt and the model.
+uint64_t PromptDigest(const ModelId& model, const std::string& prompt);
+
+// @return the length of the answer: the directive's if the prompt has one,
+// else drawn from a lognormal distribution by the prompt's digest.
+// @param max_tokens an upper bound; zero for none.
+Tokens AnswerLength(const ModelId& model,
+                    const std::string& prompt,
+                    Tokens max_tokens);
+
+// @return the text of the token with that index, from zero.
+std::string TokenText(const ModelId& model,
+                      const std::string& prompt,
+                      int64_t index);
+// As above, with the digest of the prompt already known.
+std::string TokenText(uint64_t prompt_digest, int64_t index);
+
+// @return the whole answer.
+std::string AnswerText(const ModelId& model,
+                       const std::string& prompt,
+                       Tokens max_tokens);
+
+// @return whether the prompt crashes the engine.
+bool HasCrashMarker(const std::string& prompt);
+
+}  // namespace bergamotscale::emulator
+
+#endif  // BERGAMOTSCALE_SRC_EMULATOR_ANSWER_H_
