--- a/src/emulator/engine_types.h
+++ b/src/emulator/engine_types.h
@@ -95,6 +95,8 @@
   int max_running_ = 64;
   Tokens kv_capacity_ = Tokens(100000);
   Tokens prefix_capacity_ = Tokens(50000);
+  // Tokens that each of EngineRequest::prefix_hashes_ stands for.
+  Tokens block_ = Tokens(16);
   // Without priorities the waiting queue is first come, first served.
   bool honours_priority_ = true;
   Micros report_lag_ = Micros(500000);
