--- /dev/null
+++ b/src/policy/dispatcher.cc
@@ -0,0 +1,310 @@
+#include "src/policy/dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+#include <random>
+#include <unordered_map>
+
+namespace bergamotscale::policy {
+
+namespace {
+
+constexpr int kPercent = 100;
+// A report of this age counts half against the mean of the others.
+constexpr double kHalfAgeMillis = 1000;
+// What a full batch costs over an empty one, in slower tokens.
+constexpr double kFullBatchMillis = 30;
+// A prompt that is new to all goes to the same upstream from every entry.
+constexpr double kHomeMillis = 4;
+// Random part of a score, so that entries with one report don't all follow it.
+constexpr double kJitterMillis = 3;
+constexpr double kStragglerMillis = 20'000;
+constexpr size_t kMaxPrefixes = 20'000;
+// A wait under this is no reason to look beyond an upstream.
+constexpr double kMinSlotMillis = 5;
+
+struct Candidate {
+  int index_ = 0;
+  double score_ = 0;  // ms
+};
+
+uint64_t Mix(uint64_t value) {
+  value ^= value >> 33;
+  value *= 0xff51afd7ed558ccdULL;
+  value ^= value >> 33;
+  return value;
+}
+
+bool Contains(const std::vector<InstanceId>& ids, const InstanceId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+double ReportedWait(const UpstreamView& view, const ClassId& class_id) {
+  for (const ClassWait& wait : view.class_waits_) {
+    if (wait.class_ == class_id) {
+      return static_cast<double>(wait.wait_.count());
+    }
+  }
+  return static_cast<double>(view.expected_wait_.count());
+}
+
+// @return how many of the prompt's prefixes the upstream reports as cached.
+size_t ReportedPrefixes(const UpstreamView& view,
+                        const std::vector<uint64_t>& hashes) {
+  for (size_t count = hashes.size(); count > 0; --count) {
+    if (std::binary_search(view.cached_prefixes_.begin(),
+                           view.cached_prefixes_.end(), hashes[count - 1])) {
+      return count;
+    }
+  }
+  return 0;
+}
+
+}  // namespace
+
+struct Dispatcher::Impl {
+  // Where a prefix has run last, from this entry.
+  struct Home {
+    InstanceId sidecar_;
+    int index_hint_ = -1;
+  };
+  // The longest known prefix of a prompt.
+  struct Match {
+    const Home* home_ = nullptr;
+    size_t count_ = 0;
+  };
+
+  void Sample(const DispatchRequest& request,
+              const std::vector<UpstreamView>& views);
+  void Consider(int index,
+                const DispatchRequest& request,
+                const std::vector<UpstreamView>& views);
+  Match FindMatch(const std::vector<uint64_t>& hashes) const;
+  void Measure(const DispatchRequest& request,
+               const std::vector<UpstreamView>& views);
+  double Wait(const UpstreamView& view, const ClassId& class_id) const;
+  double Score(const UpstreamView& view,
+               const DispatchRequest& request,
+               const Match& match);
+  int HomeOf(const DispatchRequest& request,
+             const std::vector<UpstreamView>& views) const;
+
+  DispatcherOptions options_;
+  std::mt19937_64 random_;
+  std::unordered_map<uint64_t, Home> homes_;
+  std::unordered_map<uint64_t, Home> older_homes_;
+  // Reused between calls.
+  std::vector<Candidate> candidates_;
+  std::vector<int64_t> gaps_;
+  double mean_wait_ = 0;
+  int64_t median_gap_ = 0;
+};
+
+void Dispatcher::Impl::Consider(int index,
+                                const DispatchRequest& request,
+                                const std::vector<UpstreamView>& views) {
+  const UpstreamView& view = views[index];
+  if (!view.usable_ || view.group_ != request.group_ ||
+      Contains(request.avoid_, view.sidecar_)) {
+    return;
+  }
+  for (const Candidate& known : candidates_) {
+    if (known.index_ == index) {
+      return;
+    }
+  }
+  candidates_.push_back(Candidate{index, 0});
+}
+
+// Collects all usable upstreams if they are few, or else a random sample with
+// those that may hold the prompt's prefix.
+void Dispatcher::Impl::Sample(const DispatchRequest& request,
+                              const std::vector<UpstreamView>& views) {
+  candidates_.clear();
+  const int count = static_cast<int>(views.size());
+  if (count <= options_.sample_) {
+    for (int index = 0; index < count; ++index) {
+      Consider(index, request, views);
+    }
+    return;
+  }
+  const Match match = FindMatch(request.prefix_hashes_);
+  const int hint = match.home_ == nullptr ? -1 : match.home_->index_hint_;
+  if (hint >= 0 && hint < count &&
+      views[hint].sidecar_ == match.home_->sidecar_) {
+    Consider(hint, request, views);
+  }
+  if (!request.prefix_hashes_.empty()) {
+    Consider(static_cast<int>(request.prefix_hashes_.front() % count), request,
+             views);
+  }
+  const int most_tries = 4 * options_.sample_;
+  for (int i = 0; i < most_tries; ++i) {
+    if (static_cast<int>(candidates_.size()) >= options_.sample_) {
+      break;
+    }
+    Consider(static_cast<int>(random_() % count), request, views);
+  }
+}
+
+Dispatcher::Impl::Match Dispatcher::Impl::FindMatch(
+    const std::vector<uint64_t>& hashes) const {
+  for (size_t count = hashes.size(); count > 0; --count) {
+    for (const auto* homes : {&homes_, &older_homes_}) {
+      const auto found = homes->find(hashes[count - 1]);
+      if (found != homes->end()) {
+        return Match{&found->second, count};
+      }
+    }
+  }
+  return {};
+}
+
+// Takes the mean wait and the median time between tokens of the candidates.
+void Dispatcher::Impl::Measure(const DispatchRequest& request,
+                               const std::vector<UpstreamView>& views) {
+  double sum = 0;
+  gaps_.clear();
+  for (const Candidate& candidate : candidates_) {
+    const UpstreamView& view = views[candidate.index_];
+    sum += ReportedWait(view, request.class_);
+    if (view.between_tokens_.count() > 0) {
+      gaps_.push_back(view.between_tokens_.count());
+    }
+  }
+  const size_t count = std::max<size_t>(candidates_.size(), 1);
+  mean_wait_ = sum / static_cast<double>(count);
+  median_gap_ = 0;
+  if (!gaps_.empty()) {
+    const auto middle =
+        gaps_.begin() + static_cast<ptrdiff_t>(gaps_.size()) / 2;
+    std::nth_element(gaps_.begin(), middle, gaps_.end());
+    median_gap_ = *middle;
+  }
+}
+
+double Dispatcher::Impl::Wait(const UpstreamView& view,
+                              const ClassId& class_id) const {
+  const double age = static_cast<double>(view.report_age_.count());
+  const double fresh = kHalfAgeMillis / (kHalfAgeMillis + age);
+  const double reported = ReportedWait(view, class_id);
+  const double wait = reported * fresh + mean_wait_ * (1 - fresh);
+  // Most of the places taken since are withdrawn again.
+  const double placed = static_cast<double>(view.placed_since_) /
+                        std::max(options_.reservations_, 1);
+  const double free = view.slots_ - view.running_ - placed;
+  if (free > 0) {
+    return wait;
+  }
+  const double slot = std::max(kMinSlotMillis, reported / (view.waiting_ + 1));
+  return wait + slot * std::min(-free + 1, placed);
+}
+
+double Dispatcher::Impl::Score(const UpstreamView& view,
+                               const DispatchRequest& request,
+                               const Match& match) {
+  double score = Wait(view, request.class_);
+  const double slots = std::max(view.slots_, 1);
+  score += kFullBatchMillis * (view.running_ + view.placed_since_) / slots;
+  if (view.zone_ != options_.zone_) {
+    score += static_cast<double>(options_.zone_cost_.count());
+  }
+  size_t prefixes = ReportedPrefixes(view, request.prefix_hashes_);
+  if (match.home_ != nullptr && match.home_->sidecar_ == view.sidecar_) {
+    prefixes = std::max(prefixes, match.count_);
+  }
+  score -= static_cast<double>(options_.prefix_saving_.count()) *
+           static_cast<double>(prefixes);
+  if (view.between_tokens_.count() * kPercent >
+      median_gap_ * options_.straggler_percent_) {
+    score += kStragglerMillis;
+  }
+  std::uniform_real_distribution<double> jitter(0, kJitterMillis);
+  return score + jitter(random_);
+}
+
+// The candidate with the highest hash for the prompt's first prefix.
+int Dispatcher::Impl::HomeOf(const DispatchRequest& request,
+                             const std::vector<UpstreamView>& views) const {
+  int home = -1;
+  uint64_t most = 0;
+  if (request.prefix_hashes_.empty()) {
+    return home;
+  }
+  const std::hash<InstanceId> hash;
+  for (const Candidate& candidate : candidates_) {
+    const uint64_t weight = Mix(hash(views[candidate.index_].sidecar_) ^
+                                request.prefix_hashes_.front());
+    if (home < 0 || weight > most) {
+      home = candidate.index_;
+      most = weight;
+    }
+  }
+  return home;
+}
+
+Dispatcher::Dispatcher(DispatcherOptions options)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->random_.seed(options.seed_);
+  impl_->options_ = std::move(options);
+}
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
+Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
+
+std::vector<int> Dispatcher::Choose(const DispatchRequest& request,
+                                    const std::vector<UpstreamView>& views) {
+  impl_->Sample(request, views);
+  std::vector<Candidate>& candidates = impl_->candidates_;
+  impl_->Measure(request, views);
+  const Impl::Match match = impl_->FindMatch(request.prefix_hashes_);
+  const int home = match.home_ == nullptr ? impl_->HomeOf(request, views) : -1;
+  for (Candidate& candidate : candidates) {
+    candidate.score_ = impl_->Score(views[candidate.index_], request, match) -
+                       (candidate.index_ == home ? kHomeMillis : 0);
+  }
+  const size_t wanted =
+      static_cast<size_t>(std::max(impl_->options_.reservations_, 1));
+  const size_t count = std::min(wanted, candidates.size());
+  std::partial_sort(
+      candidates.begin(), candidates.begin() + static_cast<ptrdiff_t>(count),
+      candidates.end(), [](const Candidate& a, const Candidate& b) {
+        return a.score_ < b.score_;
+      });
+  std::vector<int> chosen;
+  chosen.reserve(count);
+  for (size_t i = 0; i < count; ++i) {
+    chosen.push_back(candidates[i].index_);
+  }
+  return chosen;
+}
+
+void Dispatcher::Started(const DispatchRequest& request,
+                         const std::vector<UpstreamView>& views,
+                         int index) {
+  const UpstreamView& upstream = views[index];
+  for (const uint64_t hash : request.prefix_hashes_) {
+    impl_->homes_[hash] = Impl::Home{upstream.sidecar_, index};
+  }
+  // Two generations bound the memory without an order of use.
+  if (impl_->homes_.size() >= kMaxPrefixes) {
+    impl_->older_homes_ = std::move(impl_->homes_);
+    impl_->homes_.clear();
+  }
+}
+
+Millis Dispatcher::BestWait(const DispatchRequest& request,
+                            const std::vector<UpstreamView>& views) {
+  impl_->Sample(request, views);
+  if (impl_->candidates_.empty()) {
+    return kNoUpstreamWait;
+  }
+  impl_->Measure(request, views);
+  double best = std::numeric_limits<double>::infinity();
+  for (const Candidate& candidate : impl_->candidates_) {
+    best = std::min(best, impl_->Wait(views[candidate.index_], request.class_));
+  }
+  return Millis(static_cast<int64_t>(best));
+}
+
+}  // namespace bergamotscale::policy
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -62,7 +62,10 @@
 
   // Remembers that the upstream has taken the request, and so holds its
   // prefixes. Memory is bounded.
-  void Started(const DispatchRequest& request, const UpstreamView& upstream);
+  // @param index the upstream, as returned by Choose().
+  void Started(const DispatchRequest& request,
+               const std::vector<UpstreamView>& views,
+               int index);
 
   // @return the wait that admission should reckon with: that of the best
   // upstream for the class among a sample; kNoUpstreamWait if none is usable.
--- /dev/null
+++ b/src/policy/quarantine.cc
@@ -0,0 +1,168 @@
+#include "src/policy/quarantine.h"
+
+#include <algorithm>
+#include <list>
+#include <unordered_map>
+#include <utility>
+
+namespace bergamotscale::policy {
+
+namespace {
+
+constexpr int kCrashesToConvict = 2;
+// For so long a peer's older suspicion doesn't undo a clearance.
+constexpr Millis kClearanceLifetime = Millis(30'000);
+
+}  // namespace
+
+struct Quarantine::Impl {
+  struct Record {
+    uint64_t digest_ = 0;
+    int crashes_ = 0;
+    Millis expires_;
+    bool convicted() const { return crashes_ >= kCrashesToConvict; }
+  };
+
+  const Record* Find(uint64_t digest, Millis now) const {
+    const auto found = by_digest_.find(digest);
+    if (found == by_digest_.end() || found->second->expires_ <= now) {
+      return nullptr;
+    }
+    return &*found->second;
+  }
+
+  SuspicionRecord Set(uint64_t digest, int crashes, Millis expires, Millis now);
+  void Forget(std::list<Record>::iterator record) {
+    by_digest_.erase(record->digest_);
+    records_.erase(record);
+  }
+  void MakeRoom();
+  Millis LifetimeOf(int crashes) const {
+    if (crashes == 0) {
+      return kClearanceLifetime;
+    }
+    return crashes >= kCrashesToConvict ? options_.conviction_lifetime_
+                                        : options_.suspect_lifetime_;
+  }
+
+  QuarantineOptions options_;
+  std::list<Record> records_;  // newest first
+  std::unordered_map<uint64_t, std::list<Record>::iterator> by_digest_;
+};
+
+SuspicionRecord Quarantine::Impl::Set(uint64_t digest,
+                                      int crashes,
+                                      Millis expires,
+                                      Millis now) {
+  const auto found = by_digest_.find(digest);
+  if (found != by_digest_.end()) {
+    Forget(found->second);
+  }
+  MakeRoom();
+  records_.push_front(Record{digest, crashes, expires});
+  by_digest_[digest] = records_.begin();
+  return SuspicionRecord{digest, crashes, crashes >= kCrashesToConvict,
+                         expires - now};
+}
+
+// Drops the oldest record, a convicted one only if there is no other.
+void Quarantine::Impl::MakeRoom() {
+  if (records_.size() < std::max<size_t>(options_.max_digests_, 1)) {
+    return;
+  }
+  auto oldest =
+      std::find_if(records_.rbegin(), records_.rend(),
+                   [](const Record& record) { return !record.convicted(); });
+  if (oldest == records_.rend()) {
+    oldest = records_.rbegin();
+  }
+  Forget(std::prev(oldest.base()));
+}
+
+Quarantine::Quarantine(QuarantineOptions options)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->options_ = options;
+}
+Quarantine::~Quarantine() = default;
+Quarantine::Quarantine(Quarantine&&) noexcept = default;
+Quarantine& Quarantine::operator=(Quarantine&&) noexcept = default;
+
+Suspicion Quarantine::Check(uint64_t digest, Millis now) const {
+  const Impl::Record* record = impl_->Find(digest, now);
+  if (record == nullptr || record->crashes_ == 0) {
+    return Suspicion::kClear;
+  }
+  return record->convicted() ? Suspicion::kConvicted : Suspicion::kSuspect;
+}
+
+std::vector<SuspicionRecord> Quarantine::OnCrash(
+    const std::vector<RunningDigest>& running,
+    Millis now) {
+  // Those that were in an earlier crash explain this one.
+  const bool explained = std::any_of(
+      running.begin(), running.end(),
+      [](const RunningDigest& attempt) { return attempt.suspect_; });
+  const int crashes = explained ? kCrashesToConvict : 1;
+  std::vector<SuspicionRecord> changed;
+  for (const RunningDigest& attempt : running) {
+    const bool convicted = Check(attempt.digest_, now) == Suspicion::kConvicted;
+    if (convicted || attempt.suspect_ != explained) {
+      continue;
+    }
+    const Millis expires = now + impl_->LifetimeOf(crashes);
+    changed.push_back(impl_->Set(attempt.digest_, crashes, expires, now));
+  }
+  return changed;
+}
+
+std::vector<SuspicionRecord> Quarantine::OnCompleted(uint64_t digest,
+                                                     Millis now) {
+  if (Check(digest, now) != Suspicion::kSuspect) {
+    return {};
+  }
+  return {impl_->Set(digest, 0, now + impl_->LifetimeOf(0), now)};
+}
+
+bool Quarantine::Merge(const SuspicionRecord& record, Millis now) {
+  if (record.expires_in_ <= Millis(0)) {
+    return false;
+  }
+  const int crashes =
+      record.convicted_ ? kCrashesToConvict : std::clamp(record.crashes_, 0, 1);
+  const Impl::Record* own = impl_->Find(record.digest_, now);
+  if (own != nullptr && (own->crashes_ == crashes || own->convicted())) {
+    return false;
+  }
+  const bool cleared_here = own != nullptr && own->crashes_ == 0;
+  if (cleared_here && crashes == 1) {
+    return false;
+  }
+  if (own == nullptr && crashes == 0) {
+    return false;
+  }
+  const Millis lifetime =
+      std::min(record.expires_in_, impl_->LifetimeOf(crashes));
+  impl_->Set(record.digest_, crashes, now + lifetime, now);
+  return true;
+}
+
+std::vector<SuspicionRecord> Quarantine::Records(Millis now,
+                                                 size_t limit) const {
+  std::vector<SuspicionRecord> records;
+  for (const Impl::Record& record : impl_->records_) {
+    if (records.size() >= limit) {
+      break;
+    }
+    if (record.expires_ > now) {
+      records.push_back({record.digest_, record.crashes_, record.convicted(),
+                         record.expires_ - now});
+    }
+  }
+  return records;
+}
+
+size_t Quarantine::size() const {
+  return impl_->records_.size();
+}
+
+}  // namespace bergamotscale::policy
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -19,6 +19,12 @@
   kConvicted,
 };
 
+// An attempt that was running when its upstream crashed.
+struct RunningDigest {
+  uint64_t digest_ = 0;
+  bool suspect_ = false;  // was started as one
+};
+
 // What one process tells another of a digest.
 struct SuspicionRecord {
   uint64_t digest_ = 0;
@@ -29,8 +35,8 @@
 
 struct QuarantineOptions {
   size_t max_digests_ = 10'000;
-  Millis suspect_lifetime_ = Millis(10 * 60 * 1000);
-  Millis conviction_lifetime_ = Millis(24 * 60 * 60 * 1000);
+  Millis suspect_lifetime_ = Millis(600'000);
+  Millis conviction_lifetime_ = Millis(86'400'000);
 };
 
 // Keeps, for each digest, in how many crashes it took part. A crash makes
@@ -38,6 +44,9 @@
 // suspect is convicted and its neighbours are left alone. Since at most one
 // suspect runs at an upstream, this is the intersection of the crash sets.
 //
+// The sidecar of a crashed upstream tells of all that ran there; an entry that
+// lost its link tells of its own attempts there. Both may tell of one crash:
+// what counts is whether an attempt had been started as a suspect.
 // Records are soft state; peers merge them by taking the worse.
 // Thread safety: none.
 class Quarantine {
@@ -52,8 +61,9 @@
 
   // An upstream crashed while it ran these.
   // @return the records that changed, to be told to peers.
-  std::vector<SuspicionRecord> OnCrash(const std::vector<uint64_t>& running,
-                                       Millis now);
+  std::vector<SuspicionRecord> OnCrash(
+      const std::vector<RunningDigest>& running,
+      Millis now);
 
   // A request ran to its end.
   // @return the record that changed, if it was a suspect.
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -60,7 +60,7 @@
   Millis between_tokens_;
   Millis expected_wait_;
   Millis report_age_;
-  std::vector<uint64_t> cached_prefixes_;
+  std::vector<uint64_t> cached_prefixes_;  // ascending
   // Waits by class where known; expected_wait_ stands in for the others.
   std::vector<ClassWait> class_waits_;
 };
