--- a/src/policy/concurrency_limiter.cc
+++ b/src/policy/concurrency_limiter.cc
@@ -33,6 +33,10 @@
   target_ = between_tokens;
 }
 
+void ConcurrencyLimiter::SetFloors(int percent) {
+  floor_percent_ = std::clamp(percent, 0, kPercent);
+}
+
 void ConcurrencyLimiter::ObserveChunk(Millis now,
                                       Tokens tokens,
                                       Millis elapsed,
@@ -65,7 +69,7 @@
   SlotLimits limits;
   limits.limit_ = limit_;
   limits.urgent_extra_ = PartOf(limit_, options_.urgent_percent_);
-  limits.floor_extra_ = PartOf(limit_, options_.floor_percent_);
+  limits.floor_extra_ = PartOf(limit_, floor_percent_);
   return limits;
 }
 
