Orders: claims arbitrated by log order, batching, recorded outcomes

Cause: an order must be executed at most once although callers resend it to other entries, appends may land late or unseen, and processes pause. Ruled out: a claim at the entry, which would run work nobody owns any more when the entry pauses; appending a claim again after an unknown outcome.

--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -14,6 +14,7 @@
 find_library(CPPREST_LIBRARY cpprest REQUIRED)
 find_library(NGHTTP2_LIBRARY nghttp2 REQUIRED)
 find_library(XXHASH_LIBRARY xxhash REQUIRED)
+find_library(RAPIDCHECK_LIBRARY rapidcheck REQUIRED)
 
 add_compile_options(-Wall -Wextra -Werror -fno-omit-frame-pointer)
 add_compile_definitions(BOOST_ERROR_CODE_HEADER_ONLY MSGPACK_USE_BOOST
--- /dev/null
+++ b/src/orders/claim_batcher.cc
@@ -0,0 +1,196 @@
+#include "src/orders/claim_batcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamotscale::orders {
+namespace {
+
+constexpr int64_t kRecordOverheadBytes = 128;
+
+int64_t SizeOf(const OrderRecord& record) {
+  const Outcome& outcome = record.outcome_;
+  return kRecordOverheadBytes +
+         static_cast<int64_t>(outcome.body_.size() + outcome.text_.size());
+}
+
+}  // namespace
+
+class ClaimBatcher::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(BatcherOptions options,
+       Clock steady,
+       AppendFunction append,
+       FailedHook on_failed)
+      : options_(options),
+        steady_(std::move(steady)),
+        append_(std::move(append)),
+        on_failed_(std::move(on_failed)) {}
+
+  void Add(OrderRecord record) {
+    waiting_.push_back(std::move(record));
+    DropSurplus();
+    Tick();
+  }
+
+  void AddSnapshot(std::vector<SnapshotPart> parts) {
+    std::move(parts.begin(), parts.end(), std::back_inserter(parts_));
+  }
+
+  bool Withdraw(const ClaimId& claim) {
+    const auto found = std::find_if(
+        waiting_.begin(), waiting_.end(), [&claim](const OrderRecord& record) {
+          return record.kind_ == RecordKind::kClaim && record.claim_ == claim;
+        });
+    if (found == waiting_.end()) {
+      return false;
+    }
+    waiting_.erase(found);
+    return true;
+  }
+
+  void Tick() {
+    const bool idle = waiting_.empty() && parts_.empty();
+    if (in_flight_ || idle || steady_.Now() < not_before_) {
+      return;
+    }
+    auto batch = std::make_shared<OrderBatch>(TakeBatch());
+    in_flight_ = true;
+    flying_ = batch->records_.size();
+    ++appends_;
+    not_before_ = steady_.Now() + options_.interval_;
+    std::weak_ptr<Impl> weak = weak_from_this();
+    append_(EncodeBatch(*batch), [weak, batch](Result<LogOffset> result) {
+      if (auto self = weak.lock()) {
+        self->OnAppended(*batch, result);
+      }
+    });
+  }
+
+  size_t waiting() const { return waiting_.size() + flying_; }
+  int64_t dropped() const { return dropped_; }
+  int64_t appends() const { return appends_; }
+
+ private:
+  OrderBatch TakeBatch() {
+    OrderBatch batch;
+    int64_t bytes = 0;
+    while (!waiting_.empty() && batch.records_.size() < options_.max_records_) {
+      bytes += SizeOf(waiting_.front());
+      if (!batch.records_.empty() && Bytes(bytes) > options_.max_bytes_) {
+        break;
+      }
+      batch.records_.push_back(std::move(waiting_.front()));
+      waiting_.pop_front();
+    }
+    if (!parts_.empty()) {
+      batch.snapshot_parts_.push_back(std::move(parts_.front()));
+      parts_.pop_front();
+    }
+    return batch;
+  }
+
+  void OnAppended(const OrderBatch& batch, const Result<LogOffset>& result) {
+    in_flight_ = false;
+    flying_ = 0;
+    if (result.ok()) {
+      Tick();
+      return;
+    }
+    not_before_ = steady_.Now() + options_.retry_delay_;
+    QueueAgain(batch);
+    if (result.error().code_ == ErrorCode::kLogUnavailable) {
+      on_failed_(ClaimsOf(batch));
+    }
+  }
+
+  static std::vector<ClaimId> ClaimsOf(const OrderBatch& batch) {
+    std::vector<ClaimId> claims;
+    for (const OrderRecord& record : batch.records_) {
+      if (record.kind_ == RecordKind::kClaim) {
+        claims.push_back(record.claim_);
+      }
+    }
+    return claims;
+  }
+
+  void QueueAgain(const OrderBatch& batch) {
+    for (auto record = batch.records_.rbegin(); record != batch.records_.rend();
+         ++record) {
+      if (record->kind_ != RecordKind::kClaim) {
+        waiting_.push_front(*record);
+      }
+    }
+    for (const SnapshotPart& part : batch.snapshot_parts_) {
+      parts_.push_front(part);
+    }
+    DropSurplus();
+  }
+
+  void DropSurplus() {
+    while (waiting_.size() > options_.max_waiting_) {
+      const auto oldest = std::find_if(
+          waiting_.begin(), waiting_.end(), [](const OrderRecord& record) {
+            return record.kind_ != RecordKind::kClaim;
+          });
+      if (oldest == waiting_.end()) {
+        return;
+      }
+      waiting_.erase(oldest);
+      ++dropped_;
+    }
+  }
+
+  BatcherOptions options_;
+  Clock steady_;
+  AppendFunction append_;
+  FailedHook on_failed_;
+  std::deque<OrderRecord> waiting_;
+  std::deque<SnapshotPart> parts_;
+  bool in_flight_ = false;
+  size_t flying_ = 0;
+  Millis not_before_;
+  int64_t dropped_ = 0;
+  int64_t appends_ = 0;
+};
+
+ClaimBatcher::ClaimBatcher(BatcherOptions options,
+                           Clock steady,
+                           AppendFunction append,
+                           FailedHook on_failed)
+    : impl_(std::make_shared<Impl>(options,
+                                   std::move(steady),
+                                   std::move(append),
+                                   std::move(on_failed))) {}
+
+ClaimBatcher::~ClaimBatcher() = default;
+
+void ClaimBatcher::Add(OrderRecord record) {
+  impl_->Add(std::move(record));
+}
+
+void ClaimBatcher::AddSnapshot(std::vector<SnapshotPart> parts) {
+  impl_->AddSnapshot(std::move(parts));
+}
+
+bool ClaimBatcher::Withdraw(const ClaimId& claim) {
+  return impl_->Withdraw(claim);
+}
+
+void ClaimBatcher::Tick() {
+  impl_->Tick();
+}
+
+size_t ClaimBatcher::waiting() const {
+  return impl_->waiting();
+}
+
+int64_t ClaimBatcher::dropped() const {
+  return impl_->dropped();
+}
+
+int64_t ClaimBatcher::appends() const {
+  return impl_->appends();
+}
+
+}  // namespace bergamotscale::orders
--- /dev/null
+++ b/tests/order_executor_test.cc
@@ -0,0 +1,299 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "src/orders/order_executor.h"
+
+namespace bergamotscale::orders {
+namespace {
+
+constexpr int kExecutors = 3;
+constexpr int kKeys = 4;
+constexpr int kSteps = 1500;
+
+enum class Guard { kClaims, kNone };
+
+// The log service in memory: each append meets a random fate.
+class FakeLog {
+ public:
+  explicit FakeLog(std::mt19937_64& random) : random_(random) {}
+
+  void Append(const std::string& payload, AppendHook hook) {
+    pending_.push_back([this, payload, hook] { Settle(payload, hook); });
+  }
+
+  // Lets some appends happen and some answers arrive.
+  void Step() {
+    if (pending_.empty()) {
+      return;
+    }
+    const size_t chosen = random_() % pending_.size();
+    const auto next = pending_[chosen];
+    pending_.erase(pending_.begin() + static_cast<int64_t>(chosen));
+    next();
+  }
+
+  const std::vector<log::Record>& records() const { return records_; }
+  void set_faulty(bool faulty) { faulty_ = faulty; }
+  bool quiet() const { return pending_.empty(); }
+
+ private:
+  void Settle(const std::string& payload, const AppendHook& hook) {
+    switch (faulty_ ? random_() % 5 : 0) {
+      case 0:
+      case 1:
+        hook(Land(payload));
+        return;
+      case 2:
+        hook(Error(ErrorCode::kLogUnavailable));
+        return;
+      case 3:
+        Land(payload);
+        hook(Error(ErrorCode::kLogOutcomeUnknown));
+        return;
+      default:
+        hook(Error(ErrorCode::kLogOutcomeUnknown));
+        pending_.push_back([this, payload] { Land(payload); });
+    }
+  }
+
+  LogOffset Land(const std::string& payload) {
+    const LogOffset offset(static_cast<int64_t>(records_.size()));
+    records_.push_back(log::Record{offset, payload});
+    return offset;
+  }
+
+  std::mt19937_64& random_;
+  std::vector<std::function<void()>> pending_;
+  std::vector<log::Record> records_;
+  bool faulty_ = true;
+};
+
+// What became of one send of an order.
+struct Send {
+  int key_ = 0;
+  bool executed_ = false;
+  bool refused_not_run_ = false;
+  std::string answer_;
+};
+
+// Several executors on one log, driven by one random sequence.
+class World {
+ public:
+  World(uint64_t seed, Guard guard)
+      : random_(seed), log_(random_), guard_(guard) {
+    for (int index = 0; index < kExecutors; ++index) {
+      nodes_.emplace_back();
+      Restart(index);
+    }
+  }
+
+  void Run() {
+    for (int step = 0; step < kSteps; ++step) {
+      Step();
+    }
+    log_.set_faulty(false);
+    for (int step = 0; step < kSteps; ++step) {
+      now_ += Millis(50);
+      Settle();
+    }
+  }
+
+  int Executions(int key) const {
+    const auto found = executions_.find(key);
+    return found == executions_.end() ? 0 : found->second;
+  }
+  const std::vector<std::shared_ptr<Send>>& sends() const { return sends_; }
+  const std::map<int, std::string>& answers() const { return answers_; }
+
+ private:
+  struct Node {
+    std::unique_ptr<OrderExecutor> executor_;
+    size_t read_ = 0;
+    bool paused_ = false;
+    std::vector<std::function<void()>> running_;
+  };
+
+  void Restart(int index) {
+    Node& node = nodes_[index];
+    ExecutorOptions options;
+    options.boot_id_ = "boot" + std::to_string(++boots_);
+    options.claim_timeout_ =
+        Millis(100 + static_cast<int64_t>(random_() % 1000));
+    options.outcome_wait_ = Millis(300);
+    const auto now = [this] { return now_; };
+    node.running_.clear();
+    node.read_ = 0;
+    node.paused_ = false;
+    node.executor_ = std::make_unique<OrderExecutor>(
+        options, Clock(now), Clock(now),
+        [this](const std::string& payload, const AppendHook& hook) {
+          log_.Append(payload, hook);
+        });
+  }
+
+  void Step() {
+    now_ += Millis(static_cast<int64_t>(random_() % 30));
+    const int index = static_cast<int>(random_() % kExecutors);
+    Node& node = nodes_[index];
+    switch (random_() % 12) {
+      case 0:
+        SendOrder(node);
+        return;
+      case 1:
+        node.paused_ = !node.paused_;
+        return;
+      case 2:
+        if (random_() % 16 == 0) {
+          Restart(index);
+        }
+        return;
+      case 3:
+        FinishOne(node);
+        return;
+      default:
+        Turn(node);
+        log_.Step();
+    }
+  }
+
+  void Settle() {
+    for (Node& node : nodes_) {
+      node.paused_ = false;
+      Turn(node);
+      FinishOne(node);
+      log_.Step();
+    }
+  }
+
+  void Turn(Node& node) {
+    if (node.paused_) {
+      return;
+    }
+    if (random_() % 2 == 0) {
+      node.executor_->Tick();
+    }
+    if (node.read_ < log_.records().size()) {
+      node.executor_->OnRecord(log_.records()[node.read_++]);
+    }
+  }
+
+  void SendOrder(Node& node) {
+    if (node.paused_) {
+      return;
+    }
+    auto send = std::make_shared<Send>();
+    send->key_ = static_cast<int>(random_() % kKeys);
+    sends_.push_back(send);
+    if (guard_ == Guard::kNone) {
+      Execute(*send);
+      return;
+    }
+    const OrderKey key{WorkspaceId("w"),
+                       IdempotencyKey(std::to_string(send->key_))};
+    OrderExecutor* executor = node.executor_.get();
+    OrderHooks hooks;
+    hooks.execute_ = [this, &node, executor, send](const ClaimId& claim) {
+      node.running_.push_back(
+          [this, executor, send, claim] { Finish(executor, *send, claim); });
+    };
+    hooks.replay_ = [send](const Outcome& outcome) {
+      send->answer_ = outcome.body_;
+    };
+    hooks.refuse_ = [send](const Error&, Verdict verdict) {
+      send->refused_not_run_ = verdict == Verdict::kNotRun;
+    };
+    const AttemptHandle handle = executor->Begin(key, 1, hooks);
+    if (random_() % 6 == 0) {
+      executor->Abandon(handle);
+    }
+  }
+
+  // The upstream refuses some executions without running them.
+  void Finish(OrderExecutor* executor, Send& send, const ClaimId& claim) {
+    if (random_() % 4 == 0) {
+      executor->Release(claim);
+      send.refused_not_run_ = true;
+      return;
+    }
+    Execute(send);
+    Outcome outcome;
+    outcome.body_ = send.answer_;
+    executor->Complete(claim, outcome);
+  }
+
+  void Execute(Send& send) {
+    send.executed_ = true;
+    send.answer_ = "answer " + std::to_string(++answer_count_);
+    ++executions_[send.key_];
+    answers_[send.key_] = send.answer_;
+  }
+
+  void FinishOne(Node& node) {
+    if (node.paused_ || node.running_.empty()) {
+      return;
+    }
+    const auto finish = node.running_.back();
+    node.running_.pop_back();
+    finish();
+  }
+
+  std::mt19937_64 random_;
+  Millis now_ = Millis(1000);
+  FakeLog log_;
+  Guard guard_;
+  std::vector<Node> nodes_;
+  int boots_ = 0;
+  int answer_count_ = 0;
+  std::vector<std::shared_ptr<Send>> sends_;
+  std::map<int, int> executions_;
+  std::map<int, std::string> answers_;
+};
+
+}  // namespace
+
+TEST_CASE("order executor: random faults never execute an order twice") {
+  const bool held = rc::check("at most once", [](uint64_t seed) {
+    World world(seed, Guard::kClaims);
+    world.Run();
+    for (int key = 0; key < kKeys; ++key) {
+      RC_ASSERT(world.Executions(key) <= 1);
+    }
+    for (const auto& send : world.sends()) {
+      RC_ASSERT(!(send->executed_ && send->refused_not_run_));
+      if (!send->answer_.empty()) {
+        RC_ASSERT(send->answer_ == world.answers().at(send->key_));
+      }
+    }
+  });
+  CHECK(held);
+}
+
+TEST_CASE("order executor: the random faults do execute twice without claims") {
+  World world(1, Guard::kNone);
+  world.Run();
+  int twice = 0;
+  for (int key = 0; key < kKeys; ++key) {
+    twice += world.Executions(key) > 1 ? 1 : 0;
+  }
+  CHECK(twice > 0);
+}
+
+TEST_CASE("order executor: most orders do run under the random faults") {
+  int ran = 0;
+  for (uint64_t seed = 0; seed < 20; ++seed) {
+    World world(seed, Guard::kClaims);
+    world.Run();
+    for (int key = 0; key < kKeys; ++key) {
+      ran += world.Executions(key);
+    }
+  }
+  CHECK(ran > 20 * kKeys / 2);
+}
+
+}  // namespace bergamotscale::orders
--- /dev/null
+++ b/tests/order_fold_test.cc
@@ -0,0 +1,149 @@
+#include <doctest/doctest.h>
+
+#include "src/orders/order_fold.h"
+
+namespace bergamotscale::orders {
+namespace {
+
+constexpr char kDatedKey[] = "018bcfe5-6800-7000-8000-000000000001";
+const Millis kDate(0x018bcfe56800);
+
+OrderKey KeyOf(const std::string& key) {
+  return OrderKey{WorkspaceId("workspace"), IdempotencyKey(key)};
+}
+
+// Builds the records of a log one append a record.
+class LogBuilder {
+ public:
+  log::Record Add(RecordKind kind,
+                  const std::string& key,
+                  const std::string& claim,
+                  Millis wall,
+                  uint64_t digest = 1) {
+    OrderRecord record;
+    record.kind_ = kind;
+    record.key_ = KeyOf(key);
+    record.claim_ = ClaimId(claim);
+    record.digest_ = digest;
+    record.wall_ = wall;
+    record.outcome_.body_ = claim;
+    return Add(OrderBatch{{record}, {}});
+  }
+
+  log::Record Add(const OrderBatch& batch) {
+    return log::Record{LogOffset(next_++), EncodeBatch(batch)};
+  }
+
+ private:
+  int64_t next_ = 0;
+};
+
+ClaimFate FateOf(OrderFold& fold, const log::Record& record) {
+  return fold.Apply(record).at(0).fate_;
+}
+
+}  // namespace
+
+TEST_CASE("order fold: the first claim in log order owns") {
+  OrderFold fold((FoldOptions()));
+  LogBuilder log;
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, "k", "a", Millis(1))) ==
+        ClaimFate::kOwns);
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, "k", "b", Millis(1))) ==
+        ClaimFate::kLost);
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, "k", "c", Millis(1), 2)) ==
+        ClaimFate::kOtherBody);
+  fold.Apply(log.Add(RecordKind::kOutcome, "k", "b", Millis(1)));
+  CHECK(fold.Find(KeyOf("k"))->phase_ == Phase::kClaimed);
+  fold.Apply(log.Add(RecordKind::kOutcome, "k", "a", Millis(1)));
+  CHECK(fold.Find(KeyOf("k"))->phase_ == Phase::kDone);
+  fold.Apply(log.Add(RecordKind::kRelease, "k", "a", Millis(1)));
+  CHECK(fold.Find(KeyOf("k"))->outcome_.body_ == "a");
+}
+
+TEST_CASE("order fold: a released claim never owns again") {
+  OrderFold fold((FoldOptions()));
+  LogBuilder log;
+  fold.Apply(log.Add(RecordKind::kClaim, "k", "a", Millis(1)));
+  fold.Apply(log.Add(RecordKind::kRelease, "k", "a", Millis(1)));
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, "k", "a", Millis(1))) ==
+        ClaimFate::kLost);
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, "k", "b", Millis(1))) ==
+        ClaimFate::kOwns);
+}
+
+TEST_CASE("order fold: a dated key past the horizon is refused") {
+  FoldOptions options;
+  OrderFold fold(options);
+  LogBuilder log;
+  CHECK(DateOf(IdempotencyKey(kDatedKey)) == kDate);
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, kDatedKey, "a", kDate)) ==
+        ClaimFate::kOwns);
+  const Millis later =
+      kDate + options.horizon_ + options.max_clock_difference_ + Millis(1);
+  fold.Apply(log.Add(RecordKind::kClaim, "other", "b", later));
+  CHECK(fold.Find(KeyOf(kDatedKey)) == nullptr);
+  CHECK(FateOf(fold, log.Add(RecordKind::kClaim, kDatedKey, "c", later)) ==
+        ClaimFate::kExpired);
+  CHECK(fold.Find(KeyOf(kDatedKey)) == nullptr);
+}
+
+TEST_CASE("order fold: a dated key from the future is refused") {
+  OrderFold fold((FoldOptions()));
+  const Millis early = kDate - FoldOptions().max_clock_difference_ - Millis(1);
+  CHECK(fold.Admissible(KeyOf(kDatedKey), early) == ErrorCode::kKeyExpired);
+  CHECK(fold.Admissible(KeyOf(kDatedKey), kDate) == ErrorCode::kOk);
+}
+
+TEST_CASE("order fold: a key without a date is remembered past the horizon") {
+  FoldOptions options;
+  OrderFold fold(options);
+  LogBuilder log;
+  fold.Apply(log.Add(RecordKind::kClaim, "k", "a", Millis(1)));
+  const Millis later =
+      options.horizon_ + options.max_clock_difference_ + Millis(2);
+  fold.Apply(log.Add(RecordKind::kClaim, "other", "b", later));
+  CHECK(fold.Find(KeyOf("k")) == nullptr);
+  CHECK(fold.Admissible(KeyOf("k"), later) == ErrorCode::kKeyExpired);
+  CHECK(fold.Admissible(KeyOf("fresh"), later) == ErrorCode::kOk);
+}
+
+TEST_CASE("order fold: after retention only a snapshot tells fresh keys") {
+  OrderFold old_fold((FoldOptions()));
+  LogBuilder log;
+  old_fold.Apply(log.Add(RecordKind::kClaim, "k", "a", Millis(1)));
+  old_fold.Apply(log.Add(RecordKind::kClaim, "l", "b", Millis(1)));
+  const std::vector<SnapshotPart> parts = old_fold.Snapshot("s", 1);
+  REQUIRE(parts.size() == 2);
+
+  OrderFold fresh((FoldOptions()));
+  fresh.StartAt(LogOffset(2));
+  CHECK(fresh.Admissible(KeyOf("new"), Millis(2)) == ErrorCode::kKeyExpired);
+  CHECK(fresh.Snapshot("t", 1).empty());
+  fresh.Apply(log.Add(OrderBatch{{}, {parts[1]}}));
+  CHECK(fresh.Admissible(KeyOf("new"), Millis(2)) == ErrorCode::kKeyExpired);
+  fresh.Apply(log.Add(OrderBatch{{}, {parts[0]}}));
+  CHECK(fresh.Admissible(KeyOf("new"), Millis(2)) == ErrorCode::kOk);
+  CHECK(fresh.Admissible(KeyOf("k"), Millis(2)) == ErrorCode::kKeyExpired);
+  CHECK(fresh.Admissible(KeyOf("l"), Millis(2)) == ErrorCode::kKeyExpired);
+}
+
+TEST_CASE("order fold: the bound on remembered keys refuses, never forgets") {
+  FoldOptions options;
+  options.max_remembered_keys_ = 1;
+  OrderFold fold(options);
+  LogBuilder log;
+  fold.Apply(log.Add(RecordKind::kClaim, "k", "a", Millis(1)));
+  const Millis later =
+      options.horizon_ + options.max_clock_difference_ + Millis(2);
+  fold.Apply(log.Add(RecordKind::kClaim, "other", "b", later));
+  CHECK(fold.Admissible(KeyOf("fresh"), later) == ErrorCode::kKeyExpired);
+}
+
+TEST_CASE("order fold: a payload that is no batch changes nothing") {
+  OrderFold fold((FoldOptions()));
+  CHECK(fold.Apply(log::Record{LogOffset(0), "\xff not a batch"}).empty());
+  CHECK(fold.next() == LogOffset(1));
+}
+
+}  // namespace bergamotscale::orders
