--- a/src/orders/records.cc
+++ b/src/orders/records.cc
@@ -1,7 +1,9 @@
 #include "src/orders/records.h"
 
 #include <cctype>
+#include <vector>
 
+#include <openssl/evp.h>
 #include <xxhash.h>
 
 namespace bergamotscale::orders {
@@ -24,6 +26,26 @@
   return true;
 }
 
+// The log service takes text; records are binary.
+std::string EncodeBase64(const char* data, size_t size) {
+  std::vector<unsigned char> text((size + 2) / 3 * 4 + 1);
+  const int length =
+      EVP_EncodeBlock(text.data(), reinterpret_cast<const unsigned char*>(data),
+                      static_cast<int>(size));
+  return std::string(text.begin(), text.begin() + length);
+}
+
+// @return the bytes, with up to two zeros of padding; empty if malformed.
+std::vector<char> DecodeBase64(const std::string& text) {
+  std::vector<char> bytes(text.size() / 4 * 3);
+  const int length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  bytes.resize(length < 0 ? 0 : length);
+  return bytes;
+}
+
 }  // namespace
 
 uint64_t HashOf(const OrderKey& key) {
@@ -45,13 +67,16 @@
 std::string EncodeBatch(const OrderBatch& batch) {
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, batch);
-  return std::string(buffer.data(), buffer.size());
+  return EncodeBase64(buffer.data(), buffer.size());
 }
 
 Result<OrderBatch> DecodeBatch(const std::string& payload) {
+  const std::vector<char> bytes = DecodeBase64(payload);
   try {
+    // Padding may follow the batch, so its end is not checked.
+    size_t offset = 0;
     const msgpack::object_handle handle =
-        msgpack::unpack(payload.data(), payload.size());
+        msgpack::unpack(bytes.data(), bytes.size(), offset);
     return handle.get().as<OrderBatch>();
   } catch (const std::exception& failure) {
     return Error(ErrorCode::kProtocolError, failure.what());
