--- /dev/null
+++ b/src/sidecar/execution.cc
@@ -0,0 +1,222 @@
+#include "src/sidecar/execution.h"
+
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include "src/sidecar/engine_protocol.h"
+#include "src/sidecar/event_reader.h"
+#include "src/sidecar/upstream_call.h"
+
+namespace bergamotscale::sidecar {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpFirstError = 400;
+constexpr int kHttpFirstServerError = 500;
+constexpr int kHttpServiceUnavailable = 503;
+
+// An engine refuses before it generates; other server errors tell nothing.
+Verdict VerdictOfStatus(int status) {
+  const bool refused =
+      (status >= kHttpFirstError && status < kHttpFirstServerError) ||
+      status == kHttpServiceUnavailable;
+  return refused ? Verdict::kNotRun : Verdict::kMayHaveRun;
+}
+
+// @return the stable code in a JSON error, or what the status tells.
+ErrorCode CodeOf(int status, const std::string& body) {
+  const nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json::json_pointer place("/error/code");
+  if (parsed.is_object() && parsed.contains(place) &&
+      parsed[place].is_string()) {
+    return ErrorFromName(parsed[place].get<std::string>());
+  }
+  if (status == kHttpServiceUnavailable) {
+    return ErrorCode::kOverloaded;
+  }
+  return status < kHttpFirstServerError ? ErrorCode::kMalformedBody
+                                        : ErrorCode::kUpstreamFailed;
+}
+
+}  // namespace
+
+class Execution::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(const SidecarSettings& settings,
+       const wire::Work& work,
+       ExecutionHooks hooks)
+      : kind_(settings.kind_),
+        max_answer_(settings.max_answer_),
+        hooks_(std::move(hooks)),
+        events_(settings.max_answer_,
+                [this](const std::string& data) { OnEvent(data); }) {
+    finished_.request_id_ = work.request_id_;
+  }
+
+  void Start(boost::asio::io_context& io,
+             const SidecarSettings& settings,
+             const wire::Work& work,
+             Tier tier) {
+    Result<http::Call> call =
+        kind_ == GroupKind::kEngine
+            ? EngineCallOf(settings.upstream_url_, work, tier)
+            : ServiceCallOf(settings.upstream_url_, work);
+    if (!call.ok()) {
+      auto self = shared_from_this();
+      const Error error = call.error();
+      boost::asio::post(io,
+                        [self, error] { self->Fail(error, Verdict::kNotRun); });
+      return;
+    }
+    call.value().timeout_ = settings.upstream_timeout_;
+    call_ = std::make_unique<UpstreamCall>(io, call.value(), CallHooks());
+  }
+
+  void Cancel() {
+    // The hooks stay, as one of them may be what cancels.
+    ended_ = true;
+    call_.reset();
+  }
+
+ private:
+  UpstreamHooks CallHooks() {
+    std::weak_ptr<Impl> weak = weak_from_this();
+    UpstreamHooks hooks;
+    hooks.on_head_ = [weak](const UpstreamHead& head) {
+      if (auto self = weak.lock()) {
+        self->head_ = head;
+      }
+    };
+    hooks.on_data_ = [weak](std::string_view data) {
+      if (auto self = weak.lock()) {
+        self->OnData(data);
+      }
+    };
+    hooks.on_end_ = [weak](const Status& status) {
+      if (auto self = weak.lock()) {
+        self->OnEnd(status);
+      }
+    };
+    return hooks;
+  }
+
+  bool Streams() const {
+    return kind_ == GroupKind::kEngine && head_.status_ == kHttpOk;
+  }
+
+  void OnData(std::string_view data) {
+    if (ended_) {
+      return;
+    }
+    if (Streams()) {
+      const Status status = events_.Feed(data);
+      if (!status.ok()) {
+        Fail(status.error(), Verdict::kMayHaveRun);
+      }
+      return;
+    }
+    body_ += data;
+    if (Bytes(static_cast<int64_t>(body_.size())) > max_answer_) {
+      Fail(Error(ErrorCode::kUpstreamFailed, "the answer is too large"),
+           Verdict::kMayHaveRun);
+    }
+  }
+
+  void OnEvent(const std::string& data) {
+    if (ended_) {
+      return;
+    }
+    const Result<EngineEvent> parsed = ParseEngineEvent(data);
+    if (!parsed.ok()) {
+      Fail(parsed.error(), Verdict::kMayHaveRun);
+      return;
+    }
+    const EngineEvent& event = parsed.value();
+    if (!event.text_.empty()) {
+      hooks_.on_chunk_(event.text_, Tokens(1));
+    }
+    if (!event.finish_reason_.empty()) {
+      finished_.finish_reason_ = event.finish_reason_;
+      finished_.prompt_tokens_ = event.prompt_tokens_;
+      finished_.output_tokens_ = event.output_tokens_;
+      finished_.cached_tokens_ = event.cached_tokens_;
+    }
+    done_ = done_ || event.done_;
+  }
+
+  void OnEnd(const Status& status) {
+    if (ended_) {
+      return;
+    }
+    if (!status.ok()) {
+      const bool sent = status.error().code_ != ErrorCode::kUpstreamUnreachable;
+      Fail(status.error(), sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
+      return;
+    }
+    if (kind_ == GroupKind::kService) {
+      FinishService();
+    } else if (head_.status_ != kHttpOk) {
+      Fail(Error(CodeOf(head_.status_, body_), body_),
+           VerdictOfStatus(head_.status_));
+    } else if (!done_ || finished_.finish_reason_.empty()) {
+      Fail(Error(ErrorCode::kUpstreamFailed, "the answer broke off"),
+           Verdict::kMayHaveRun);
+    } else {
+      finished_.content_type_ = head_.content_type_;
+      Finish();
+    }
+  }
+
+  // Any status of a plain service is its answer.
+  void FinishService() {
+    finished_.http_status_ = head_.status_;
+    finished_.content_type_ = head_.content_type_;
+    finished_.body_ = std::move(body_);
+    Finish();
+  }
+
+  void Finish() {
+    ended_ = true;
+    const ExecutionHooks hooks = std::move(hooks_);
+    hooks.on_finished_(finished_);
+  }
+
+  void Fail(const Error& error, Verdict verdict) {
+    if (ended_) {
+      return;
+    }
+    ended_ = true;
+    const ExecutionHooks hooks = std::move(hooks_);
+    call_.reset();
+    hooks.on_failed_(error, verdict);
+  }
+
+  GroupKind kind_;
+  Bytes max_answer_;
+  ExecutionHooks hooks_;
+  EventReader events_;
+  std::unique_ptr<UpstreamCall> call_;
+  UpstreamHead head_;
+  std::string body_;
+  wire::Finished finished_;
+  bool done_ = false;
+  bool ended_ = false;
+};
+
+Execution::Execution(boost::asio::io_context& io,
+                     const SidecarSettings& settings,
+                     const wire::Work& work,
+                     Tier tier,
+                     ExecutionHooks hooks)
+    : impl_(std::make_shared<Impl>(settings, work, std::move(hooks))) {
+  impl_->Start(io, settings, work, tier);
+}
+
+Execution::~Execution() {
+  impl_->Cancel();
+}
+
+}  // namespace bergamotscale::sidecar
--- /dev/null
+++ b/src/sidecar/settings.cc
@@ -0,0 +1,90 @@
+#include "src/sidecar/settings.h"
+
+namespace bergamotscale::sidecar {
+namespace {
+
+using settings::FieldReader;
+using Need = settings::FieldReader::Need;
+
+constexpr int kMaxPort = 65535;
+const Millis kOneMilli(1);
+const Millis kOneHour(3'600'000);
+
+template <typename Id>
+void ReadId(FieldReader& reader, const char* key, Id* target) {
+  std::string value = target->value();
+  reader.String(key, Need::kRequired, &value);
+  *target = Id(value);
+}
+
+void ReadEndpoint(FieldReader& reader,
+                  const char* key,
+                  link::Endpoint* target) {
+  reader.Object(key, Need::kRequired, [target](FieldReader& nested) {
+    int port = target->port_;
+    nested.String("address", Need::kRequired, &target->address_);
+    nested.Integer("port", Need::kRequired, 1, kMaxPort, &port);
+    target->port_ = static_cast<uint16_t>(port);
+  });
+}
+
+void ReadKind(FieldReader& reader, GroupKind* kind) {
+  std::string name = "engine";
+  reader.String("kind", Need::kRequired, &name);
+  if (name != "engine" && name != "service") {
+    reader.AddError("kind", "\"engine\" or \"service\"");
+  }
+  *kind = name == "service" ? GroupKind::kService : GroupKind::kEngine;
+}
+
+void ReadDuration(FieldReader& reader, const char* key, Millis* target) {
+  reader.Duration(key, Need::kOptional, kOneMilli, kOneHour, target);
+}
+
+void ReadLinkOptions(FieldReader& reader, link::LinkOptions* options) {
+  reader.Object("link_options", Need::kOptional, [options](FieldReader& link) {
+    ReadDuration(link, "heartbeat_interval_ms", &options->heartbeat_interval_);
+    ReadDuration(link, "heartbeat_timeout_ms", &options->heartbeat_timeout_);
+  });
+}
+
+void ReadOrders(FieldReader& reader, orders::ExecutorOptions* options) {
+  reader.Object("orders", Need::kOptional, [options](FieldReader& orders) {
+    ReadDuration(orders, "claim_timeout_ms", &options->claim_timeout_);
+    ReadDuration(orders, "outcome_wait_ms", &options->outcome_wait_);
+    ReadDuration(orders, "append_interval_ms", &options->batcher_.interval_);
+    ReadDuration(orders, "horizon_ms", &options->fold_.horizon_);
+    ReadDuration(orders, "max_clock_difference_ms",
+                 &options->fold_.max_clock_difference_);
+    ReadDuration(orders, "snapshot_interval_ms", &options->snapshot_interval_);
+  });
+}
+
+}  // namespace
+
+void ReadSidecarSettings(FieldReader& reader, SidecarSettings* settings) {
+  ReadId(reader, "instance", &settings->instance_);
+  ReadId(reader, "availability_zone", &settings->zone_);
+  ReadId(reader, "group", &settings->group_);
+  ReadKind(reader, &settings->kind_);
+  reader.String("upstream_url", Need::kRequired, &settings->upstream_url_);
+  ReadEndpoint(reader, "link", &settings->link_);
+  ReadEndpoint(reader, "http", &settings->http_);
+  reader.String("log_url", Need::kRequired, &settings->log_url_);
+  reader.String("instance_list_url", Need::kOptional,
+                &settings->instance_list_url_);
+  ReadLinkOptions(reader, &settings->link_options_);
+  reader.Integer("initial_slots", Need::kOptional, 1, 4096,
+                 &settings->initial_slots_);
+  reader.Integer("max_slots", Need::kOptional, 1, 4096, &settings->max_slots_);
+  ReadDuration(reader, "grant_timeout_ms", &settings->grant_timeout_);
+  ReadDuration(reader, "status_interval_ms", &settings->status_interval_);
+  ReadDuration(reader, "health_interval_ms", &settings->health_interval_);
+  ReadDuration(reader, "upstream_timeout_ms", &settings->upstream_timeout_);
+  ReadDuration(reader, "log_timeout_ms", &settings->log_timeout_);
+  ReadDuration(reader, "list_interval_ms", &settings->list_interval_);
+  ReadDuration(reader, "drain_timeout_ms", &settings->drain_timeout_);
+  ReadOrders(reader, &settings->orders_);
+}
+
+}  // namespace bergamotscale::sidecar
--- /dev/null
+++ b/src/sidecar/status_hub.cc
@@ -0,0 +1,78 @@
+#include "src/sidecar/status_hub.h"
+
+#include <utility>
+
+namespace bergamotscale::sidecar {
+namespace {
+
+// A peer with more than this unsent misses messages until it keeps up.
+constexpr Bytes kMaxQueued(1'048'576);
+
+}  // namespace
+
+StatusHub::StatusHub(GossipHook on_gossip) : on_gossip_(std::move(on_gossip)) {}
+
+link::StreamHooks StatusHub::Accept(link::Stream stream) {
+  auto peer = std::make_shared<Peer>();
+  peer->stream_ = std::move(stream);
+  peers_.push_back(peer);
+  std::weak_ptr<Peer> weak = peer;
+  link::StreamHooks hooks;
+  hooks.on_message_ = [this, weak](std::string_view frame) {
+    if (auto known = weak.lock()) {
+      OnMessage(*known, frame);
+    }
+  };
+  hooks.on_end_ = [this, weak](link::StreamEnd) { peers_.remove(weak.lock()); };
+  return hooks;
+}
+
+void StatusHub::OnMessage(Peer& peer, std::string_view frame) {
+  const Result<wire::Gossip> gossip = wire::Decode<wire::Gossip>(frame);
+  if (!gossip.ok()) {
+    return;
+  }
+  peer.revision_ = gossip.value().revision_;
+  on_gossip_(gossip.value());
+}
+
+void StatusHub::Send(Peer& peer, const std::string& frame) {
+  if (peer.stream_.queued() < kMaxQueued) {
+    peer.stream_.Send(frame);
+  }
+}
+
+void StatusHub::Broadcast(const wire::SidecarStatus& status) {
+  const std::string frame = wire::Encode(status);
+  for (const auto& peer : peers_) {
+    Send(*peer, frame);
+  }
+}
+
+void StatusHub::Broadcast(const std::vector<wire::CrashVerdict>& verdicts,
+                          const InstanceId& from) {
+  wire::Gossip gossip;
+  gossip.from_ = from;
+  gossip.crash_verdicts_ = verdicts;
+  const std::string frame = wire::Encode(gossip);
+  for (const auto& peer : peers_) {
+    Send(*peer, frame);
+  }
+}
+
+void StatusHub::BroadcastConfig(const wire::Gossip& gossip) {
+  wire::Gossip brief = gossip;
+  brief.document_.clear();
+  for (const auto& peer : peers_) {
+    const bool behind = peer->revision_ < gossip.revision_;
+    Send(*peer, wire::Encode(behind ? gossip : brief));
+  }
+}
+
+void StatusHub::Finish() {
+  for (const auto& peer : peers_) {
+    peer->stream_.Finish();
+  }
+}
+
+}  // namespace bergamotscale::sidecar
--- /dev/null
+++ b/src/sidecar/traffic.cc
@@ -0,0 +1,304 @@
+#include "src/sidecar/traffic.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <glog/logging.h>
+#include <boost/asio/post.hpp>
+
+#include "src/link/link.h"
+#include "src/sidecar/orders_feed.h"
+#include "src/sidecar/scheduler.h"
+#include "src/sidecar/status_hub.h"
+#include "src/sidecar/ticker.h"
+#include "src/sidecar/upstream_monitor.h"
+#include "src/sidecar/work_session.h"
+
+namespace bergamotscale::sidecar {
+namespace {
+
+constexpr Millis kTick(5);
+constexpr Millis kGossipInterval(1000);
+constexpr size_t kMaxGossipVerdicts = 64;
+// Silent probes in a row after which the upstream counts as down.
+constexpr int kMaxSilentProbes = 2;
+
+SchedulerOptions SchedulerOptionsOf(const SidecarSettings& settings) {
+  SchedulerOptions options;
+  options.initial_slots_ = settings.initial_slots_;
+  options.max_slots_ = settings.max_slots_;
+  options.learns_ = settings.kind_ == GroupKind::kEngine;
+  options.grant_timeout_ = settings.grant_timeout_;
+  return options;
+}
+
+}  // namespace
+
+class Traffic::Impl {
+ public:
+  Impl(boost::asio::io_context& io,
+       const SidecarSettings& settings,
+       log::LogClient& log_client,
+       Blackboard& blackboard,
+       timeline::Timeline& timeline,
+       http::Metrics& metrics,
+       TrafficHooks hooks)
+      : io_(io),
+        settings_(settings),
+        blackboard_(blackboard),
+        timeline_(timeline),
+        hooks_(std::move(hooks)),
+        scheduler_(SchedulerOptionsOf(settings), Clock::Steady()),
+        orders_(io, log_client, settings.orders_),
+        hub_([this](const wire::Gossip& gossip) { OnGossip(gossip); }),
+        monitor_(io,
+                 settings.kind_,
+                 settings.upstream_url_,
+                 settings.health_interval_,
+                 [this](const UpstreamReport& report) { OnReport(report); }),
+        context_{io,
+                 settings,
+                 scheduler_,
+                 orders_.executor(),
+                 timeline,
+                 metrics,
+                 [this] { OnUpstreamFailed(); }},
+        server_(io,
+                settings.link_options_,
+                [this](const std::string& path, link::Stream stream) {
+                  return Accept(path, std::move(stream));
+                }),
+        tick_(io, kTick, [this] { Tick(); }),
+        status_(io, settings.status_interval_, [this] { SendStatus(); }),
+        gossip_(io, kGossipInterval, [this] { SendGossip(); }) {}
+
+  Status Start() {
+    const Result<link::Endpoint> bound = server_.Listen(settings_.link_);
+    if (!bound.ok()) {
+      return bound.error();
+    }
+    LOG(INFO) << settings_.instance_.value() << " listens on "
+              << bound.value().ToString();
+    orders_.Start();
+    monitor_.Start();
+    tick_.Start();
+    status_.Start();
+    gossip_.Start();
+    return Done{};
+  }
+
+  void OnConfig() {
+    const auto config = blackboard_.config_.Read();
+    if (config == nullptr) {
+      return;
+    }
+    scheduler_.Configure(config->document_);
+    timeline_.Add(timeline::EventType::kConfigInForce, RequestId(),
+                  InstanceId(), std::to_string(config->revision_.value()));
+    SendConfig();
+  }
+
+  void Leave() {
+    if (leaving_) {
+      return;
+    }
+    leaving_ = true;
+    LOG(INFO) << settings_.instance_.value() << " leaves";
+    timeline_.Add(timeline::EventType::kLeaving, RequestId());
+    PublishReady();
+    scheduler_.Leave();
+    SendStatus();
+    server_.Drain();
+  }
+
+  void Close() {
+    tick_.Stop();
+    status_.Stop();
+    gossip_.Stop();
+    hub_.Finish();
+    server_.Close();
+    sessions_.clear();
+  }
+
+ private:
+  link::StreamHooks Accept(const std::string& path, link::Stream stream) {
+    if (path == wire::kStatusPath) {
+      const link::StreamHooks hooks = hub_.Accept(std::move(stream));
+      SendStatus();
+      SendConfig();
+      SendVerdicts(scheduler_.Verdicts(kMaxGossipVerdicts));
+      return hooks;
+    }
+    if (path != wire::kWorkPath) {
+      stream.Reset();
+      return link::StreamHooks();
+    }
+    auto session = std::make_shared<WorkSession>(
+        context_, std::move(stream),
+        [this](const std::shared_ptr<WorkSession>& ended) {
+          // Later, as the session is still in one of its own calls.
+          boost::asio::post(io_, [this, ended] { sessions_.erase(ended); });
+        });
+    sessions_.insert(session);
+    return session->Hooks();
+  }
+
+  void Tick() {
+    scheduler_.Tick();
+    orders_.executor().Tick();
+    const bool drained =
+        leaving_ && sessions_.empty() && orders_.executor().idle();
+    if (drained && !told_drained_) {
+      told_drained_ = true;
+      hooks_.on_drained_();
+    }
+  }
+
+  void OnReport(const UpstreamReport& report) {
+    const bool silent = report.state_ == UpstreamState::kSilent;
+    silent_probes_ = silent ? silent_probes_ + 1 : 0;
+    const bool down = report.state_ == UpstreamState::kUnreachable ||
+                      silent_probes_ >= kMaxSilentProbes;
+    if (report.state_ == UpstreamState::kUp) {
+      models_ = report.models_;
+    }
+    if (down || report.state_ == UpstreamState::kUp) {
+      SetUpstreamUp(!down);
+    }
+  }
+
+  void SetUpstreamUp(bool up) {
+    if (up == upstream_up_) {
+      return;
+    }
+    upstream_up_ = up;
+    LOG(INFO) << settings_.upstream_url_ << (up ? " is up" : " is down");
+    scheduler_.SetAccepting(up);
+    PublishReady();
+    SendStatus();
+  }
+
+  void PublishReady() { blackboard_.ready_.Write(upstream_up_ && !leaving_); }
+
+  // A failed call may be a crash, which a probe tells: then all that ran at
+  // the first failure are suspects.
+  void OnUpstreamFailed() {
+    if (probing_crash_) {
+      return;
+    }
+    probing_crash_ = true;
+    const std::vector<policy::RunningDigest> running =
+        scheduler_.RunningDigests();
+    monitor_.Probe([this, running](const UpstreamReport& report) {
+      probing_crash_ = false;
+      if (report.state_ != UpstreamState::kUnreachable) {
+        return;
+      }
+      timeline_.Add(timeline::EventType::kUpstreamCrashed, RequestId());
+      SetUpstreamUp(false);
+      SendVerdicts(scheduler_.OnCrash(running));
+    });
+  }
+
+  void OnGossip(const wire::Gossip& gossip) {
+    for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
+      scheduler_.Merge(verdict);
+    }
+    if (gossip.revision_ > Revision(0)) {
+      hooks_.on_config_gossip_(gossip);
+    }
+  }
+
+  void SendStatus() {
+    wire::SidecarStatus status;
+    status.sidecar_ = settings_.instance_;
+    status.group_ = settings_.group_;
+    status.zone_ = settings_.zone_;
+    status.models_ = models_;
+    scheduler_.Describe(&status);
+    hub_.Broadcast(status);
+  }
+
+  void SendGossip() {
+    SendConfig();
+    SendVerdicts(scheduler_.Verdicts(kMaxGossipVerdicts));
+  }
+
+  void SendVerdicts(const std::vector<wire::CrashVerdict>& verdicts) {
+    if (!verdicts.empty()) {
+      hub_.Broadcast(verdicts, settings_.instance_);
+    }
+  }
+
+  void SendConfig() {
+    const auto config = blackboard_.config_.Read();
+    if (config == nullptr) {
+      return;
+    }
+    wire::Gossip gossip;
+    gossip.from_ = settings_.instance_;
+    gossip.revision_ = config->revision_;
+    gossip.config_offset_ = config->offset_;
+    gossip.document_ = config->text_;
+    hub_.BroadcastConfig(gossip);
+  }
+
+  boost::asio::io_context& io_;
+  const SidecarSettings& settings_;
+  Blackboard& blackboard_;
+  timeline::Timeline& timeline_;
+  TrafficHooks hooks_;
+  Scheduler scheduler_;
+  OrdersFeed orders_;
+  StatusHub hub_;
+  UpstreamMonitor monitor_;
+  SessionContext context_;
+  std::set<std::shared_ptr<WorkSession>> sessions_;
+  link::LinkServer server_;
+  Ticker tick_;
+  Ticker status_;
+  Ticker gossip_;
+  std::vector<ModelId> models_;
+  bool upstream_up_ = false;
+  bool leaving_ = false;
+  bool told_drained_ = false;
+  bool probing_crash_ = false;
+  int silent_probes_ = 0;
+};
+
+Traffic::Traffic(boost::asio::io_context& io,
+                 const SidecarSettings& settings,
+                 log::LogClient& log_client,
+                 Blackboard& blackboard,
+                 timeline::Timeline& timeline,
+                 http::Metrics& metrics,
+                 TrafficHooks hooks)
+    : impl_(std::make_unique<Impl>(io,
+                                   settings,
+                                   log_client,
+                                   blackboard,
+                                   timeline,
+                                   metrics,
+                                   std::move(hooks))) {}
+
+Traffic::~Traffic() = default;
+
+Status Traffic::Start() {
+  return impl_->Start();
+}
+
+void Traffic::OnConfig() {
+  impl_->OnConfig();
+}
+
+void Traffic::Leave() {
+  impl_->Leave();
+}
+
+void Traffic::Close() {
+  impl_->Close();
+}
+
+}  // namespace bergamotscale::sidecar
--- /dev/null
+++ b/src/sidecar/traffic.h
@@ -0,0 +1,80 @@
+// All that runs on a sidecar's traffic thread.
+#ifndef BERGAMOTSCALE_SRC_SIDECAR_TRAFFIC_H_
+#define BERGAMOTSCALE_SRC_SIDECAR_TRAFFIC_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "bergamotscale/config_document.h"
+#include "bergamotscale/ids.h"
+#include "bergamotscale/result.h"
+#include "src/core/blackboard.h"
+#include "src/http/metrics.h"
+#include "src/log/log_client.h"
+#include "src/sidecar/settings.h"
+#include "src/timeline/timeline.h"
+#include "src/wire/messages.h"
+
+namespace bergamotscale::sidecar {
+
+// The configuration that a sidecar follows.
+struct ConfigInForce {
+  Revision revision_;
+  LogOffset offset_;
+  ConfigDocument document_;
+  std::string text_;  // as published
+};
+
+// Where the threads of a sidecar meet.
+struct Blackboard {
+  // Written by the control thread.
+  Slot<ConfigInForce> config_;
+  // Written by the traffic thread: whether new work is accepted.
+  Slot<bool> ready_;
+};
+
+// What the traffic thread leaves to the control thread. Called on the traffic
+// thread; must not block.
+struct TrafficHooks {
+  // A peer tells of a configuration.
+  std::function<void(const wire::Gossip&)> on_config_gossip_;
+  // All work is done after Leave().
+  std::function<void()> on_drained_;
+};
+
+// Thread safety: all calls on the io_context's thread, but for the
+// constructor.
+class Traffic {
+ public:
+  // All references must outlive this.
+  Traffic(boost::asio::io_context& io,
+          const SidecarSettings& settings,
+          log::LogClient& log_client,
+          Blackboard& blackboard,
+          timeline::Timeline& timeline,
+          http::Metrics& metrics,
+          TrafficHooks hooks);
+  ~Traffic();
+  Traffic(const Traffic&) = delete;
+  Traffic& operator=(const Traffic&) = delete;
+
+  // Listens for entries and starts the timers.
+  Status Start();
+  // Takes the configuration on the blackboard.
+  void OnConfig();
+  // Refuses new work, lets running work end. Idempotent.
+  void Leave();
+  // Closes everything.
+  void Close();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::sidecar
+
+#endif  // BERGAMOTSCALE_SRC_SIDECAR_TRAFFIC_H_
--- /dev/null
+++ b/src/sidecar/upstream_call.cc
@@ -0,0 +1,178 @@
+#include "src/sidecar/upstream_call.h"
+
+#include <chrono>
+#include <utility>
+
+#include <cpprest/http_client.h>
+#include <boost/asio/post.hpp>
+
+namespace bergamotscale::sidecar {
+namespace {
+
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+
+http_client_config ConfigOf(const http::Call& call) {
+  http_client_config config;
+  config.set_timeout(std::chrono::milliseconds(call.timeout_.count()));
+  config.set_max_redirects(0);
+  return config;
+}
+
+web::http::http_request RequestOf(const http::Call& call, const web::uri& uri) {
+  web::http::http_request request(call.method_);
+  request.set_request_uri(uri.resource());
+  for (const http::Header& header : call.headers_) {
+    request.headers().add(header.name_, header.value_);
+  }
+  if (!call.body_.empty()) {
+    request.set_body(call.body_, call.content_type_);
+  }
+  return request;
+}
+
+// Only a failure to connect proves that nothing was sent.
+Error ErrorOf(const web::http::http_exception& failure) {
+  const std::error_code code = failure.error_code();
+  const bool not_sent = code == std::errc::host_unreachable ||
+                        code == std::errc::connection_refused;
+  return Error(
+      not_sent ? ErrorCode::kUpstreamUnreachable : ErrorCode::kUpstreamFailed,
+      failure.what());
+}
+
+// @return what a finished task holds as an error, or ok.
+template <typename Task>
+Status StatusOf(const Task& task) {
+  try {
+    task.get();
+    return Done{};
+  } catch (const web::http::http_exception& failure) {
+    return ErrorOf(failure);
+  } catch (const std::exception& failure) {
+    return Error(ErrorCode::kUpstreamFailed, failure.what());
+  }
+}
+
+}  // namespace
+
+class UpstreamCall::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, const http::Call& call, UpstreamHooks hooks)
+      : io_(io),
+        uri_(call.url_),
+        client_(uri_.authority(), ConfigOf(call)),
+        hooks_(std::move(hooks)) {}
+
+  void Start(const http::Call& call) {
+    auto self = shared_from_this();
+    client_.request(RequestOf(call, uri_), source_.get_token())
+        .then([self](const pplx::task<web::http::http_response>& task) {
+          const Status status = StatusOf(task);
+          if (!status.ok()) {
+            self->End(status);
+            return;
+          }
+          self->ReadAnswer(task.get());
+        });
+  }
+
+  void Cancel() {
+    if (ended_) {
+      return;
+    }
+    // The hooks stay, as one of them may be what cancels.
+    ended_ = true;
+    source_.cancel();
+  }
+
+ private:
+  void ReadAnswer(const web::http::http_response& response) {
+    UpstreamHead head;
+    head.status_ = response.status_code();
+    head.content_type_ = response.headers().content_type();
+    Post([this, head] { hooks_.on_head_(head); });
+    buffer_ = response.body().streambuf();
+    WaitForData();
+  }
+
+  // Peeks at one byte, which waits for data without taking any.
+  void WaitForData() {
+    auto self = shared_from_this();
+    buffer_.getc().then([self](const pplx::task<int>& task) {
+      const Status status = StatusOf(task);
+      if (!status.ok()) {
+        self->End(Error(ErrorCode::kUpstreamFailed, status.error().detail_));
+        return;
+      }
+      if (task.get() == concurrency::streams::char_traits<uint8_t>::eof()) {
+        self->End(Done{});
+        return;
+      }
+      self->TakeData();
+    });
+  }
+
+  // Takes what is there; as it is there, this doesn't wait.
+  void TakeData() {
+    auto self = shared_from_this();
+    auto data = std::make_shared<std::string>(buffer_.in_avail(), '\0');
+    auto* start = reinterpret_cast<uint8_t*>(data->data());
+    buffer_.getn(start, data->size())
+        .then([self, data](const pplx::task<size_t>& task) {
+          const Status status = StatusOf(task);
+          if (!status.ok()) {
+            self->End(
+                Error(ErrorCode::kUpstreamFailed, status.error().detail_));
+            return;
+          }
+          data->resize(task.get());
+          self->Post([self, data] { self->hooks_.on_data_(*data); });
+          self->WaitForData();
+        });
+  }
+
+  void End(const Status& status) {
+    Post([this, status] {
+      ended_ = true;
+      const UpstreamHooks hooks = std::move(hooks_);
+      hooks.on_end_(status);
+    });
+  }
+
+  // Runs a step on the io_context's thread unless the call is over by then.
+  template <typename Step>
+  void Post(Step step) {
+    boost::asio::post(io_, [self = shared_from_this(), step] {
+      if (!self->ended_) {
+        step();
+      }
+    });
+  }
+
+  boost::asio::io_context& io_;
+  web::uri uri_;
+  http_client client_;
+  pplx::cancellation_token_source source_;
+  concurrency::streams::streambuf<uint8_t> buffer_;
+  // The members below are used on the io_context's thread only.
+  UpstreamHooks hooks_;
+  bool ended_ = false;
+};
+
+UpstreamCall::UpstreamCall(boost::asio::io_context& io,
+                           const http::Call& call,
+                           UpstreamHooks hooks)
+    : impl_(std::make_shared<Impl>(io, call, std::move(hooks))) {
+  impl_->Start(call);
+}
+
+UpstreamCall::~UpstreamCall() {
+  impl_->Cancel();
+}
+
+void UpstreamCall::Cancel() {
+  impl_->Cancel();
+}
+
+}  // namespace bergamotscale::sidecar
--- /dev/null
+++ b/src/sidecar/upstream_monitor.cc
@@ -0,0 +1,133 @@
+#include "src/sidecar/upstream_monitor.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "src/http/client.h"
+
+namespace bergamotscale::sidecar {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHttpOk = 200;
+const Millis kProbeTimeout(1000);
+
+std::vector<ModelId> ModelsOf(const std::string& body) {
+  std::vector<ModelId> models;
+  const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!parsed.is_object() || !parsed.contains("data")) {
+    return models;
+  }
+  for (const json& model : parsed["data"]) {
+    if (model.is_object() && model.contains("id") && model["id"].is_string()) {
+      models.emplace_back(model["id"].get<std::string>());
+    }
+  }
+  return models;
+}
+
+UpstreamReport ReportOf(const Result<http::Reply>& reply) {
+  UpstreamReport report;
+  if (!reply.ok()) {
+    const bool refused = reply.error().code_ == ErrorCode::kUpstreamUnreachable;
+    report.state_ =
+        refused ? UpstreamState::kUnreachable : UpstreamState::kSilent;
+    return report;
+  }
+  const bool healthy = reply.value().status_ == kHttpOk;
+  report.state_ = healthy ? UpstreamState::kUp : UpstreamState::kSilent;
+  report.models_ = ModelsOf(reply.value().body_);
+  return report;
+}
+
+}  // namespace
+
+class UpstreamMonitor::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io,
+       GroupKind kind,
+       const std::string& base_url,
+       Millis interval,
+       ReportHook on_report)
+      : io_(io),
+        timer_(io),
+        url_(base_url +
+             (kind == GroupKind::kEngine ? "/v1/models" : "/healthz")),
+        interval_(interval),
+        on_report_(std::move(on_report)) {}
+
+  void Probe(ReportHook hook) {
+    http::Call call;
+    call.url_ = url_;
+    call.timeout_ = kProbeTimeout;
+    auto self = shared_from_this();
+    http::CallOnce(call, [self, hook](const Result<http::Reply>& reply) {
+      const UpstreamReport report = ReportOf(reply);
+      boost::asio::post(self->io_, [self, hook, report] {
+        if (!self->stopped_) {
+          hook(report);
+        }
+      });
+    });
+  }
+
+  void ProbePeriodically() {
+    Probe([this](const UpstreamReport& report) {
+      on_report_(report);
+      Wait();
+    });
+  }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  void Wait() {
+    auto self = shared_from_this();
+    timer_.expires_after(std::chrono::milliseconds(interval_.count()));
+    timer_.async_wait([self](const boost::system::error_code& error) {
+      if (!error && !self->stopped_) {
+        self->ProbePeriodically();
+      }
+    });
+  }
+
+  boost::asio::io_context& io_;
+  boost::asio::steady_timer timer_;
+  std::string url_;
+  Millis interval_;
+  ReportHook on_report_;
+  bool stopped_ = false;
+};
+
+UpstreamMonitor::UpstreamMonitor(boost::asio::io_context& io,
+                                 GroupKind kind,
+                                 std::string base_url,
+                                 Millis interval,
+                                 ReportHook on_report)
+    : impl_(std::make_shared<Impl>(io,
+                                   kind,
+                                   base_url,
+                                   interval,
+                                   std::move(on_report))) {}
+
+UpstreamMonitor::~UpstreamMonitor() {
+  impl_->Stop();
+}
+
+void UpstreamMonitor::Start() {
+  impl_->ProbePeriodically();
+}
+
+void UpstreamMonitor::Probe(ReportHook hook) {
+  impl_->Probe(std::move(hook));
+}
+
+}  // namespace bergamotscale::sidecar
--- /dev/null
+++ b/src/sidecar/upstream_monitor.h
@@ -0,0 +1,57 @@
+// Watches whether the upstream answers.
+#ifndef BERGAMOTSCALE_SRC_SIDECAR_UPSTREAM_MONITOR_H_
+#define BERGAMOTSCALE_SRC_SIDECAR_UPSTREAM_MONITOR_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "bergamotscale/config_document.h"
+#include "bergamotscale/ids.h"
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::sidecar {
+
+enum class UpstreamState {
+  kUp,
+  kSilent,       // did not answer in time, or with an error
+  kUnreachable,  // nothing listens there
+};
+
+// What one probe found.
+struct UpstreamReport {
+  UpstreamState state_ = UpstreamState::kUnreachable;
+  std::vector<ModelId> models_;  // of an engine
+};
+
+// Thread safety: use on the io_context's thread, on which hooks are called.
+class UpstreamMonitor {
+ public:
+  using ReportHook = std::function<void(const UpstreamReport&)>;
+
+  // @param on_report called after each periodic probe.
+  UpstreamMonitor(boost::asio::io_context& io,
+                  GroupKind kind,
+                  std::string base_url,
+                  Millis interval,
+                  ReportHook on_report);
+  ~UpstreamMonitor();
+  UpstreamMonitor(const UpstreamMonitor&) = delete;
+  UpstreamMonitor& operator=(const UpstreamMonitor&) = delete;
+
+  // Starts the periodic probes.
+  void Start();
+  // Probes once, at once.
+  void Probe(ReportHook hook);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::sidecar
+
+#endif  // BERGAMOTSCALE_SRC_SIDECAR_UPSTREAM_MONITOR_H_
--- /dev/null
+++ b/src/sidecar/work_session.h
@@ -0,0 +1,96 @@
+// One work stream: reservation, grant, execution, answer.
+#ifndef BERGAMOTSCALE_SRC_SIDECAR_WORK_SESSION_H_
+#define BERGAMOTSCALE_SRC_SIDECAR_WORK_SESSION_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+
+#include "src/http/metrics.h"
+#include "src/link/link.h"
+#include "src/orders/order_executor.h"
+#include "src/sidecar/execution.h"
+#include "src/sidecar/scheduler.h"
+#include "src/sidecar/settings.h"
+#include "src/timeline/timeline.h"
+#include "src/wire/messages.h"
+
+namespace bergamotscale::sidecar {
+
+// What the sessions of one sidecar share; outlives them.
+struct SessionContext {
+  boost::asio::io_context& io_;
+  const SidecarSettings& settings_;
+  Scheduler& scheduler_;
+  orders::OrderExecutor& executor_;
+  timeline::Timeline& timeline_;
+  http::Metrics& metrics_;
+  // The upstream failed a call that it had begun.
+  std::function<void()> on_upstream_failed_;
+};
+
+// Thread safety: use on the io_context's thread.
+class WorkSession : public std::enable_shared_from_this<WorkSession> {
+ public:
+  using EndHook = std::function<void(const std::shared_ptr<WorkSession>&)>;
+
+  // @param on_end called once, when nothing is left to do.
+  WorkSession(SessionContext& context, link::Stream stream, EndHook on_end);
+
+  // @return the hooks of the stream; they don't keep the session.
+  link::StreamHooks Hooks();
+
+ private:
+  enum class State {
+    kNew,
+    kWaiting,   // in the queue
+    kGranted,   // holds a slot, waits for the work
+    kClaiming,  // an order that is being claimed
+    kRunning,   // at the upstream
+    kEnded,
+  };
+
+  void OnMessage(std::string_view frame);
+  void OnStreamEnd(link::StreamEnd end);
+  void OnReserve(std::string_view frame);
+  void OnGranted();
+  void OnWork(std::string_view frame);
+  ErrorCode CheckWork(const wire::Work& work) const;
+
+  void Claim();
+  void OnOwned(const orders::ClaimId& claim);
+  void Replay(const orders::Outcome& outcome);
+  void Execute();
+  void OnChunk(const std::string& text, Tokens tokens);
+  void OnFinished(const wire::Finished& finished);
+  void OnFailed(const Error& error, Verdict verdict);
+  void RecordOutcome(const wire::Finished& finished);
+  void RecordFailure(const Error& error, Verdict verdict);
+
+  void Refuse(const Error& error, Verdict verdict, Millis retry_after);
+  void SendChunk(const std::string& text, Tokens tokens);
+  void SendFinished(const wire::Finished& finished);
+  void End(TicketEnd end);
+  bool is_order() const { return !work_.key_.empty(); }
+
+  SessionContext& context_;
+  link::Stream stream_;
+  EndHook on_end_;
+  State state_ = State::kNew;
+  wire::Reserve reserve_;
+  wire::Work work_;
+  Ticket ticket_ = 0;
+  orders::AttemptHandle attempt_ = 0;
+  orders::ClaimId claim_;
+  std::unique_ptr<Execution> execution_;
+  int64_t next_sequence_ = 0;
+  // Text of an order's answer so far, to be recorded.
+  std::string text_;
+};
+
+}  // namespace bergamotscale::sidecar
+
+#endif  // BERGAMOTSCALE_SRC_SIDECAR_WORK_SESSION_H_
