--- a/src/emulator/answer.cc
+++ b/src/emulator/answer.cc
@@ -123,18 +123,24 @@
   return text + " ";
 }
 
-std::string AnswerText(const ModelId& model,
-                       const std::string& prompt,
-                       Tokens max_tokens) {
-  const int64_t length = AnswerLength(model, prompt, max_tokens).count();
+std::string AnswerStart(const ModelId& model,
+                        const std::string& prompt,
+                        int64_t tokens) {
   const uint64_t digest = PromptDigest(model, prompt);
   std::string text;
-  for (int64_t index = 0; index < length; ++index) {
+  for (int64_t index = 0; index < tokens; ++index) {
     text += TokenText(digest, index);
   }
   return text;
 }
 
+std::string AnswerText(const ModelId& model,
+                       const std::string& prompt,
+                       Tokens max_tokens) {
+  const Tokens length = AnswerLength(model, prompt, max_tokens);
+  return AnswerStart(model, prompt, length.count());
+}
+
 bool HasCrashMarker(const std::string& prompt) {
   return prompt.find(kCrashMarker) != std::string::npos;
 }
--- a/src/emulator/answer.h
+++ b/src/emulator/answer.h
@@ -60,6 +60,11 @@
 // As above, with the digest of the prompt already known.
 std::string TokenText(uint64_t prompt_digest, int64_t index);
 
+// @return the first tokens of the answer.
+std::string AnswerStart(const ModelId& model,
+                        const std::string& prompt,
+                        int64_t tokens);
+
 // @return the whole answer.
 std::string AnswerText(const ModelId& model,
                        const std::string& prompt,
--- /dev/null
+++ b/src/http/body.h
@@ -0,0 +1,21 @@
+// Reads the body of a request to a listener.
+#ifndef BERGAMOTSCALE_SRC_HTTP_BODY_H_
+#define BERGAMOTSCALE_SRC_HTTP_BODY_H_
+
+#include <functional>
+#include <string>
+
+#include <cpprest/http_msg.h>
+
+namespace bergamotscale::http {
+
+// Calls handle with the whole body, of any content type, on a thread of the
+// HTTP library. It isn't called if the caller leaves before the body is whole.
+// The body's size must be bounded by something in front of the listener.
+// Thread safety: safe.
+void ReadBody(web::http::http_request request,
+              std::function<void(const std::string&)> handle);
+
+}  // namespace bergamotscale::http
+
+#endif  // BERGAMOTSCALE_SRC_HTTP_BODY_H_
--- /dev/null
+++ b/standins/engine/engine_orders.cc
@@ -0,0 +1,213 @@
+#include "standins/engine/engine_orders.h"
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace bergamotscale::standins {
+namespace {
+
+using nlohmann::json;
+
+struct Order {
+  int64_t fence_ = 0;
+  std::string kind_;
+  std::string model_;
+  std::string adapter_;
+  std::string version_;
+  std::string role_;
+};
+
+struct LoadedModel {
+  std::string version_;
+  Millis ready_at_;
+  std::set<std::string> adapters_;
+};
+
+std::string Text(const json& body, const char* key) {
+  const auto found = body.find(key);
+  const bool present = found != body.end() && found->is_string();
+  return present ? found->get<std::string>() : std::string();
+}
+
+Result<Order> ParseOrder(const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  if (!parsed.is_object() || !parsed.contains("fence") ||
+      !parsed["fence"].is_number_integer()) {
+    return Error(ErrorCode::kMalformedBody, "fence: expected an integer");
+  }
+  Order order;
+  order.fence_ = parsed["fence"].get<int64_t>();
+  order.kind_ = Text(parsed, "order");
+  order.model_ = Text(parsed, "model");
+  order.adapter_ = Text(parsed, "adapter");
+  order.version_ = Text(parsed, "version");
+  order.role_ = Text(parsed, "role");
+  return order;
+}
+
+}  // namespace
+
+class EngineOrders::Impl {
+ public:
+  Impl(const std::vector<std::string>& models,
+       bool checks_fence,
+       Millis load_time,
+       Clock clock)
+      : any_model_(models.empty()),
+        checks_fence_(checks_fence),
+        load_time_(load_time),
+        clock_(std::move(clock)) {
+    for (const std::string& model : models) {
+      models_[model] = LoadedModel{};
+    }
+  }
+
+  Status Apply(const std::string& body) {
+    const Result<Order> order = ParseOrder(body);
+    if (!order.ok()) {
+      return order.error();
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (checks_fence_ && order.value().fence_ < highest_fence_) {
+      return Error(ErrorCode::kStaleFence,
+                   "newest fence is " + std::to_string(highest_fence_));
+    }
+    Status executed = Execute(order.value());
+    if (executed.ok()) {
+      highest_fence_ = std::max(highest_fence_, order.value().fence_);
+      accepted_.push_back(json::parse(body, nullptr, false));
+    }
+    return executed;
+  }
+
+  bool Serves(const ModelId& model) const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (any_model_) {
+      return true;
+    }
+    const auto found = models_.find(model.value());
+    return found != models_.end() && found->second.ready_at_ <= clock_.Now();
+  }
+
+  std::vector<ModelId> Models() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    std::vector<ModelId> names;
+    for (const auto& [name, model] : models_) {
+      names.emplace_back(name);
+    }
+    return names;
+  }
+
+  bool leaving() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return leaving_;
+  }
+
+  std::string Describe() const {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    json models = json::array();
+    for (const auto& [name, model] : models_) {
+      models.push_back({{"model", name},
+                        {"version", model.version_},
+                        {"ready", model.ready_at_ <= clock_.Now()},
+                        {"adapters", model.adapters_}});
+    }
+    const json state = {{"models", models},
+                        {"role", role_},
+                        {"leaving", leaving_},
+                        {"fence", highest_fence_},
+                        {"accepted", accepted_}};
+    return state.dump() + "\n";
+  }
+
+ private:
+  Status Execute(const Order& order) {
+    if (order.kind_ == "leave") {
+      leaving_ = true;
+      return Done{};
+    }
+    if (order.kind_ == "set_role") {
+      role_ = order.role_;
+      return Done{};
+    }
+    if (order.model_.empty()) {
+      return Error(ErrorCode::kMalformedBody, "order, model: expected names");
+    }
+    return ExecuteOnModel(order);
+  }
+
+  Status ExecuteOnModel(const Order& order) {
+    if (order.kind_ == "load_model") {
+      any_model_ = false;
+      models_[order.model_] =
+          LoadedModel{order.version_, clock_.Now() + load_time_, {}};
+      return Done{};
+    }
+    if (order.kind_ == "unload_model") {
+      any_model_ = false;
+      models_.erase(order.model_);
+      return Done{};
+    }
+    const auto model = models_.find(order.model_);
+    if (model == models_.end()) {
+      return Error(ErrorCode::kUnknownModel, order.model_);
+    }
+    if (order.kind_ == "load_adapter") {
+      model->second.adapters_.insert(order.adapter_);
+    } else if (order.kind_ == "unload_adapter") {
+      model->second.adapters_.erase(order.adapter_);
+    } else {
+      return Error(ErrorCode::kMalformedBody, "order: unknown " + order.kind_);
+    }
+    return Done{};
+  }
+
+  mutable std::mutex mutex_;
+  bool any_model_;
+  const bool checks_fence_;
+  const Millis load_time_;
+  Clock clock_;
+  std::map<std::string, LoadedModel> models_;
+  std::string role_ = "serve";
+  bool leaving_ = false;
+  int64_t highest_fence_ = 0;
+  std::vector<json> accepted_;
+};
+
+EngineOrders::EngineOrders(const std::vector<std::string>& models,
+                           bool checks_fence,
+                           Millis load_time,
+                           Clock clock)
+    : impl_(std::make_unique<Impl>(models,
+                                   checks_fence,
+                                   load_time,
+                                   std::move(clock))) {}
+
+EngineOrders::~EngineOrders() = default;
+
+Status EngineOrders::Apply(const std::string& body) {
+  return impl_->Apply(body);
+}
+
+bool EngineOrders::Serves(const ModelId& model) const {
+  return impl_->Serves(model);
+}
+
+std::vector<ModelId> EngineOrders::Models() const {
+  return impl_->Models();
+}
+
+bool EngineOrders::leaving() const {
+  return impl_->leaving();
+}
+
+std::string EngineOrders::Describe() const {
+  return impl_->Describe();
+}
+
+}  // namespace bergamotscale::standins
--- /dev/null
+++ b/standins/engine/engine_runner.h
@@ -0,0 +1,49 @@
+// Runs the engine model in real time.
+#ifndef BERGAMOTSCALE_STANDINS_ENGINE_ENGINE_RUNNER_H_
+#define BERGAMOTSCALE_STANDINS_ENGINE_ENGINE_RUNNER_H_
+
+#include <functional>
+#include <memory>
+
+#include "src/emulator/engine_model.h"
+
+namespace bergamotscale::standins {
+
+// What one sequence's owner is told, on the runner's thread.
+struct SequenceHooks {
+  std::function<void(int64_t index, Tokens cached)> on_token_;
+  std::function<void()> on_finished_;
+  // Called once after the tokens of a batch of steps.
+  std::function<void()> on_batch_end_;
+};
+
+// Thread safety: safe; all hooks run on the runner's one thread.
+class EngineRunner {
+ public:
+  // @param on_crash called when the model crashes, after which nothing runs.
+  EngineRunner(const emulator::EngineParameters& parameters,
+               std::function<void()> on_crash);
+  // Stops the thread.
+  ~EngineRunner();
+  EngineRunner(const EngineRunner&) = delete;
+  EngineRunner& operator=(const EngineRunner&) = delete;
+
+  // @return an id that is new here.
+  emulator::SequenceId NextId();
+  // Submits a request under an id of NextId().
+  void Submit(const emulator::EngineRequest& request, SequenceHooks hooks);
+  // Drops a request; its hooks are not called after this has taken effect.
+  void Cancel(emulator::SequenceId id);
+
+  using Access = std::function<void(emulator::EngineModel&, emulator::Micros)>;
+  // Calls access on the runner's thread with the model at the present time.
+  void Post(Access access);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::standins
+
+#endif  // BERGAMOTSCALE_STANDINS_ENGINE_ENGINE_RUNNER_H_
--- /dev/null
+++ b/standins/engine/engine_server.h
@@ -0,0 +1,48 @@
+// HTTP side of the engine stand-in.
+#ifndef BERGAMOTSCALE_STANDINS_ENGINE_ENGINE_SERVER_H_
+#define BERGAMOTSCALE_STANDINS_ENGINE_ENGINE_SERVER_H_
+
+#include <memory>
+
+#include "bergamotscale/result.h"
+#include "standins/engine/engine_settings.h"
+
+namespace bergamotscale::standins {
+
+// Routes:
+//   POST /v1/chat/completions  generates; see ChatRequest and Generation
+//   POST /v1/cancel            {"id"}: cancels the request with that id
+//   GET  /v1/models            the loaded models
+//   GET  /journal              one JSON line for each execution
+//   GET  /load                 the lagging load report
+//   GET  /cache_events?from=N  cache events, late and with gaps
+//   POST /orders, GET /orders  see EngineOrders
+//   POST /kv/export            {"id"}: the KV state of a running request
+//   POST /kv/import            takes what /kv/export returned
+//   POST /faults               {"straggler_factor", "crash_after_tokens",
+//                              "crash", "hang"}, each optional
+//   GET  /healthz, /readyz, /metrics
+// A crash ends the process at once with kCrashExitCode.
+// Thread safety: Open() and Close() from one thread.
+class EngineServer {
+ public:
+  static constexpr int kCrashExitCode = 70;
+
+  explicit EngineServer(const EngineSettings& settings);
+  ~EngineServer();
+  EngineServer(const EngineServer&) = delete;
+  EngineServer& operator=(const EngineServer&) = delete;
+
+  Status Open();
+  // Refuses new requests, lets the running ones finish for a bounded time and
+  // closes the listener.
+  void Close();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::standins
+
+#endif  // BERGAMOTSCALE_STANDINS_ENGINE_ENGINE_SERVER_H_
