--- a/src/config/config_follower.cc
+++ b/src/config/config_follower.cc
@@ -15,7 +15,9 @@
 
 // The jitter is up to this part of the age at which a snapshot is due.
 constexpr int64_t kJitterDivisor = 4;
-constexpr Millis kAppendRetryDelay = Millis(1000);
+// Processes that find at the same time that a snapshot is due wait for up to
+// this long, so that the first one's record spares the others theirs.
+constexpr Millis kAppendSpread = Millis(500);
 
 }  // namespace
 
@@ -156,12 +158,22 @@
 
   void AppendSnapshotIfDue() {
     const std::lock_guard<std::recursive_mutex> lock(mutex_);
-    const Millis now = options_.steady_.Now();
-    if (!SnapshotIsDue() || now < next_append_) {
+    if (!SnapshotIsDue()) {
+      append_at_.reset();
       return;
     }
-    next_append_ = now + kAppendRetryDelay + jitter_;
-    DrawJitter();
+    const Millis now = options_.steady_.Now();
+    if (!append_at_) {
+      append_at_ = now + Millis(Draw(kAppendSpread.count()));
+    }
+    if (now >= *append_at_) {
+      append_at_ = now + kAppendSpread;
+      DrawJitter();
+      AppendSnapshot();
+    }
+  }
+
+  void AppendSnapshot() {
     VLOG(1) << "appending revision " << fold_.revision().value() << " again";
     client_.Append(log::kConfigStream,
                    EncodeRecord(fold_.MakeSnapshot(options_.wall_.Now())),
@@ -172,10 +184,12 @@
                    });
   }
 
+  int64_t Draw(int64_t maximum) {
+    return std::uniform_int_distribution<int64_t>(0, maximum)(random_);
+  }
+
   void DrawJitter() {
-    std::uniform_int_distribution<int64_t> spread(
-        0, options_.snapshot_age_.count() / kJitterDivisor);
-    jitter_ = Millis(spread(random_));
+    jitter_ = Millis(Draw(options_.snapshot_age_.count() / kJitterDivisor));
   }
 
   log::LogClient& client_;
@@ -187,7 +201,8 @@
   mutable std::recursive_mutex mutex_;
   std::mt19937_64 random_;
   Millis jitter_;
-  Millis next_append_;
+  // When the snapshot that is due is appended.
+  std::optional<Millis> append_at_;
   ConfigFold fold_;
   Revision seen_;
   std::shared_ptr<const ConfigSnapshot> current_;
