Lab: workloads after the two users' mixes

Each class draws from a generator of its own, so that a burst of one leaves the others unchanged (tested).

--- /dev/null
+++ b/tests/workload_test.cc
@@ -0,0 +1,100 @@
+// Workloads: same seed, same arrivals; rates, bursts and shares hold.
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "src/emulator/answer.h"
+#include "src/lab/workload.h"
+
+namespace bergamotscale::lab {
+namespace {
+
+int64_t CountClass(const std::vector<Arrival>& arrivals, const char* name) {
+  return std::count_if(
+      arrivals.begin(), arrivals.end(),
+      [name](const Arrival& each) { return each.class_ == ClassId(name); });
+}
+
+WorkloadOptions LongOptions(uint64_t seed) {
+  WorkloadOptions options;
+  options.seed_ = seed;
+  options.length_ = Millis(200000);
+  options.requests_per_second_ = 20;
+  return options;
+}
+
+TEST_CASE("workload: same seed, same arrivals; another seed, others") {
+  const auto first = GenerateArrivals(LongOptions(7));
+  const auto second = GenerateArrivals(LongOptions(7));
+  const auto other = GenerateArrivals(LongOptions(8));
+  REQUIRE(first.size() == second.size());
+  for (size_t i = 0; i < first.size(); ++i) {
+    REQUIRE(first[i].prompt_ == second[i].prompt_);
+    REQUIRE(first[i].time_ == second[i].time_);
+    REQUIRE(first[i].key_ == second[i].key_);
+  }
+  CHECK(first[0].prompt_ != other[0].prompt_);
+}
+
+TEST_CASE("workload: rate and shares are as asked, in order of time") {
+  const auto arrivals = GenerateArrivals(LongOptions(1));
+  CHECK(arrivals.size() > 3700);
+  CHECK(arrivals.size() < 4300);
+  CHECK(std::is_sorted(
+      arrivals.begin(), arrivals.end(),
+      [](const Arrival& a, const Arrival& b) { return a.time_ < b.time_; }));
+  const double quick = CountClass(arrivals, "suggestion");
+  CHECK(quick / arrivals.size() == doctest::Approx(0.6).epsilon(0.05));
+}
+
+TEST_CASE("workload: the engine writes the length that was drawn") {
+  for (const Arrival& arrival : GenerateArrivals(LongOptions(2))) {
+    REQUIRE(emulator::AnswerLength(arrival.model_, EnginePromptOf(arrival),
+                                   Tokens(0)) == arrival.output_tokens_);
+  }
+}
+
+TEST_CASE("workload: a burst adds to its class alone, while it lasts") {
+  WorkloadOptions options = LongOptions(3);
+  const auto calm = GenerateArrivals(options);
+  options.burst_ = Burst{ClassId("retag"), Millis(50000), Millis(50000), 5};
+  const auto rain = GenerateArrivals(options);
+  CHECK(CountClass(calm, "suggestion") == CountClass(rain, "suggestion"));
+  CHECK(CountClass(calm, "order") == CountClass(rain, "order"));
+  int64_t inside = 0;
+  for (const Arrival& arrival : rain) {
+    const bool during =
+        arrival.time_ >= Millis(50000) && arrival.time_ < Millis(100000);
+    inside += during && arrival.class_ == ClassId("retag") ? 1 : 0;
+  }
+  CHECK(inside > 1100);  // 5 requests a second, five-fold, for 50 s
+  CHECK(inside < 1400);
+}
+
+TEST_CASE("workload: leavers and crashing requests are as many as asked") {
+  WorkloadOptions options = LongOptions(4);
+  options.early_leavers_ = 0.1;
+  options.crashing_requests_ = 3;
+  int64_t leavers = 0;
+  int64_t crashing = 0;
+  for (const Arrival& arrival : GenerateArrivals(options)) {
+    leavers += arrival.leaves_at_.has_value() ? 1 : 0;
+    crashing += arrival.crashes_engine_ ? 1 : 0;
+    CHECK(emulator::HasCrashMarker(arrival.prompt_) == arrival.crashes_engine_);
+  }
+  CHECK(crashing == 3);
+  CHECK(leavers > 270);
+  CHECK(leavers < 410);
+}
+
+TEST_CASE("workload: capacity grows with engines and with the batch") {
+  const emulator::EngineParameters engine;
+  const double nine = CapacityOf(Mix::kStoves, engine, 9, 16);
+  CHECK(nine == doctest::Approx(9 * CapacityOf(Mix::kStoves, engine, 1, 16)));
+  CHECK(CapacityOf(Mix::kStoves, engine, 9, 32) > nine);
+}
+
+}  // namespace
+}  // namespace bergamotscale::lab
