--- a/src/policy/concurrency_limiter.h
+++ b/src/policy/concurrency_limiter.h
@@ -10,9 +10,8 @@
 struct ConcurrencyLimiterOptions {
   int initial_ = 16;
   int max_ = 512;
-  // Percent of the limit by which the top tier, and floors, may go beyond it.
+  // Percent of the limit by which the top tier may go beyond it.
   int urgent_percent_ = 12;
-  int floor_percent_ = 6;
 };
 
 // Learns the limit from the engine's own time between tokens, as the sidecar
@@ -27,6 +26,10 @@
   // upstream serves; 0 sets no target, and the limit stays.
   void SetTarget(Millis between_tokens);
 
+  // @param percent sum of the classes' floors, by which their requests may go
+  // beyond the limit.
+  void SetFloors(int percent);
+
   // Takes in one chunk of one running request.
   // @param tokens tokens in the chunk; 0 is ignored.
   // @param elapsed time since the request's previous chunk.
@@ -50,6 +53,7 @@
 
   ConcurrencyLimiterOptions options_;
   Millis target_;
+  int floor_percent_ = 0;
   int limit_;
   double mean_gap_ = 0;  // ms
   Millis window_start_;
