Entry: the whole path, thin, in separate processes

Cause: callers had no way in. Ruled out: pushing work to a chosen sidecar (a straggler would hold it, and a refusal could not be known as not run); one big class for a request (a whole request, one attempt and the retry rule are three things). Before: no path.

--- /dev/null
+++ b/src/entry/entry.cc
@@ -0,0 +1,244 @@
+#include "src/entry/entry.h"
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include <glog/logging.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/config/config_follower.h"
+#include "src/core/blackboard.h"
+#include "src/entry/membership.h"
+#include "src/entry/router.h"
+#include "src/entry/traffic.h"
+#include "src/http/listener.h"
+#include "src/log/log_client.h"
+
+namespace bergamotscale::entry {
+namespace {
+
+constexpr Millis kLogTimeout = Millis(5000);
+constexpr Millis kGossipInterval = Millis(1000);
+constexpr Millis kDrainPoll = Millis(20);
+constexpr size_t kGossipVerdicts = 32;
+
+using WorkGuard =
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+std::chrono::milliseconds ToChrono(Millis duration) {
+  return std::chrono::milliseconds(duration.count());
+}
+
+policy::DispatcherOptions DispatcherOptionsOf(const EntrySettings& settings) {
+  policy::DispatcherOptions options;
+  options.zone_ = settings.zone_;
+  options.reservations_ = settings.reservations_;
+  options.seed_ = std::hash<InstanceId>()(settings.instance_);
+  return options;
+}
+
+}  // namespace
+
+class Entry::Impl {
+ public:
+  explicit Impl(EntrySettings settings)
+      : settings_(std::move(settings)),
+        timeline_(settings_.instance_,
+                  Clock::Wall(),
+                  static_cast<size_t>(settings_.timeline_events_)),
+        upstreams_(io_,
+                   settings_,
+                   steady_,
+                   &timeline_,
+                   GossipHooks{[this](Revision peer) { return Gossip(peer); },
+                               [this](const wire::Gossip& gossip) {
+                                 TakeGossip(gossip);
+                               }}),
+        dispatcher_(DispatcherOptionsOf(settings_)),
+        traffic_{io_,         settings_.instance_,
+                 steady_,     upstreams_,
+                 dispatcher_, admission_,
+                 output_,     quarantine_,
+                 retries_,    metrics_,
+                 timeline_},
+        log_(settings_.log_url_, kLogTimeout),
+        follower_(log_,
+                  config::ConfigFollowerOptions(),
+                  [this](const config::ConfigSnapshot& snapshot) {
+                    OnConfig(snapshot);
+                  }),
+        router_(traffic_, config_, Connections()),
+        listener_(settings_.public_.address_, settings_.public_.port_),
+        membership_(control_io_,
+                    settings_.instance_list_url_,
+                    settings_.sidecars_,
+                    [this](const std::vector<SidecarMember>& members) {
+                      boost::asio::post(io_, [this, members] {
+                        upstreams_.SetMembers(members);
+                      });
+                    }),
+        gossip_timer_(io_) {}
+
+  ~Impl() { Stop(); }
+
+  Status Start() {
+    http::AddSideRoutes(
+        listener_, http::SideHooks{[this] { return ready(); }, &metrics_,
+                                   [this] { return timeline_.ToJsonLines(); }});
+    router_.Attach(listener_);
+    Status opened = listener_.Open();
+    if (!opened.ok()) {
+      return opened;
+    }
+    membership_.Start();
+    ScheduleGossip();
+    traffic_thread_ = std::thread([this] { io_.run(); });
+    control_thread_ = std::thread([this] { control_io_.run(); });
+    follower_.Start();
+    return Done{};
+  }
+
+  void Stop() {
+    if (!traffic_thread_.joinable()) {
+      return;
+    }
+    leaving_ = true;
+    timeline_.Add(timeline::EventType::kLeaving, RequestId());
+    std::this_thread::sleep_for(ToChrono(settings_.leave_grace_));
+    while (router_.active() > 0) {
+      std::this_thread::sleep_for(ToChrono(kDrainPoll));
+    }
+    listener_.Close();
+    follower_.Stop();
+    boost::asio::post(control_io_, [this] {
+      membership_.Stop();
+      control_work_.reset();
+    });
+    control_thread_.join();
+    boost::asio::post(io_, [this] {
+      gossip_timer_.cancel();
+      upstreams_.Close();
+      work_.reset();
+    });
+    traffic_thread_.join();
+  }
+
+ private:
+  bool ready() const { return !leaving_ && config_.Read() != nullptr; }
+
+  ConnectionHooks Connections() {
+    ConnectionHooks hooks;
+    hooks.request_started_ = [](const std::string&) {};
+    hooks.request_finished_ = [](const std::string&) {};
+    hooks.watch_ = [](const std::string&, std::function<void()>) {
+      return std::shared_ptr<void>();
+    };
+    return hooks;
+  }
+
+  void OnConfig(const config::ConfigSnapshot& snapshot) {
+    config_.Write(snapshot);
+    timeline_.Add(timeline::EventType::kConfigInForce, RequestId(),
+                  InstanceId(), std::to_string(snapshot.revision_.value()));
+    metrics_.Set("bergamot_config_revision", "",
+                 static_cast<double>(snapshot.revision_.value()));
+    boost::asio::post(io_, [this] {
+      const std::shared_ptr<const config::ConfigSnapshot> newest =
+          config_.Read();
+      admission_.Configure(newest->document_.classes_,
+                           newest->document_.workspaces_);
+    });
+  }
+
+  wire::Gossip Gossip(Revision peer_revision) {
+    wire::Gossip gossip;
+    gossip.from_ = settings_.instance_;
+    const std::shared_ptr<const config::ConfigSnapshot> config = config_.Read();
+    if (config != nullptr) {
+      gossip.revision_ = config->revision_;
+      if (peer_revision < config->revision_) {
+        gossip.config_offset_ = config->offset_;
+        gossip.document_ = config->text_;
+      }
+    }
+    for (const policy::SuspicionRecord& record :
+         quarantine_.Records(steady_.Now(), kGossipVerdicts)) {
+      gossip.crash_verdicts_.push_back(
+          wire::CrashVerdict{record.digest_, record.crashes_, record.convicted_,
+                             record.expires_in_});
+    }
+    return gossip;
+  }
+
+  void TakeGossip(const wire::Gossip& gossip) {
+    if (!gossip.document_.empty()) {
+      follower_.Offer(gossip.revision_, gossip.config_offset_,
+                      gossip.document_);
+    }
+    bool changed = false;
+    for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
+      const policy::SuspicionRecord record{verdict.digest_, verdict.crashes_,
+                                           verdict.convicted_,
+                                           verdict.expires_in_};
+      changed |= quarantine_.Merge(record, steady_.Now());
+    }
+    if (changed) {
+      upstreams_.SpreadGossip();
+    }
+  }
+
+  void ScheduleGossip() {
+    gossip_timer_.expires_after(ToChrono(kGossipInterval));
+    gossip_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        upstreams_.SpreadGossip();
+        ScheduleGossip();
+      }
+    });
+  }
+
+  const EntrySettings settings_;
+  const Clock steady_ = Clock::Steady();
+  boost::asio::io_context io_;  // the traffic thread's
+  boost::asio::io_context control_io_;
+  WorkGuard work_{io_.get_executor()};
+  WorkGuard control_work_{control_io_.get_executor()};
+  http::Metrics metrics_;
+  timeline::Timeline timeline_;
+  Slot<config::ConfigSnapshot> config_;
+  UpstreamTable upstreams_;
+  policy::Dispatcher dispatcher_;
+  policy::Admission admission_;
+  policy::OutputEstimator output_;
+  policy::Quarantine quarantine_;
+  policy::RetryBudget retries_;
+  Traffic traffic_;
+  log::LogClient log_;
+  config::ConfigFollower follower_;
+  Router router_;
+  http::Listener listener_;
+  Membership membership_;
+  boost::asio::steady_timer gossip_timer_;
+  std::atomic<bool> leaving_{false};
+  std::thread traffic_thread_;
+  std::thread control_thread_;
+};
+
+Entry::Entry(EntrySettings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+
+Entry::~Entry() = default;
+
+Status Entry::Start() {
+  return impl_->Start();
+}
+
+void Entry::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace bergamotscale::entry
--- /dev/null
+++ b/src/entry/main/main.cc
@@ -0,0 +1,30 @@
+// bergamot_entry: takes callers' requests.
+#include <glog/logging.h>
+
+#include "src/entry/entry.h"
+#include "src/entry/settings.h"
+#include "src/process/process.h"
+
+int main(int argc, char** argv) {
+  namespace entry = bergamotscale::entry;
+  namespace process = bergamotscale::process;
+  entry::EntrySettings settings;
+  process::ProcessOptions options;
+  options.summary_ = "routes callers' requests to upstreams";
+  options.read_settings_ =
+      [&settings](bergamotscale::settings::FieldReader& reader) {
+        entry::ReadEntrySettings(reader, &settings);
+      };
+  options.run_ = [&settings] {
+    entry::Entry entry(settings);
+    const bergamotscale::Status started = entry.Start();
+    if (!started.ok()) {
+      LOG(ERROR) << started.error().Message();
+      return 1;
+    }
+    process::WaitForStop();
+    entry.Stop();
+    return 0;
+  };
+  return process::RunProcess(argc, argv, options);
+}
--- /dev/null
+++ b/src/entry/membership.cc
@@ -0,0 +1,170 @@
+#include "src/entry/membership.h"
+
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include <glog/logging.h>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include "src/http/client.h"
+
+namespace bergamotscale::entry {
+namespace {
+
+using nlohmann::json;
+
+constexpr Millis kPollInterval = Millis(500);
+constexpr Millis kPollTimeout = Millis(2000);
+constexpr char kSidecarRole[] = "sidecar";
+
+ListedSidecar ReadListed(const json& instance) {
+  ListedSidecar listed;
+  SidecarMember& member = listed.member_;
+  member.id_ = InstanceId(instance.at("id").get<std::string>());
+  member.group_ = GroupId(instance.at("group").get<std::string>());
+  member.zone_ = ZoneId(instance.at("zone").get<std::string>());
+  member.endpoint_.address_ = instance.at("address").get<std::string>();
+  member.endpoint_.port_ = instance.at("link_port").get<uint16_t>();
+  listed.live_ = instance.at("state").get<std::string>() == "live";
+  return listed;
+}
+
+}  // namespace
+
+Result<std::vector<ListedSidecar>> ParseInstanceList(const std::string& body) {
+  const json list = json::parse(body, nullptr, false);
+  std::vector<ListedSidecar> sidecars;
+  try {
+    for (const json& instance : list.at("instances")) {
+      if (instance.at("role").get<std::string>() == kSidecarRole) {
+        sidecars.push_back(ReadListed(instance));
+      }
+    }
+  } catch (const json::exception& failure) {
+    return Error(ErrorCode::kMalformedBody, failure.what());
+  }
+  return sidecars;
+}
+
+std::vector<SidecarMember> JoinMembers(
+    const std::vector<SidecarMember>& fixed,
+    const std::vector<ListedSidecar>& listed) {
+  std::map<InstanceId, SidecarMember> members;
+  for (const SidecarMember& member : fixed) {
+    members[member.id_] = member;
+  }
+  for (const ListedSidecar& sidecar : listed) {
+    if (sidecar.live_) {
+      members[sidecar.member_.id_] = sidecar.member_;
+    } else {
+      members.erase(sidecar.member_.id_);
+    }
+  }
+  std::vector<SidecarMember> joined;
+  for (auto& [id, member] : members) {
+    joined.push_back(std::move(member));
+  }
+  return joined;
+}
+
+class Membership::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io,
+       std::string url,
+       std::vector<SidecarMember> fixed,
+       ChangeHook on_change)
+      : io_(io),
+        timer_(io),
+        url_(std::move(url)),
+        fixed_(std::move(fixed)),
+        on_change_(std::move(on_change)) {}
+
+  void Start() {
+    on_change_(fixed_);
+    if (!url_.empty()) {
+      Poll();
+    }
+  }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  void Poll() {
+    http::Call call;
+    call.url_ = url_ + "/instances";
+    call.timeout_ = kPollTimeout;
+    http::CallOnce(
+        call, [self = shared_from_this()](Result<http::Reply> reply) {
+          boost::asio::post(self->io_, [self, reply = std::move(reply)] {
+            self->OnReply(reply);
+          });
+        });
+  }
+
+  void OnReply(const Result<http::Reply>& reply) {
+    if (stopped_) {
+      return;
+    }
+    if (reply.ok() && reply.value().status_ == 200) {
+      TakeList(reply.value().body_);
+    } else {
+      VLOG(1) << "instance list not read";
+    }
+    SchedulePoll();
+  }
+
+  void TakeList(const std::string& body) {
+    const Result<std::vector<ListedSidecar>> listed = ParseInstanceList(body);
+    if (!listed.ok()) {
+      LOG(WARNING) << "instance list: " << listed.error().Message();
+      return;
+    }
+    on_change_(JoinMembers(fixed_, listed.value()));
+  }
+
+  void SchedulePoll() {
+    timer_.expires_after(std::chrono::milliseconds(kPollInterval.count()));
+    timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && !self->stopped_) {
+            self->Poll();
+          }
+        });
+  }
+
+  boost::asio::io_context& io_;
+  boost::asio::steady_timer timer_;
+  const std::string url_;
+  const std::vector<SidecarMember> fixed_;
+  const ChangeHook on_change_;
+  bool stopped_ = false;
+};
+
+Membership::Membership(boost::asio::io_context& io,
+                       std::string url,
+                       std::vector<SidecarMember> fixed,
+                       ChangeHook on_change)
+    : impl_(std::make_shared<Impl>(io,
+                                   std::move(url),
+                                   std::move(fixed),
+                                   std::move(on_change))) {}
+
+Membership::~Membership() {
+  impl_->Stop();
+}
+
+void Membership::Start() {
+  impl_->Start();
+}
+
+void Membership::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace bergamotscale::entry
--- /dev/null
+++ b/src/entry/request_flow.cc
@@ -0,0 +1,406 @@
+#include "src/entry/request_flow.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <glog/logging.h>
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/entry/attempt.h"
+#include "src/entry/retry_rule.h"
+
+namespace bergamotscale::entry {
+namespace {
+
+using timeline::EventType;
+
+constexpr Millis kReserveAgainDelay = Millis(25);
+constexpr Millis kDefaultRetryAfter = Millis(1000);
+
+std::chrono::milliseconds ToChrono(Millis duration) {
+  return std::chrono::milliseconds(duration.count());
+}
+
+}  // namespace
+
+class RequestFlow::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(Traffic& traffic,
+       CallerRequest request,
+       std::unique_ptr<AnswerWriter> writer,
+       std::function<void()> on_end)
+      : traffic_(traffic),
+        request_(std::move(request)),
+        writer_(std::move(writer)),
+        on_end_(std::move(on_end)),
+        arrived_(traffic.steady_.Now()),
+        deadline_timer_(traffic.io_),
+        delay_timer_(traffic.io_) {}
+
+  void Start() {
+    traffic_.timeline_.Add(EventType::kArrived, request_.id_, InstanceId(),
+                           "class " + request_.class_.name_.value() +
+                               ", workspace " + request_.workspace_.value());
+    Count("bergamot_requests");
+    if (!CheckQuarantine() || !CheckAdmission()) {
+      return;
+    }
+    traffic_.retries_.OnRequest();
+    StartDeadline();
+    StartAttempt();
+  }
+
+  void CallerLeft() {
+    if (ended_) {
+      return;
+    }
+    traffic_.timeline_.Add(EventType::kCallerLeft, request_.id_);
+    Count("bergamot_callers_left");
+    Count("bergamot_wasted_tokens", tokens_.count());
+    End();
+  }
+
+ private:
+  void Count(const char* name, int64_t amount = 1) {
+    traffic_.metrics_.Add(name, request_.class_.name_.value(), amount);
+  }
+
+  Millis DeadlineLeft() const {
+    return request_.class_.deadline_ - (traffic_.steady_.Now() - arrived_);
+  }
+
+  // @return false if the request has been refused.
+  bool CheckQuarantine() {
+    const policy::Suspicion suspicion =
+        traffic_.quarantine_.Check(request_.digest_, traffic_.steady_.Now());
+    suspect_ = suspicion == policy::Suspicion::kSuspect;
+    if (suspicion != policy::Suspicion::kConvicted) {
+      return true;
+    }
+    traffic_.timeline_.Add(EventType::kQuarantined, request_.id_);
+    Refuse(Error(ErrorCode::kQuarantined), Millis(0));
+    return false;
+  }
+
+  // @return false if the request has been refused.
+  bool CheckAdmission() {
+    policy::DispatchRequest wanted;
+    wanted.class_ = request_.class_.name_;
+    wanted.tier_ = request_.class_.tier_;
+    wanted.group_ = request_.group_;
+    const Millis wait =
+        traffic_.dispatcher_.BestWait(wanted, traffic_.upstreams_.Views());
+    policy::AdmissionRequest admission;
+    admission.workspace_ = request_.workspace_;
+    admission.class_ = request_.class_.name_;
+    admission.first_token_left_ = request_.class_.first_token_;
+    admission.deadline_left_ = request_.class_.deadline_;
+    admission.expected_run_ = ExpectedRun();
+    // With no upstream in sight the flow itself waits for one.
+    const bool none = wait >= policy::Dispatcher::kNoUpstreamWait;
+    admission.expected_wait_ = none ? Millis(0) : wait;
+    const policy::AdmissionDecision decision =
+        traffic_.admission_.Admit(admission, traffic_.steady_.Now());
+    if (decision.admitted()) {
+      return true;
+    }
+    Refuse(Error(decision.code_), decision.retry_after_);
+    return false;
+  }
+
+  Millis ExpectedRun() const {
+    if (request_.kind_ == GroupKind::kService) {
+      return Millis(0);
+    }
+    const Tokens expected = traffic_.output_.Expected(request_.class_.name_);
+    return request_.class_.between_tokens_ * expected.count();
+  }
+
+  void StartDeadline() {
+    deadline_timer_.expires_after(ToChrono(request_.class_.deadline_));
+    deadline_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && !self->ended_) {
+            self->OnDeadline();
+          }
+        });
+  }
+
+  void OnDeadline() {
+    if (attempt_ != nullptr && attempt_->bound()) {
+      may_have_run_ = true;
+      Count("bergamot_wasted_tokens", tokens_.count());
+    }
+    Refuse(Error(ErrorCode::kDeadlineExceeded), Millis(0));
+  }
+
+  AttemptPlan Plan() const {
+    AttemptPlan plan;
+    plan.number_ = attempts_;
+    plan.waited_ = traffic_.steady_.Now() - arrived_;
+    plan.deadline_left_ = DeadlineLeft();
+    plan.suspect_ = suspect_;
+    plan.avoid_ = avoid_;
+    plan.resume_text_ = text_;
+    plan.resume_tokens_ = tokens_;
+    return plan;
+  }
+
+  void StartAttempt() {
+    ++attempts_;
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    AttemptHooks hooks;
+    hooks.on_chunk_ = [weak](const wire::Chunk& chunk) {
+      if (const auto self = weak.lock()) {
+        self->OnChunk(chunk);
+      }
+    };
+    hooks.on_finished_ = [weak](const wire::Finished& finished) {
+      if (const auto self = weak.lock()) {
+        self->OnFinished(finished);
+      }
+    };
+    hooks.on_failed_ = [weak](const AttemptFailure& failure) {
+      if (const auto self = weak.lock()) {
+        self->OnFailed(failure);
+      }
+    };
+    attempt_ =
+        std::make_unique<Attempt>(traffic_, request_, Plan(), std::move(hooks));
+    attempt_->Start();
+  }
+
+  void OnChunk(const wire::Chunk& chunk) {
+    const Millis now = traffic_.steady_.Now();
+    if (tokens_ == Tokens(0) && chunk.tokens_ > Tokens(0)) {
+      first_token_at_ = now;
+      traffic_.metrics_.Observe("bergamot_first_token_ms",
+                                request_.class_.name_.value(),
+                                (now - arrived_).count());
+      traffic_.timeline_.Add(EventType::kFirstToken, request_.id_);
+    }
+    last_token_at_ = now;
+    text_ += chunk.text_;
+    tokens_ += chunk.tokens_;
+    if (request_.stream_) {
+      writer_->WriteChunk(chunk.text_);
+    }
+  }
+
+  void OnFinished(const wire::Finished& finished) {
+    traffic_.timeline_.Add(
+        EventType::kFinished, request_.id_, InstanceId(),
+        std::to_string(finished.output_tokens_.count()) + " tokens");
+    if (request_.kind_ == GroupKind::kService) {
+      writer_->ReplyService(finished.http_status_, finished.body_,
+                            finished.content_type_, finished.replayed_);
+    } else {
+      FinishChat(finished);
+    }
+    CountFinished();
+    End();
+  }
+
+  void FinishChat(const wire::Finished& finished) {
+    const Usage usage{finished.prompt_tokens_, finished.output_tokens_,
+                      finished.cached_tokens_};
+    if (finished.replayed_) {
+      ReplayChat(finished, usage);
+      return;
+    }
+    traffic_.output_.Observe(request_.class_.name_, tokens_);
+    if (request_.stream_) {
+      writer_->FinishStream(finished.finish_reason_, usage);
+    } else {
+      writer_->ReplyChat(text_, finished.finish_reason_, usage);
+    }
+  }
+
+  // The recorded outcome carries the whole text in its body.
+  void ReplayChat(const wire::Finished& finished, const Usage& usage) {
+    if (request_.stream_) {
+      const bool begun = writer_->streaming();
+      writer_->WriteChunk(begun ? finished.body_.substr(std::min(
+                                      text_.size(), finished.body_.size()))
+                                : finished.body_);
+      writer_->FinishStream(finished.finish_reason_, usage);
+    } else {
+      writer_->ReplyChat(finished.body_, finished.finish_reason_, usage);
+    }
+  }
+
+  void CountFinished() {
+    const Millis now = traffic_.steady_.Now();
+    Count("bergamot_finished");
+    Count("bergamot_delivered_tokens", tokens_.count());
+    const bool is_service = request_.kind_ == GroupKind::kService;
+    const Millis first = is_service ? now : first_token_at_;
+    const int64_t gaps = std::max<int64_t>(tokens_.count() - 1, 1);
+    const Millis between = (last_token_at_ - first_token_at_) / gaps;
+    const bool attained =
+        first - arrived_ <= request_.class_.first_token_ &&
+        (is_service || between <= request_.class_.between_tokens_);
+    if (attained) {
+      Count("bergamot_attained");
+    }
+  }
+
+  void OnFailed(const AttemptFailure& failure) {
+    const bool work_sent = attempt_->bound();
+    if (work_sent) {
+      ++work_attempts_;
+      NoteUpstreamFailure(failure);
+    } else {
+      NoteNoUpstream(failure.error_.code_);
+    }
+    const RetryChoice choice = ChooseRetry(Describe(failure, work_sent));
+    VLOG(1) << request_.id_.value()
+            << ": attempt failed: " << failure.error_.Message();
+    if (choice == RetryChoice::kRetry && traffic_.retries_.TryRetry()) {
+      Retry(failure);
+    } else if (choice == RetryChoice::kReserveAgain) {
+      ReserveAgainLater();
+    } else {
+      GiveUp(failure);
+    }
+  }
+
+  FailedAttempt Describe(const AttemptFailure& failure, bool work_sent) const {
+    FailedAttempt failed;
+    failed.code_ = failure.error_.code_;
+    failed.verdict_ = failure.verdict_;
+    failed.work_sent_ = work_sent;
+    failed.idempotent_ = request_.idempotent_;
+    failed.is_order_ = request_.is_order();
+    failed.work_attempts_ = work_attempts_;
+    failed.crashes_ = crashes_;
+    failed.without_upstream_ =
+        no_upstream_ ? traffic_.steady_.Now() - no_upstream_since_ : Millis(0);
+    return failed;
+  }
+
+  // An upstream that failed while it ran the request makes a suspect of it.
+  void NoteUpstreamFailure(const AttemptFailure& failure) {
+    no_upstream_ = false;
+    if (failure.verdict_ != Verdict::kMayHaveRun) {
+      return;
+    }
+    may_have_run_ = true;
+    avoid_ = failure.sidecars_;
+    if (failure.error_.code_ == ErrorCode::kUpstreamFailed) {
+      ++crashes_;
+      suspect_ = true;
+    }
+  }
+
+  void NoteNoUpstream(ErrorCode code) {
+    if (code == ErrorCode::kNoUpstream && !no_upstream_) {
+      no_upstream_ = true;
+      no_upstream_since_ = traffic_.steady_.Now();
+      avoid_.clear();
+    }
+  }
+
+  void Retry(const AttemptFailure& failure) {
+    const bool resumes = tokens_ > Tokens(0);
+    traffic_.timeline_.Add(resumes ? EventType::kResumed : EventType::kRetried,
+                           request_.id_, InstanceId(),
+                           ErrorName(failure.error_.code_));
+    Count("bergamot_retries");
+    StartAttemptSoon(Millis(0));
+  }
+
+  void ReserveAgainLater() { StartAttemptSoon(kReserveAgainDelay); }
+
+  void StartAttemptSoon(Millis delay) {
+    delay_timer_.expires_after(ToChrono(delay));
+    delay_timer_.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (!error && !self->ended_) {
+            self->StartAttempt();
+          }
+        });
+  }
+
+  void GiveUp(const AttemptFailure& failure) {
+    Error error = failure.error_;
+    if (crashes_ > 1) {
+      traffic_.timeline_.Add(EventType::kQuarantined, request_.id_);
+      error = Error(ErrorCode::kQuarantined);
+    }
+    Count("bergamot_wasted_tokens", tokens_.count());
+    const bool waiting_helps = HttpStatusOf(error.code_) == 503;
+    const Millis retry_after =
+        waiting_helps && failure.retry_after_ == Millis(0)
+            ? kDefaultRetryAfter
+            : failure.retry_after_;
+    Refuse(error, retry_after);
+  }
+
+  // The verdict is of the whole request: one attempt that may have run makes
+  // it "may have run", whatever came after.
+  void Refuse(const Error& error, Millis retry_after) {
+    const Verdict verdict =
+        may_have_run_ ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    traffic_.timeline_.Add(
+        EventType::kRefused, request_.id_, InstanceId(),
+        std::string(ErrorName(error.code_)) + ", " + VerdictName(verdict));
+    traffic_.metrics_.Add("bergamot_refused", ErrorName(error.code_));
+    writer_->Fail(error, verdict, retry_after);
+    End();
+  }
+
+  void End() {
+    ended_ = true;
+    attempt_.reset();
+    deadline_timer_.cancel();
+    delay_timer_.cancel();
+    on_end_();
+  }
+
+  Traffic& traffic_;
+  const CallerRequest request_;
+  const std::unique_ptr<AnswerWriter> writer_;
+  const std::function<void()> on_end_;
+  const Millis arrived_;
+  boost::asio::steady_timer deadline_timer_;
+  boost::asio::steady_timer delay_timer_;
+  std::unique_ptr<Attempt> attempt_;
+  std::vector<InstanceId> avoid_;
+  std::string text_;
+  Tokens tokens_;
+  Millis first_token_at_;
+  Millis last_token_at_;
+  Millis no_upstream_since_;
+  int attempts_ = 0;
+  int work_attempts_ = 0;
+  int crashes_ = 0;
+  bool no_upstream_ = false;
+  bool suspect_ = false;
+  bool may_have_run_ = false;
+  bool ended_ = false;
+};
+
+RequestFlow::RequestFlow(Traffic& traffic,
+                         CallerRequest request,
+                         std::unique_ptr<AnswerWriter> writer,
+                         std::function<void()> on_end)
+    : impl_(std::make_shared<Impl>(traffic,
+                                   std::move(request),
+                                   std::move(writer),
+                                   std::move(on_end))) {}
+
+RequestFlow::~RequestFlow() = default;
+
+void RequestFlow::Start() {
+  impl_->Start();
+}
+
+void RequestFlow::CallerLeft() {
+  impl_->CallerLeft();
+}
+
+}  // namespace bergamotscale::entry
--- /dev/null
+++ b/src/entry/settings.h
@@ -0,0 +1,56 @@
+// Settings of the entry.
+#ifndef BERGAMOTSCALE_SRC_ENTRY_SETTINGS_H_
+#define BERGAMOTSCALE_SRC_ENTRY_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "bergamotscale/ids.h"
+#include "bergamotscale/units.h"
+#include "src/link/link.h"
+#include "src/settings/field_reader.h"
+
+namespace bergamotscale::entry {
+
+// A sidecar as settings or the instance list name it.
+struct SidecarMember {
+  InstanceId id_;
+  GroupId group_;
+  ZoneId zone_;
+  link::Endpoint endpoint_;
+};
+
+// Bounds on callers' connections.
+struct CallerLimits {
+  int max_connections_ = 4096;
+  Bytes max_header_ = Bytes(int64_t{16} * 1024);
+  Bytes max_body_ = Bytes(int64_t{4} * 1024 * 1024);
+  Millis header_timeout_ = Millis(5000);
+  Millis body_timeout_ = Millis(15000);
+  Millis idle_timeout_ = Millis(60000);
+};
+
+struct EntrySettings {
+  InstanceId instance_;
+  ZoneId zone_;
+  // Where callers connect, and the loopback endpoint of the HTTP listener.
+  link::Endpoint public_;
+  link::Endpoint listener_;
+  std::string log_url_;
+  // Empty if the sidecars are only those of the settings.
+  std::string instance_list_url_;
+  std::vector<SidecarMember> sidecars_;
+  CallerLimits limits_;
+  link::LinkOptions link_;
+  int reservations_ = 3;
+  int timeline_events_ = 20000;
+  // Time between failing readiness and refusing new connections on a stop.
+  Millis leave_grace_ = Millis(1000);
+};
+
+// Reads the settings; faults go to the reader. Thread safety: safe.
+void ReadEntrySettings(settings::FieldReader& reader, EntrySettings* settings);
+
+}  // namespace bergamotscale::entry
+
+#endif  // BERGAMOTSCALE_SRC_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/src/entry/traffic.h
@@ -0,0 +1,36 @@
+// What the requests of one entry share, on its traffic thread.
+#ifndef BERGAMOTSCALE_SRC_ENTRY_TRAFFIC_H_
+#define BERGAMOTSCALE_SRC_ENTRY_TRAFFIC_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include "bergamotscale/clock.h"
+#include "src/entry/upstream_table.h"
+#include "src/http/metrics.h"
+#include "src/policy/admission.h"
+#include "src/policy/dispatcher.h"
+#include "src/policy/output_estimator.h"
+#include "src/policy/quarantine.h"
+#include "src/policy/retry_budget.h"
+#include "src/timeline/timeline.h"
+
+namespace bergamotscale::entry {
+
+// Thread safety: use on the traffic thread, but for metrics_ and timeline_.
+struct Traffic {
+  boost::asio::io_context& io_;
+  InstanceId instance_;
+  Clock steady_;
+  UpstreamTable& upstreams_;
+  policy::Dispatcher& dispatcher_;
+  policy::Admission& admission_;
+  policy::OutputEstimator& output_;
+  policy::Quarantine& quarantine_;
+  policy::RetryBudget& retries_;
+  http::Metrics& metrics_;
+  timeline::Timeline& timeline_;
+};
+
+}  // namespace bergamotscale::entry
+
+#endif  // BERGAMOTSCALE_SRC_ENTRY_TRAFFIC_H_
--- /dev/null
+++ b/src/entry/upstream_table.cc
@@ -0,0 +1,268 @@
+#include "src/entry/upstream_table.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace bergamotscale::entry {
+namespace {
+
+// Reports older than this say nothing of an upstream's load.
+constexpr Millis kReportLifetime = Millis(3000);
+
+// How often the ages of all reports are brought up to date.
+constexpr Millis kAgeInterval = Millis(50);
+
+}  // namespace
+
+class UpstreamTable::Impl {
+ public:
+  // One sidecar.
+  struct Peer {
+    SidecarMember member_;
+    std::unique_ptr<link::LinkClient> client_;
+    link::Stream status_stream_;
+    wire::SidecarStatus status_;
+    Revision revision_;
+    Millis reported_;
+    bool has_report_ = false;
+    bool listed_ = true;
+    int placed_since_ = 0;
+    size_t view_ = 0;  // index in views_
+  };
+
+  Impl(boost::asio::io_context& io,
+       const EntrySettings& settings,
+       Clock steady,
+       timeline::Timeline* timeline,
+       GossipHooks gossip)
+      : io_(io),
+        link_options_(settings.link_),
+        steady_(std::move(steady)),
+        timeline_(timeline),
+        gossip_(std::move(gossip)) {}
+
+  void AddPeer(const SidecarMember& member) {
+    auto peer = std::make_unique<Peer>();
+    peer->member_ = member;
+    const InstanceId id = member.id_;
+    peer->client_ = std::make_unique<link::LinkClient>(
+        io_, member.endpoint_, link_options_,
+        [this, id](bool usable) { OnLinkState(id, usable); });
+    Peer* raw = peer.get();
+    peers_[id] = std::move(peer);
+    rebuild_ = true;
+    raw->client_->Start();
+  }
+
+  void OnLinkState(const InstanceId& id, bool usable) {
+    const auto found = peers_.find(id);
+    if (found == peers_.end()) {
+      return;
+    }
+    Peer& peer = *found->second;
+    timeline_->Add(
+        usable ? timeline::EventType::kPeerUp : timeline::EventType::kPeerLost,
+        RequestId(), id);
+    LOG(INFO) << "link to " << id.value() << (usable ? " up" : " down");
+    if (usable) {
+      OpenStatus(peer);
+    } else {
+      peer.has_report_ = false;
+    }
+    RefreshView(peer);
+  }
+
+  void OpenStatus(Peer& peer) {
+    const InstanceId id = peer.member_.id_;
+    link::StreamHooks hooks;
+    hooks.on_message_ = [this, id](std::string_view frame) {
+      OnStatusFrame(id, frame);
+    };
+    hooks.on_end_ = [this, id](link::StreamEnd) { OnStatusEnd(id); };
+    Result<link::Stream> stream =
+        peer.client_->Open(wire::kStatusPath, std::move(hooks));
+    if (!stream.ok()) {
+      return;
+    }
+    peer.status_stream_ = stream.value();
+    peer.status_stream_.Send(wire::Encode(gossip_.make_(peer.revision_)));
+  }
+
+  void OnStatusEnd(const InstanceId& id) {
+    const auto found = peers_.find(id);
+    if (found != peers_.end()) {
+      found->second->has_report_ = false;
+      RefreshView(*found->second);
+    }
+  }
+
+  void OnStatusFrame(const InstanceId& id, std::string_view frame) {
+    const auto found = peers_.find(id);
+    if (found == peers_.end()) {
+      return;
+    }
+    const Result<wire::MessageType> type = wire::PeekType(frame);
+    if (!type.ok()) {
+      LOG(WARNING) << "status of " << id.value() << ": "
+                   << type.error().Message();
+    } else if (type.value() == wire::MessageType::kSidecarStatus) {
+      TakeStatus(*found->second, frame);
+    } else if (type.value() == wire::MessageType::kGossip) {
+      TakeGossip(*found->second, frame);
+    }
+  }
+
+  void TakeStatus(Peer& peer, std::string_view frame) {
+    Result<wire::SidecarStatus> status =
+        wire::Decode<wire::SidecarStatus>(frame);
+    if (!status.ok()) {
+      return;
+    }
+    peer.status_ = std::move(status).value();
+    peer.reported_ = steady_.Now();
+    peer.has_report_ = true;
+    peer.placed_since_ = 0;
+    RefreshView(peer);
+  }
+
+  void TakeGossip(Peer& peer, std::string_view frame) {
+    const Result<wire::Gossip> gossip = wire::Decode<wire::Gossip>(frame);
+    if (!gossip.ok()) {
+      return;
+    }
+    peer.revision_ = std::max(peer.revision_, gossip.value().revision_);
+    gossip_.take_(gossip.value());
+  }
+
+  policy::UpstreamView ViewOf(const Peer& peer, Millis now) const {
+    policy::UpstreamView view;
+    view.sidecar_ = peer.member_.id_;
+    view.group_ = peer.member_.group_;
+    view.zone_ = peer.member_.zone_;
+    view.report_age_ = now - peer.reported_;
+    view.usable_ = peer.listed_ && peer.has_report_ && peer.client_->usable() &&
+                   peer.status_.accepting_ && !peer.status_.leaving_ &&
+                   view.report_age_ < kReportLifetime;
+    view.running_ = peer.status_.running_;
+    view.slots_ = peer.status_.slots_;
+    view.placed_since_ = peer.placed_since_;
+    view.between_tokens_ = peer.status_.between_tokens_;
+    view.expected_wait_ = peer.status_.expected_wait_;
+    view.cached_prefixes_ = peer.status_.cached_prefixes_;
+    for (const wire::ClassLoad& load : peer.status_.classes_) {
+      view.waiting_ += load.waiting_;
+      view.class_waits_.push_back({load.class_, load.expected_wait_});
+    }
+    return view;
+  }
+
+  // A report changes one view; only a change of members rebuilds them all.
+  void RefreshView(const Peer& peer) {
+    if (!rebuild_) {
+      views_[peer.view_] = ViewOf(peer, steady_.Now());
+    }
+  }
+
+  void RefreshViews() {
+    const Millis now = steady_.Now();
+    if (!rebuild_ && now - refreshed_ < kAgeInterval) {
+      return;
+    }
+    views_.clear();
+    for (const auto& [id, peer] : peers_) {
+      peer->view_ = views_.size();
+      views_.push_back(ViewOf(*peer, now));
+    }
+    rebuild_ = false;
+    refreshed_ = now;
+  }
+
+  // Forgets members that are no longer listed and whose link is gone.
+  void DropUnlisted() {
+    for (auto peer = peers_.begin(); peer != peers_.end();) {
+      const bool gone =
+          !peer->second->listed_ && !peer->second->client_->usable();
+      peer = gone ? peers_.erase(peer) : std::next(peer);
+    }
+    rebuild_ = true;
+  }
+
+  boost::asio::io_context& io_;
+  const link::LinkOptions link_options_;
+  const Clock steady_;
+  timeline::Timeline* const timeline_;
+  const GossipHooks gossip_;
+  std::map<InstanceId, std::unique_ptr<Peer>> peers_;
+  std::vector<policy::UpstreamView> views_;
+  Millis refreshed_;
+  bool rebuild_ = true;  // views_ doesn't match peers_
+};
+
+UpstreamTable::UpstreamTable(boost::asio::io_context& io,
+                             const EntrySettings& settings,
+                             Clock steady,
+                             timeline::Timeline* timeline,
+                             GossipHooks gossip)
+    : impl_(std::make_unique<Impl>(io,
+                                   settings,
+                                   std::move(steady),
+                                   timeline,
+                                   std::move(gossip))) {}
+
+UpstreamTable::~UpstreamTable() = default;
+
+void UpstreamTable::SetMembers(const std::vector<SidecarMember>& members) {
+  for (auto& [id, peer] : impl_->peers_) {
+    peer->listed_ = false;
+  }
+  for (const SidecarMember& member : members) {
+    const auto found = impl_->peers_.find(member.id_);
+    if (found == impl_->peers_.end()) {
+      impl_->AddPeer(member);
+      continue;
+    }
+    const bool moved = !(found->second->member_.endpoint_ == member.endpoint_);
+    if (moved) {
+      found->second->client_->Close();
+      impl_->AddPeer(member);
+    }
+    impl_->peers_[member.id_]->listed_ = true;
+  }
+  impl_->DropUnlisted();
+}
+
+const std::vector<policy::UpstreamView>& UpstreamTable::Views() {
+  impl_->RefreshViews();
+  return impl_->views_;
+}
+
+Result<link::Stream> UpstreamTable::OpenWork(const InstanceId& sidecar,
+                                             link::StreamHooks hooks) {
+  const auto found = impl_->peers_.find(sidecar);
+  if (found == impl_->peers_.end()) {
+    return ErrorCode::kUpstreamUnreachable;
+  }
+  ++found->second->placed_since_;
+  impl_->RefreshView(*found->second);
+  return found->second->client_->Open(wire::kWorkPath, std::move(hooks));
+}
+
+void UpstreamTable::SpreadGossip() {
+  for (const auto& [id, peer] : impl_->peers_) {
+    if (peer->status_stream_.open()) {
+      peer->status_stream_.Send(
+          wire::Encode(impl_->gossip_.make_(peer->revision_)));
+    }
+  }
+}
+
+void UpstreamTable::Close() {
+  for (const auto& [id, peer] : impl_->peers_) {
+    peer->client_->Close();
+  }
+}
+
+}  // namespace bergamotscale::entry
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -130,6 +130,14 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+void AddRetryAfter(web::http::http_response& response, Millis retry_after) {
+  if (retry_after > Millis(0)) {
+    const int64_t seconds =
+        (retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond;
+    response.headers().add("Retry-After", std::to_string(seconds));
+  }
+}
+
 void ReplyError(web::http::http_request request,
                 const Error& error,
                 Verdict verdict,
@@ -137,11 +145,7 @@
   web::http::http_response response(
       static_cast<web::http::status_code>(HttpStatusOf(error.code_)));
   response.set_body(ErrorJson(error, verdict), "application/json");
-  if (retry_after > Millis(0)) {
-    const int64_t seconds =
-        (retry_after.count() + kMillisPerSecond - 1) / kMillisPerSecond;
-    response.headers().add("Retry-After", std::to_string(seconds));
-  }
+  AddRetryAfter(response, retry_after);
   IgnoreFailure(request.reply(response));
 }
 
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -65,6 +65,9 @@
                 Verdict verdict,
                 Millis retry_after = Millis(0));
 
+// Adds Retry-After in whole seconds, rounded up, if it is above zero.
+void AddRetryAfter(web::http::http_response& response, Millis retry_after);
+
 // @return that JSON text.
 std::string ErrorJson(const Error& error, Verdict verdict);
 
--- /dev/null
+++ b/tests/retry_rule_test.cc
@@ -0,0 +1,53 @@
+// Retries: only where a second execution can do no harm, and bounded.
+#include <doctest/doctest.h>
+
+#include "src/entry/retry_rule.h"
+
+namespace bergamotscale::entry {
+namespace {
+
+FailedAttempt SentAndLost() {
+  FailedAttempt failed;
+  failed.code_ = ErrorCode::kLinkClosed;
+  failed.verdict_ = Verdict::kMayHaveRun;
+  failed.work_sent_ = true;
+  failed.work_attempts_ = 1;
+  return failed;
+}
+
+TEST_CASE("retry rule: work that may have run is repeated only if idempotent") {
+  FailedAttempt failed = SentAndLost();
+  CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
+  failed.idempotent_ = true;
+  CHECK(ChooseRetry(failed) == RetryChoice::kRetry);
+}
+
+TEST_CASE("retry rule: an order goes on, since its claim arbitrates") {
+  FailedAttempt failed = SentAndLost();
+  failed.is_order_ = true;
+  CHECK(ChooseRetry(failed) == RetryChoice::kRetry);
+  failed.code_ = ErrorCode::kClaimedElsewhere;
+  CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
+}
+
+TEST_CASE("retry rule: a second crash ends the request") {
+  FailedAttempt failed = SentAndLost();
+  failed.code_ = ErrorCode::kUpstreamFailed;
+  failed.idempotent_ = true;
+  failed.crashes_ = 1;
+  CHECK(ChooseRetry(failed) == RetryChoice::kRetry);
+  failed.crashes_ = 2;
+  CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
+}
+
+TEST_CASE("retry rule: without any upstream the patience is bounded") {
+  FailedAttempt failed;
+  failed.code_ = ErrorCode::kNoUpstream;
+  failed.verdict_ = Verdict::kNotRun;
+  CHECK(ChooseRetry(failed) == RetryChoice::kReserveAgain);
+  failed.without_upstream_ = Millis(60000);
+  CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
+}
+
+}  // namespace
+}  // namespace bergamotscale::entry
