--- a/src/entry/answer_writer.cc
+++ b/src/entry/answer_writer.cc
@@ -36,7 +36,7 @@
        RequestId id,
        ModelId model,
        std::function<void()> on_caller_left)
-      : request_(std::move(request)),
+      : request_(request),
         id_(std::move(id)),
         model_(std::move(model)),
         on_caller_left_(std::move(on_caller_left)) {}
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -64,6 +64,7 @@
     }
   }
   std::vector<SidecarMember> joined;
+  joined.reserve(members.size());
   for (auto& [id, member] : members) {
     joined.push_back(std::move(member));
   }
--- a/src/entry/router.cc
+++ b/src/entry/router.cc
@@ -75,7 +75,7 @@
     request.extract_vector().then(
         [self = shared_from_this(), request,
          raw = std::move(raw)](pplx::task<std::vector<unsigned char>> read) {
-          self->OnBody(request, raw, std::move(read));
+          self->OnBody(request, raw, read);
         });
   }
 
@@ -112,7 +112,7 @@
     constexpr Millis kConfigRetryAfter = Millis(1000);
     traffic_.metrics_.Add("bergamot_refused", ErrorName(error.code_));
     const bool waiting_helps = error.code_ == ErrorCode::kNotConfigured;
-    const std::string address = request.remote_address();
+    const std::string& address = request.remote_address();
     http::ReplyError(request, error, Verdict::kNotRun,
                      waiting_helps ? kConfigRetryAfter : Millis(0));
     connections_.request_finished_(address);
