Load tool: workloads over real HTTP, report by class, waste by journals

An open-loop generator sends the arrivals at their times, compares each answer byte by byte with what the emulated engine must write, and reports targets, refusals, goodput and waste. It lives in src/load: the experiment in src/lab has types of the same names.

--- /dev/null
+++ b/src/load/load_command.cc
@@ -0,0 +1,156 @@
+#include "src/load/load_command.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gflags/gflags.h>
+
+#include "bergamotscale/clock.h"
+#include "src/http/client.h"
+#include "src/load/load_report.h"
+#include "src/load/load_run.h"
+#include "src/load/workload.h"
+
+DEFINE_string(load_entries, "", "URLs of entries, separated by commas");
+DEFINE_string(load_engines,
+              "",
+              "URLs of engine stand-ins, whose journals tell wasted tokens");
+DEFINE_string(load_mix, "tagworks", "workload: tagworks or stoves");
+DEFINE_uint64(load_seed, 1, "seed of the arrivals");
+DEFINE_double(load_rate, 10, "arrivals a second without the burst");
+DEFINE_double(load_seconds, 30, "length of the arrivals");
+DEFINE_string(load_burst_class, "", "class that bursts; empty for none");
+DEFINE_double(load_burst_factor, 5, "arrivals of that class are times this");
+DEFINE_double(load_burst_start, 10, "start of the burst, in seconds");
+DEFINE_double(load_burst_seconds, 10, "length of the burst");
+DEFINE_double(load_leavers, 0, "share of callers that leave early");
+DEFINE_int32(load_crashing, 0, "number of requests that crash their engine");
+DEFINE_string(load_keys,
+              "",
+              "workspace keys, largest workspace first; empty for those of "
+              "--load_print_config");
+DEFINE_bool(load_print_config,
+            false,
+            "print a configuration that fits the workload and exit");
+DEFINE_string(load_json, "", "file for the report as JSON");
+
+namespace bergamotscale::load {
+namespace {
+
+constexpr int kExitWrongAnswer = 1;
+constexpr int kExitUsage = 2;
+constexpr double kMillisPerSecond = 1000;
+// Cancelled generations end at their next token.
+constexpr Millis kSettleTime = Millis(500);
+
+Millis ToMillis(double seconds) {
+  return Millis(static_cast<int64_t>(seconds * kMillisPerSecond));
+}
+
+std::vector<std::string> SplitCommas(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream stream(text);
+  for (std::string part; std::getline(stream, part, ',');) {
+    if (!part.empty()) {
+      parts.push_back(part);
+    }
+  }
+  return parts;
+}
+
+WorkloadOptions OptionsOfFlags() {
+  WorkloadOptions options;
+  options.mix_ = FLAGS_load_mix == "stoves" ? Mix::kStoves : Mix::kTagworks;
+  options.seed_ = FLAGS_load_seed;
+  options.length_ = ToMillis(FLAGS_load_seconds);
+  options.requests_per_second_ = FLAGS_load_rate;
+  options.early_leavers_ = FLAGS_load_leavers;
+  options.crashing_requests_ = FLAGS_load_crashing;
+  if (!FLAGS_load_burst_class.empty()) {
+    options.burst_ =
+        Burst{ClassId(FLAGS_load_burst_class), ToMillis(FLAGS_load_burst_start),
+              ToMillis(FLAGS_load_burst_seconds), FLAGS_load_burst_factor};
+  }
+  return options;
+}
+
+// @return the tokens that the engines wrote since then; negative, with a
+// message, if one couldn't be read.
+Tokens ReadJournals(const std::vector<std::string>& engines, Millis since) {
+  Tokens written(0);
+  for (const std::string& engine : engines) {
+    http::Call call;
+    call.url_ = engine + "/journal";
+    const Result<http::Reply> reply = http::CallAndWait(call);
+    if (!reply.ok()) {
+      std::cerr << engine << ": " << reply.error().Message() << "\n";
+      return Tokens(-1);
+    }
+    const Result<Tokens> tokens = TokensWritten(reply.value().body_, since);
+    if (!tokens.ok()) {
+      std::cerr << engine << ": " << tokens.error().Message() << "\n";
+      return Tokens(-1);
+    }
+    written += tokens.value();
+  }
+  return written;
+}
+
+LoadReport RunAndReport(const LoadRunOptions& run,
+                        const WorkloadOptions& options) {
+  const std::vector<Arrival> arrivals = GenerateArrivals(options);
+  const Clock wall = Clock::Wall();
+  const Millis start = wall.Now();
+  const std::vector<RequestResult> results =
+      RunLoad(run, options.mix_, arrivals);
+  const double seconds =
+      static_cast<double>((wall.Now() - start).count()) / kMillisPerSecond;
+  LoadReport report = MakeReport(options.mix_, options, seconds, results);
+  const std::vector<std::string> engines = SplitCommas(FLAGS_load_engines);
+  if (!engines.empty()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(kSettleTime.count()));
+    report.written_ = ReadJournals(engines, start);
+  }
+  return report;
+}
+
+int64_t WrongAnswers(const LoadReport& report) {
+  int64_t wrong = 0;
+  for (const ClassReport& each : report.classes_) {
+    wrong += each.wrong_;
+  }
+  return wrong;
+}
+
+}  // namespace
+
+int RunLoadCommand() {
+  const WorkloadOptions options = OptionsOfFlags();
+  if (FLAGS_load_mix != "stoves" && FLAGS_load_mix != "tagworks") {
+    std::cerr << "--load_mix: expected tagworks or stoves\n";
+    return kExitUsage;
+  }
+  if (FLAGS_load_print_config) {
+    std::cout << SerializeConfigDocument(ConfigOf(options.mix_)) << "\n";
+    return 0;
+  }
+  LoadRunOptions run;
+  run.entry_urls_ = SplitCommas(FLAGS_load_entries);
+  run.keys_ = SplitCommas(FLAGS_load_keys);
+  if (run.entry_urls_.empty()) {
+    std::cerr << "--load_entries: expected at least one URL\n";
+    return kExitUsage;
+  }
+  const LoadReport report = RunAndReport(run, options);
+  std::cout << TableOf(report);
+  if (!FLAGS_load_json.empty()) {
+    std::ofstream(FLAGS_load_json) << JsonOf(report);
+  }
+  return WrongAnswers(report) > 0 ? kExitWrongAnswer : 0;
+}
+
+}  // namespace bergamotscale::load
--- a/src/lab/workload.cc
+++ b/src/load/workload.cc
@@ -1,13 +1,14 @@
-#include "src/lab/workload.h"
+#include "src/load/workload.h"
 
 #include <algorithm>
 #include <cmath>
 #include <random>
 #include <utility>
 
+#include "src/config/key_hash.h"
 #include "src/emulator/answer.h"
 
-namespace bergamotscale::lab {
+namespace bergamotscale::load {
 namespace {
 
 constexpr int kWorkspaces = 10;
@@ -18,6 +19,9 @@
 constexpr int64_t kEarliestLeaveMillis = 200;
 constexpr int64_t kLatestLeaveMillis = 4000;
 constexpr int kCapacitySamples = 4000;
+constexpr double kWorkspaceRequestsPerSecond = 1000;
+constexpr int kWorkspaceBurst = 2000;
+constexpr int kFloorPercent = 10;
 constexpr uint64_t kCapacitySeed = 20260101;
 
 MixProfile BaseProfile(const std::string& workspace_prefix, int zones) {
@@ -80,18 +84,22 @@
 MixProfile TagworksProfile() {
   MixProfile profile = BaseProfile("agency-", 3);
   profile.classes_ = {QuickProfile("suggestion"), OrderProfile(),
-                      LongProfile("retag")};
-  profile.model_ = ModelId("keyworder");
-  profile.order_path_ = "/catalogue/entries";
+                      LongProfile("bulk")};
+  profile.model_ = ModelId("keywords-8b");
+  profile.engine_group_ = GroupId("keywording");
+  profile.service_group_ = GroupId("agency");
+  profile.order_path_ = "/v1/orders";
   return profile;
 }
 
 MixProfile StovesProfile() {
   MixProfile profile = BaseProfile("fitter-", 4);
   profile.classes_ = {QuickProfile("quote"), OrderProfile(),
-                      LongProfile("plan")};
-  profile.model_ = ModelId("bend-planner");
-  profile.order_path_ = "/orders/cuts";
+                      LongProfile("bend-plan")};
+  profile.model_ = ModelId("bends-8b");
+  profile.engine_group_ = GroupId("planning");
+  profile.service_group_ = GroupId("workshop-orders");
+  profile.order_path_ = "/v1/orders";
   return profile;
 }
 
@@ -211,6 +219,18 @@
   std::mt19937_64 random_;
 };
 
+ServiceClass ServiceClassOf(const ClassProfile& profile) {
+  ServiceClass result;
+  result.name_ = profile.class_;
+  result.tier_ = profile.tier_;
+  result.first_token_ = profile.first_token_target_;
+  result.between_tokens_ = profile.between_tokens_target_;
+  result.deadline_ = profile.deadline_;
+  result.floor_percent_ = profile.tier_ == Tier(1) ? 0 : kFloorPercent;
+  result.idempotent_ = !profile.order_;
+  return result;
+}
+
 // Marks requests of the most urgent class, which the rules protect most.
 void MarkCrashing(int count, std::vector<Arrival>* arrivals) {
   for (int i = 0; i < count; ++i) {
@@ -254,6 +274,38 @@
   return arrivals;
 }
 
+std::string WorkspaceKeyOf(const WorkspaceId& workspace) {
+  return "key-" + workspace.value();
+}
+
+ConfigDocument ConfigOf(Mix mix) {
+  const MixProfile& profile = ProfileOf(mix);
+  ConfigDocument config;
+  std::vector<ClassId> classes;
+  for (const ClassProfile& each : profile.classes_) {
+    config.classes_.push_back(ServiceClassOf(each));
+    classes.push_back(each.class_);
+    if (each.order_) {
+      config.services_.push_back(
+          ServiceRoute{profile.order_path_, profile.service_group_, each.class_,
+                       /*idempotent=*/false});
+    }
+  }
+  for (const WorkspaceId& name : profile.workspaces_) {
+    config.workspaces_.push_back(
+        Workspace{name,
+                  {config::HashWorkspaceKey(WorkspaceKeyOf(name))},
+                  kWorkspaceRequestsPerSecond,
+                  kWorkspaceBurst,
+                  classes});
+  }
+  config.groups_ = {
+      UpstreamGroup{profile.engine_group_, GroupKind::kEngine, false},
+      UpstreamGroup{profile.service_group_, GroupKind::kService, false}};
+  config.models_ = {Model{profile.model_, profile.engine_group_}};
+  return config;
+}
+
 std::string EnginePromptOf(const Arrival& arrival) {
   return emulator::PromptOf({{"user", arrival.prompt_}});
 }
@@ -283,4 +335,4 @@
          micros;
 }
 
-}  // namespace bergamotscale::lab
+}  // namespace bergamotscale::load
--- a/src/lab/workload.h
+++ b/src/load/workload.h
@@ -1,18 +1,19 @@
-// Workloads of the load tool and of the experiment: lists of arrivals after
-// the two users' mixes. Pure: the same options give the same list.
-#ifndef BERGAMOTSCALE_SRC_LAB_WORKLOAD_H_
-#define BERGAMOTSCALE_SRC_LAB_WORKLOAD_H_
+// Workloads of the load tool: lists of arrivals after the two users' mixes.
+// Pure: the same options give the same list.
+#ifndef BERGAMOTSCALE_SRC_LOAD_WORKLOAD_H_
+#define BERGAMOTSCALE_SRC_LOAD_WORKLOAD_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "bergamotscale/config_document.h"
 #include "bergamotscale/ids.h"
 #include "bergamotscale/units.h"
 #include "src/emulator/engine_types.h"
 
-namespace bergamotscale::lab {
+namespace bergamotscale::load {
 
 // kTagworks: keyword suggestions, catalogue orders, bulk re-tagging; 3
 // availability zones. kStoves: quick quotes, cut and dispatch orders, long
@@ -50,6 +51,9 @@
   std::vector<ZoneId> zones_;
   ModelId model_;
   std::string order_path_;
+  // Groups of the engines and of the plain services.
+  GroupId engine_group_;
+  GroupId service_group_;
   int engines_ = 9;
   int callers_ = 4;
 };
@@ -104,6 +108,11 @@
 // @return the arrivals in the order of their times. Thread safety: safe.
 std::vector<Arrival> GenerateArrivals(const WorkloadOptions& options);
 
+// @return a configuration with the classes, workspaces and groups of a mix. The
+// key of a workspace is WorkspaceKeyOf() its name.
+ConfigDocument ConfigOf(Mix mix);
+std::string WorkspaceKeyOf(const WorkspaceId& workspace);
+
 // @return the prompt of an arrival as the engine joins it from messages; the
 // content of its one user message is prompt_.
 std::string EnginePromptOf(const Arrival& arrival);
@@ -115,6 +124,6 @@
                   int engines,
                   int batch);
 
-}  // namespace bergamotscale::lab
+}  // namespace bergamotscale::load
 
-#endif  // BERGAMOTSCALE_SRC_LAB_WORKLOAD_H_
+#endif  // BERGAMOTSCALE_SRC_LOAD_WORKLOAD_H_
--- a/tests/workload_test.cc
+++ b/tests/workload_test.cc
@@ -6,9 +6,9 @@
 #include <doctest/doctest.h>
 
 #include "src/emulator/answer.h"
-#include "src/lab/workload.h"
+#include "src/load/workload.h"
 
-namespace bergamotscale::lab {
+namespace bergamotscale::load {
 namespace {
 
 int64_t CountClass(const std::vector<Arrival>& arrivals, const char* name) {
@@ -59,7 +59,7 @@
 TEST_CASE("workload: a burst adds to its class alone, while it lasts") {
   WorkloadOptions options = LongOptions(3);
   const auto calm = GenerateArrivals(options);
-  options.burst_ = Burst{ClassId("retag"), Millis(50000), Millis(50000), 5};
+  options.burst_ = Burst{ClassId("bulk"), Millis(50000), Millis(50000), 5};
   const auto rain = GenerateArrivals(options);
   CHECK(CountClass(calm, "suggestion") == CountClass(rain, "suggestion"));
   CHECK(CountClass(calm, "order") == CountClass(rain, "order"));
@@ -67,7 +67,7 @@
   for (const Arrival& arrival : rain) {
     const bool during =
         arrival.time_ >= Millis(50000) && arrival.time_ < Millis(100000);
-    inside += during && arrival.class_ == ClassId("retag") ? 1 : 0;
+    inside += during && arrival.class_ == ClassId("bulk") ? 1 : 0;
   }
   CHECK(inside > 1100);  // 5 requests a second, five-fold, for 50 s
   CHECK(inside < 1400);
@@ -97,4 +97,4 @@
 }
 
 }  // namespace
-}  // namespace bergamotscale::lab
+}  // namespace bergamotscale::load
