--- /dev/null
+++ b/src/lab/router_simulation.h
@@ -0,0 +1,56 @@
+// The product's entries and sidecars on one agenda.
+#ifndef BERGAMOTSCALE_SRC_LAB_ROUTER_SIMULATION_H_
+#define BERGAMOTSCALE_SRC_LAB_ROUTER_SIMULATION_H_
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "src/lab/arrivals.h"
+#include "src/lab/event_loop.h"
+#include "src/lab/fault_schedule.h"
+#include "src/lab/recorder.h"
+#include "src/lab/scenario.h"
+#include "src/lab/sim_entry.h"
+#include "src/lab/sim_sidecar.h"
+
+namespace bergamotscale::lab {
+
+// Thread safety: none.
+class RouterSimulation {
+ public:
+  // Keeps references to all, which must outlive it.
+  // @param fifo first come, first served: no classes and no refusals.
+  RouterSimulation(const Scenario& scenario,
+                   const std::vector<Arrival>& arrivals,
+                   Recorder& recorder,
+                   uint64_t seed,
+                   bool fifo);
+
+  void Run();
+
+ private:
+  EntryHooks HooksOfEntry(int entry);
+  SidecarHooks HooksOfSidecar(int sidecar);
+  void Tell(int sidecar,
+            uint64_t handle,
+            std::function<void(SimEntry&)> message);
+  void SendStatus();
+  void Resend(int request);
+  Micros Delay(int entry, int sidecar) const;
+  SimEntry& EntryOf(int request);
+
+  const Scenario& scenario_;
+  const std::vector<Arrival>& arrivals_;
+  Recorder& recorder_;
+  EventLoop loop_;
+  std::vector<std::unique_ptr<SimSidecar>> sidecars_;
+  SimEngines engines_;
+  std::vector<std::unique_ptr<SimEntry>> entries_;
+  // Times that the caller of a crashing request has sent it again.
+  std::unordered_map<int, int> resends_;
+};
+
+}  // namespace bergamotscale::lab
+
+#endif  // BERGAMOTSCALE_SRC_LAB_ROUTER_SIMULATION_H_
--- /dev/null
+++ b/src/lab/sim_entry.h
@@ -0,0 +1,100 @@
+// An entry in a simulation.
+#ifndef BERGAMOTSCALE_SRC_LAB_SIM_ENTRY_H_
+#define BERGAMOTSCALE_SRC_LAB_SIM_ENTRY_H_
+
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+#include <vector>
+
+#include "src/lab/arrivals.h"
+#include "src/lab/event_loop.h"
+#include "src/lab/recorder.h"
+#include "src/lab/scenario.h"
+#include "src/lab/sim_sidecar.h"
+#include "src/policy/admission.h"
+#include "src/policy/dispatcher.h"
+#include "src/policy/output_estimator.h"
+#include "src/policy/quarantine.h"
+#include "src/policy/retry_budget.h"
+
+namespace bergamotscale::lab {
+
+// What an entry asks of the rest of the simulation.
+struct EntryHooks {
+  // Runs a callback on a sidecar after the message's delay.
+  std::function<void(int sidecar, std::function<void(SimSidecar&)>)> send_;
+  // The caller got a refusal or an error, and may send the request again.
+  std::function<void(int request)> turned_down_;
+};
+
+// Names one reservation: the request, the attempt, and so the entry.
+uint64_t MakeHandle(int request, int attempt);
+int RequestOf(uint64_t handle);
+
+// Thread safety: none.
+class SimEntry {
+ public:
+  // Keeps references to all but the hooks; they must outlive it.
+  SimEntry(EventLoop& loop,
+           const Scenario& scenario,
+           const std::vector<Arrival>& arrivals,
+           Recorder& recorder,
+           int index,
+           uint64_t seed,
+           bool fifo,
+           EntryHooks hooks);
+
+  void Arrive(int request);
+  void Leave(int request);
+
+  // Messages of sidecars.
+  void OnGranted(int sidecar, uint64_t handle);
+  void OnToken(uint64_t handle, int64_t index, Micros at);
+  void OnFinished(uint64_t handle, Micros at);
+  void OnLost(int sidecar, uint64_t handle);
+  void OnRefused(int sidecar, uint64_t handle);
+  void OnSuspicion(const std::vector<policy::SuspicionRecord>& records);
+  void OnStatus(int sidecar, const policy::UpstreamView& view, Micros sent);
+
+ private:
+  struct Request {
+    int attempt_ = 0;
+    bool suspect_ = false;
+    int running_at_ = -1;
+    std::vector<int> reserved_at_;
+    int64_t delivered_ = 0;
+    policy::DispatchRequest dispatch_;
+  };
+
+  Request* Find(uint64_t handle);
+  void Dispatch(int request);
+  void Reserve(int request, int sidecar);
+  void Start(int request, int sidecar);
+  void Withdraw(Request& state, int request);
+  bool Admit(int request);
+  void End(int request);
+  void Refuse(int request);
+  void GiveUp(int request);
+  void AgeViews();
+  const ClassWorkload& WorkloadOf(int request) const;
+
+  EventLoop& loop_;
+  const Scenario& scenario_;
+  const std::vector<Arrival>& arrivals_;
+  Recorder& recorder_;
+  bool fifo_;
+  EntryHooks hooks_;
+  policy::Dispatcher dispatcher_;
+  policy::Admission admission_;
+  policy::OutputEstimator estimator_;
+  policy::RetryBudget budget_;
+  policy::Quarantine quarantine_;
+  std::vector<policy::UpstreamView> views_;
+  std::vector<Micros> reported_;
+  std::unordered_map<int, Request> requests_;
+};
+
+}  // namespace bergamotscale::lab
+
+#endif  // BERGAMOTSCALE_SRC_LAB_SIM_ENTRY_H_
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -115,12 +115,15 @@
   return changed;
 }
 
-std::vector<SuspicionRecord> Quarantine::OnCompleted(uint64_t digest,
-                                                     Millis now) {
-  if (Check(digest, now) != Suspicion::kSuspect) {
+std::vector<SuspicionRecord> Quarantine::OnCompleted(
+    const RunningDigest& attempt,
+    Millis now) {
+  const Suspicion known = Check(attempt.digest_, now);
+  const bool suspect = attempt.suspect_ || known == Suspicion::kSuspect;
+  if (!suspect || known == Suspicion::kConvicted) {
     return {};
   }
-  return {impl_->Set(digest, 0, now + impl_->LifetimeOf(0), now)};
+  return {impl_->Set(attempt.digest_, 0, now + impl_->LifetimeOf(0), now)};
 }
 
 bool Quarantine::Merge(const SuspicionRecord& record, Millis now) {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -19,7 +19,7 @@
   kConvicted,
 };
 
-// An attempt that was running when its upstream crashed.
+// An attempt at an upstream.
 struct RunningDigest {
   uint64_t digest_ = 0;
   bool suspect_ = false;  // was started as one
@@ -65,9 +65,10 @@
       const std::vector<RunningDigest>& running,
       Millis now);
 
-  // A request ran to its end.
-  // @return the record that changed, if it was a suspect.
-  std::vector<SuspicionRecord> OnCompleted(uint64_t digest, Millis now);
+  // An attempt ran to its end, which clears a suspect.
+  // @return the record that changed, to be told to peers.
+  std::vector<SuspicionRecord> OnCompleted(const RunningDigest& attempt,
+                                           Millis now);
 
   // Takes in a peer's record.
   // @return true if it changed anything here, so that it is passed on.
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -305,7 +305,7 @@
     RC_ASSERT(quarantine.Check(500, Millis(2000)) == Suspicion::kClear);
     for (const uint64_t digest : unanswered) {
       RC_ASSERT(quarantine.Check(digest, Millis(2000)) == Suspicion::kSuspect);
-      quarantine.OnCompleted(digest, Millis(2000));
+      quarantine.OnCompleted({digest, true}, Millis(2000));
       RC_ASSERT(quarantine.Check(digest, Millis(2000)) == Suspicion::kClear);
     }
   });
