Limiter: aim so that few answers miss their time between tokens

Ruled out: late first tokens (p99 247 and 543 ms against 1,900). Now each whole answer moves the aim: a miss lowers it, and 250 answers in time raise it as much.

--- a/src/lab/sim_sidecar.cc
+++ b/src/lab/sim_sidecar.cc
@@ -89,6 +89,7 @@
   running.item_ = granted->second;
   running.digest_ = request.prompt_digest_;
   running.started_ = loop_.now_millis();
+  running.between_tokens_target_ = TargetOf(running.item_.class_);
   granted_.erase(granted);
   request.id_ = emulator::SequenceId(static_cast<int64_t>(handle));
   running_[handle] = running;
@@ -96,6 +97,15 @@
   engine_->Submit(request);
 }
 
+Millis SimSidecar::TargetOf(const ClassId& class_id) const {
+  for (const ClassWorkload& workload : scenario_.classes_) {
+    if (workload.class_.name_ == class_id) {
+      return workload.class_.between_tokens_;
+    }
+  }
+  return Millis(0);
+}
+
 void SimSidecar::RememberPrefixes(const std::vector<uint64_t>& prefixes) {
   for (const uint64_t prefix : prefixes) {
     const auto known = std::find(prefixes_.begin(), prefixes_.end(), prefix);
@@ -171,6 +181,12 @@
   const Running running = found->second;
   running_.erase(found);
   queue_.Settle(running.item_, Tokens(running.written_));
+  if (running.written_ > 1) {
+    const Millis span = running.last_token_ - running.first_token_;
+    limiter_.ObserveAnswer(static_cast<double>(span.count()) /
+                               static_cast<double>(running.written_ - 1),
+                           running.between_tokens_target_);
+  }
   const auto cleared = quarantine_.OnCompleted(
       {running.digest_, running.item_.suspect_}, loop_.now_millis());
   if (!cleared.empty()) {
--- a/src/lab/sim_sidecar.h
+++ b/src/lab/sim_sidecar.h
@@ -64,6 +64,7 @@
     Millis started_;
     Millis last_token_;
     Millis first_token_;
+    Millis between_tokens_target_;
     int64_t written_ = 0;
   };
 
@@ -72,6 +73,7 @@
   void OnToken(uint64_t handle, int64_t index);
   void OnFinished(uint64_t handle);
   void OnCrash();
+  Millis TargetOf(const ClassId& class_id) const;
   void RememberPrefixes(const std::vector<uint64_t>& prefixes);
 
   EventLoop& loop_;
--- a/src/policy/concurrency_limiter.cc
+++ b/src/policy/concurrency_limiter.cc
@@ -10,8 +10,13 @@
 constexpr int64_t kWindowMillis = 400;
 constexpr int64_t kMinWindowTokens = 8;
 constexpr double kGapGain = 0.4;
-// The mean aims below the target, since single requests lie about the mean.
-constexpr double kAim = 0.92;
+constexpr double kStartAim = 0.85;
+constexpr double kLeastAim = 0.55;
+constexpr double kMostAim = 0.95;
+// An answer beyond the target lowers the aim by one step; the aim stays where
+// it is if this share of answers are.
+constexpr double kAimStep = 0.015;
+constexpr double kMissedShare = 0.004;
 // Least and greatest change of the limit in one window.
 constexpr double kMostShrink = 0.75;
 constexpr double kMostGrowth = 1.15;
@@ -27,7 +32,8 @@
 
 ConcurrencyLimiter::ConcurrencyLimiter(ConcurrencyLimiterOptions options)
     : options_(options),
-      limit_(std::clamp(options.initial_, 1, std::max(1, options.max_))) {}
+      limit_(std::clamp(options.initial_, 1, std::max(1, options.max_))),
+      aim_(kStartAim) {}
 
 void ConcurrencyLimiter::SetTarget(Millis between_tokens) {
   target_ = between_tokens;
@@ -57,6 +63,16 @@
   }
 }
 
+void ConcurrencyLimiter::ObserveAnswer(double between_tokens, Millis target) {
+  // Answers of classes with more time say nothing about the tightest.
+  if (between_tokens <= 0 || target != target_) {
+    return;
+  }
+  const bool missed = between_tokens > static_cast<double>(target.count());
+  const double step = missed ? -kAimStep : kAimStep * kMissedShare;
+  aim_ = std::clamp(aim_ + step, kLeastAim, kMostAim);
+}
+
 void ConcurrencyLimiter::ObserveRefusal(int running) {
   limit_ = std::clamp(running, 1, limit_);
 }
@@ -86,7 +102,7 @@
   if (target_.count() <= 0 || mean_gap_ <= 0) {
     return;
   }
-  const double aim = kAim * static_cast<double>(target_.count());
+  const double aim = aim_ * static_cast<double>(target_.count());
   const double factor = std::clamp(aim / mean_gap_, kMostShrink, kMostGrowth);
   if (factor >= 1 && peak + kUnusedSlots < limit_) {
     return;
--- a/src/policy/concurrency_limiter.h
+++ b/src/policy/concurrency_limiter.h
@@ -36,6 +36,12 @@
   // @param running requests that run at the engine.
   void ObserveChunk(Millis now, Tokens tokens, Millis elapsed, int running);
 
+  // Takes in a whole answer, so that the share of answers beyond the target
+  // stays small, short ones included, whose mean varies most.
+  // @param between_tokens the answer's mean time between tokens, in ms.
+  // @param target of its class.
+  void ObserveAnswer(double between_tokens, Millis target);
+
   // The engine refused a request for want of memory while `running` ran.
   void ObserveRefusal(int running);
 
@@ -56,6 +62,8 @@
   int floor_percent_ = 0;
   int limit_;
   double mean_gap_ = 0;  // ms
+  // The mean time between tokens aimed at, as a part of the target.
+  double aim_;
   Millis window_start_;
   bool window_open_ = false;
   int64_t window_tokens_ = 0;
--- a/src/policy/work_queue.cc
+++ b/src/policy/work_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <memory_resource>
@@ -17,6 +18,7 @@
 constexpr double kDefaultIntervalMillis = 100;
 constexpr double kIntervalGain = 0.1;
 constexpr double kStartGain = 0.1;
+constexpr double kStartSpreads = 3;
 // A lower tier goes first only if the higher can wait this many times as long
 // as its own queue is expected to take.
 constexpr double kSlackMargin = 2;
@@ -122,7 +124,11 @@
   int running_ = 0;
   int floor_running_ = 0;
   int suspects_running_ = 0;
-  double start_ = 0;  // ms from start to first token
+  // From start to first token, ms: its mean, its spread, and a time within
+  // which most come.
+  double start_mean_ = 0;
+  double start_spread_ = 0;
+  double start_ = 0;
   double interval_ = kDefaultIntervalMillis;
   Millis last_pop_;
 };
@@ -400,7 +406,10 @@
 
 void WorkQueue::ObserveStart(Millis start_to_first_token) {
   const double sample = static_cast<double>(start_to_first_token.count());
-  impl_->start_ = Average(impl_->start_, sample, kStartGain);
+  const double spread = std::abs(sample - impl_->start_mean_);
+  impl_->start_mean_ = Average(impl_->start_mean_, sample, kStartGain);
+  impl_->start_spread_ = Average(impl_->start_spread_, spread, kStartGain);
+  impl_->start_ = impl_->start_mean_ + kStartSpreads * impl_->start_spread_;
 }
 
 std::vector<QueueItem> WorkQueue::TakeExpired(Millis now) {
