HTTP listener: lets replies out before it closes

Cause: cpprestsdk's close tears down sockets under its own running operations; the in-process log stand-in crashed (gdb: epoll_reactor::start_op on a null descriptor) in 12 of 12 runs of the publish tests on the busy machine, also with Connection: close. Change: Close() waits for requests without a reply, bounded, and leaves their bytes a moment before it closes.

--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -1,6 +1,10 @@
 #include "src/http/listener.h"
 
+#include <chrono>
+#include <condition_variable>
 #include <map>
+#include <mutex>
+#include <thread>
 #include <utility>
 
 #include <cpprest/http_listener.h>
@@ -12,6 +16,8 @@
 namespace {
 
 constexpr int64_t kMillisPerSecond = 1000;
+constexpr std::chrono::milliseconds kDrainLimit{2000};
+constexpr std::chrono::milliseconds kWriteGrace{30};
 
 struct RouteKey {
   std::string method_;
@@ -32,6 +38,29 @@
   });
 }
 
+// Counts requests whose handler has not replied yet.
+class OpenRequests {
+ public:
+  void Begin() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    ++count_;
+  }
+  void End() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    --count_;
+    none_.notify_all();
+  }
+  void WaitForNone(std::chrono::milliseconds limit) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    none_.wait_for(lock, limit, [this] { return count_ == 0; });
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable none_;
+  int count_ = 0;
+};
+
 }  // namespace
 
 class Listener::Impl {
@@ -42,6 +71,17 @@
   }
 
   void Handle(web::http::http_request request) {
+    open_requests_->Begin();
+    request.get_response().then(
+        [open = open_requests_](
+            const pplx::task<web::http::http_response>& replied) {
+          try {
+            replied.get();
+          } catch (const std::exception& failure) {
+            VLOG(1) << "no reply: " << failure.what();
+          }
+          open->End();
+        });
     const RouteKey key{request.method(), request.request_uri().path()};
     const auto found = routes_.find(key);
     if (found != routes_.end()) {
@@ -57,6 +97,10 @@
   web::http::experimental::listener::http_listener listener_;
   std::map<RouteKey, Handler> routes_;
   Handler others_;
+  bool is_open_ = false;
+  // Shared with replies that come after this is gone.
+  std::shared_ptr<OpenRequests> open_requests_ =
+      std::make_shared<OpenRequests>();
 };
 
 Listener::Listener(std::string address, uint16_t port)
@@ -83,10 +127,19 @@
   } catch (const std::exception& failure) {
     return Error(ErrorCode::kInternal, impl_->url_ + ": " + failure.what());
   }
+  impl_->is_open_ = true;
   return Done{};
 }
 
 void Listener::Close() {
+  if (!impl_->is_open_) {
+    return;
+  }
+  impl_->is_open_ = false;
+  // The library's close tears down sockets under its own running operations,
+  // which can crash, so replies are let out first.
+  impl_->open_requests_->WaitForNone(kDrainLimit);
+  std::this_thread::sleep_for(kWriteGrace);
   try {
     impl_->listener_.close().wait();
   } catch (const std::exception& failure) {
