Sidecar: thin and whole path with orders, tested in one process

Cause: each upstream needs a process that orders work over all entries, claims orders and cancels at once; the HTTP library sends a request again by itself on a reused connection. Change: bergamot_sidecar: grants, executions on connections used once, no redirects, resume, orders through the executor, status and gossip streams, crash verdicts, drain. A claim is tried again after an append that was surely not made, at most three times in a row. Not yet: configuration in force, instance list, fencing.

--- a/src/orders/claim_batcher.cc
+++ b/src/orders/claim_batcher.cc
@@ -94,12 +94,18 @@
     in_flight_ = false;
     flying_ = 0;
     if (result.ok()) {
+      failures_ = 0;
       Tick();
       return;
     }
+    ++failures_;
     not_before_ = steady_.Now() + options_.retry_delay_;
-    QueueAgain(batch);
-    if (result.error().code_ == ErrorCode::kLogUnavailable) {
+    const bool not_appended =
+        result.error().code_ == ErrorCode::kLogUnavailable;
+    const bool try_claims_again =
+        not_appended && failures_ < options_.claim_tries_;
+    QueueAgain(batch, try_claims_again);
+    if (not_appended && !try_claims_again) {
       on_failed_(ClaimsOf(batch));
     }
   }
@@ -114,10 +120,10 @@
     return claims;
   }
 
-  void QueueAgain(const OrderBatch& batch) {
+  void QueueAgain(const OrderBatch& batch, bool with_claims) {
     for (auto record = batch.records_.rbegin(); record != batch.records_.rend();
          ++record) {
-      if (record->kind_ != RecordKind::kClaim) {
+      if (with_claims || record->kind_ != RecordKind::kClaim) {
         waiting_.push_front(*record);
       }
     }
@@ -149,6 +155,7 @@
   std::deque<SnapshotPart> parts_;
   bool in_flight_ = false;
   size_t flying_ = 0;
+  int failures_ = 0;
   Millis not_before_;
   int64_t dropped_ = 0;
   int64_t appends_ = 0;
--- a/src/orders/claim_batcher.h
+++ b/src/orders/claim_batcher.h
@@ -26,6 +26,8 @@
   Millis interval_ = Millis(50);
   // Wait before records of a failed append are sent again.
   Millis retry_delay_ = Millis(250);
+  // Failed appends in a row after which claims are not tried again.
+  int claim_tries_ = 3;
   size_t max_records_ = 256;
   Bytes max_bytes_ = Bytes(262'144);
   // Outcomes and releases that wait while the log is down; more are dropped,
@@ -34,8 +36,8 @@
 };
 
 // One append is in flight at a time. Outcomes, releases and snapshots are
-// appended again until one succeeds, which the fold takes as one; a claim is
-// appended once.
+// appended again until one succeeds, which the fold takes as one; a claim only
+// after an append that was surely not made.
 // Thread safety: use from one thread, on which the append's hook is called.
 class ClaimBatcher {
  public:
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -2,19 +2,16 @@
 
 #include <chrono>
 #include <condition_variable>
-#include <future>
 #include <mutex>
 #include <random>
 #include <thread>
 #include <utility>
 
 #include <glog/logging.h>
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 
 #include "src/http/listener.h"
 #include "src/log/log_client.h"
+#include "src/sidecar/io_thread.h"
 #include "src/sidecar/traffic.h"
 
 namespace bergamotscale::sidecar {
@@ -37,51 +34,6 @@
   return settings;
 }
 
-// @return a context that lives as long as the process, because calls that the
-// HTTP library has not finished at the end still name it.
-boost::asio::io_context& NewContext() {
-  static auto* contexts =
-      new std::vector<std::unique_ptr<boost::asio::io_context>>();
-  contexts->push_back(std::make_unique<boost::asio::io_context>());
-  return *contexts->back();
-}
-
-// An io_context with the one thread that runs it.
-class IoThread {
- public:
-  IoThread() : io_(NewContext()), guard_(boost::asio::make_work_guard(io_)) {}
-  ~IoThread() { Stop(); }
-  IoThread(const IoThread&) = delete;
-  IoThread& operator=(const IoThread&) = delete;
-
-  void Start() {
-    thread_ = std::thread([this] { io_.run(); });
-  }
-  void Stop() {
-    io_.stop();
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-  }
-  // Runs a step on the thread and waits for it.
-  template <typename Step>
-  void Run(Step step) {
-    std::promise<void> done;
-    boost::asio::post(io_, [&step, &done] {
-      step();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-  boost::asio::io_context& io() { return io_; }
-
- private:
-  boost::asio::io_context& io_;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      guard_;
-  std::thread thread_;
-};
-
 }  // namespace
 
 class Sidecar::Impl {
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -125,7 +125,7 @@
  private:
   link::StreamHooks Accept(const std::string& path, link::Stream stream) {
     if (path == wire::kStatusPath) {
-      const link::StreamHooks hooks = hub_.Accept(std::move(stream));
+      link::StreamHooks hooks = hub_.Accept(std::move(stream));
       SendStatus();
       SendConfig();
       SendVerdicts(scheduler_.Verdicts(kMaxGossipVerdicts));
--- /dev/null
+++ b/tests/upstream_call_test.cc
@@ -0,0 +1,188 @@
+#include <chrono>
+#include <memory>
+#include <optional>
+
+#include <cpprest/http_client.h>
+#include <doctest/doctest.h>
+
+#include "src/http/client.h"
+#include "src/sidecar/event_reader.h"
+#include "src/sidecar/io_thread.h"
+#include "src/sidecar/upstream_call.h"
+#include "tests/support/raw_server.h"
+
+namespace bergamotscale::sidecar {
+namespace {
+
+using tests::RawServer;
+
+constexpr char kWholeAnswer[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr char kStreamStart[] =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n";
+
+void Write(RawServer::Socket& socket, const std::string& text) {
+  boost::system::error_code ignored;
+  boost::asio::write(socket, boost::asio::buffer(text), ignored);
+}
+
+// Answers the first request and closes on each later one before a status line.
+bool AnswerFirst(int number, const std::string&, RawServer::Socket& socket) {
+  if (number > 1) {
+    return false;
+  }
+  Write(socket, kWholeAnswer);
+  return true;
+}
+
+int CountOf(const RawServer& server, const std::string& path) {
+  int count = 0;
+  for (const std::string& request : server.requests()) {
+    count += request.find(path) != std::string::npos ? 1 : 0;
+  }
+  return count;
+}
+
+// Runs one call to its end.
+class Caller {
+ public:
+  Status Run(const std::string& url) {
+    http::Call call;
+    call.method_ = "POST";
+    call.url_ = url;
+    UpstreamHooks hooks;
+    hooks.on_head_ = [](const UpstreamHead&) {};
+    hooks.on_data_ = [this](std::string_view data) {
+      data_ += data;
+      if (cancel_on_data_) {
+        call_->Cancel();
+        io_.stop();
+      }
+    };
+    hooks.on_end_ = [this](const Status& status) {
+      end_ = status;
+      io_.stop();
+    };
+    const auto guard = boost::asio::make_work_guard(io_);
+    call_ = std::make_unique<UpstreamCall>(io_, call, hooks);
+    io_.run_for(std::chrono::seconds(5));
+    return end_.value_or(Error(ErrorCode::kCancelled));
+  }
+
+  std::string data_;
+  bool cancel_on_data_ = false;
+
+ private:
+  boost::asio::io_context& io_ = NewContext();
+  std::unique_ptr<UpstreamCall> call_;
+  std::optional<Status> end_;
+};
+
+}  // namespace
+
+TEST_CASE("upstream call: the HTTP library delivers twice when it reuses") {
+  RawServer server(AnswerFirst);
+  web::http::client::http_client client(server.url());
+  client.request(web::http::methods::POST, "/warm").get().content_ready().get();
+  // The library takes a connection back a little after its answer.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  try {
+    client.request(web::http::methods::POST, "/order-1").get();
+  } catch (const std::exception&) {
+  }
+  CHECK(CountOf(server, "/order-1") == 2);
+}
+
+TEST_CASE("upstream call: one delivery when the peer closes early") {
+  RawServer server(
+      [](int, const std::string&, RawServer::Socket&) { return false; });
+  const Status status = Caller().Run(server.url() + "/order-1");
+  REQUIRE(!status.ok());
+  CHECK(status.error().code_ == ErrorCode::kUpstreamFailed);
+  CHECK(CountOf(server, "/order-1") == 1);
+}
+
+TEST_CASE("upstream call: calls share no connection") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, kWholeAnswer);
+    return true;
+  });
+  CHECK(Caller().Run(server.url() + "/a").ok());
+  RawServer closing(AnswerFirst);
+  CHECK(Caller().Run(closing.url() + "/a").ok());
+  CHECK(!Caller().Run(closing.url() + "/order-1").ok());
+  CHECK(CountOf(closing, "/order-1") == 1);
+}
+
+TEST_CASE("upstream call: no redirect is followed") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket,
+          "HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\n"
+          "Content-Length: 0\r\n\r\n");
+    return true;
+  });
+  CHECK(Caller().Run(server.url() + "/order-1").ok());
+  CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE("upstream call: refused connections prove that nothing was sent") {
+  const Status status = Caller().Run("http://127.0.0.1:1/");
+  REQUIRE(!status.ok());
+  CHECK(status.error().code_ == ErrorCode::kUpstreamUnreachable);
+}
+
+TEST_CASE("upstream call: data arrives before the end; a cut is an error") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, kStreamStart);
+    return false;
+  });
+  Caller caller;
+  const Status status = caller.Run(server.url() + "/");
+  CHECK(caller.data_ == "data: a\n\n");
+  REQUIRE(!status.ok());
+  CHECK(status.error().code_ == ErrorCode::kUpstreamFailed);
+}
+
+TEST_CASE("upstream call: cancelling closes the connection at once") {
+  std::atomic<bool> closed{false};
+  RawServer server(
+      [&closed](int, const std::string&, RawServer::Socket& socket) {
+        Write(socket, kStreamStart);
+        char byte = 0;
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::buffer(&byte, 1), error);
+        closed = static_cast<bool>(error);
+        return false;
+      });
+  Caller caller;
+  caller.cancel_on_data_ = true;
+  const auto start = std::chrono::steady_clock::now();
+  caller.Run(server.url() + "/");
+  while (!closed &&
+         std::chrono::steady_clock::now() - start < std::chrono::seconds(1)) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  CHECK(closed);
+}
+
+TEST_CASE("event reader: events survive any cut into pieces") {
+  const std::string stream =
+      "data: a\n\n: comment\r\ndata: b\r\n\r\nevent: x\ndata: c\ndata:d\n\n";
+  for (size_t cut = 1; cut < stream.size(); ++cut) {
+    std::string events;
+    EventReader reader(Bytes(100), [&events](const std::string& data) {
+      events += "[" + data + "]";
+    });
+    CHECK(reader.Feed(stream.substr(0, cut)).ok());
+    CHECK(reader.Feed(stream.substr(cut)).ok());
+    CHECK(events == "[a][b][c\nd]");
+  }
+}
+
+TEST_CASE("event reader: an event over the bound is refused") {
+  EventReader reader(Bytes(10), [](const std::string&) {});
+  CHECK(!reader.Feed("data: 0123456789").ok());
+}
+
+}  // namespace bergamotscale::sidecar
