--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -167,7 +167,8 @@
     queue_.Settle(entry.item_, entry.output_);
   }
   if (end == TicketEnd::kCompleted && entry.digest_ != 0) {
-    quarantine_.OnCompleted(entry.digest_, clock_.Now());
+    quarantine_.OnCompleted({entry.digest_, entry.item_.suspect_},
+                            clock_.Now());
   }
   Pump();
 }
