Admission and queue: don't serve what is late before what is not

Cause: under a burst of the top tier the queue's expected wait counted late requests, so admission refused all for a while and the queue then served late ones; a quarter of the output was for requests that had missed their target. A class of low demand was refused for good, since its wait was taken from the top tier's queue although its floor would serve it sooner. Ruled out: time between tokens (74 of 13,000 answers missed only that).

--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -1,7 +1,6 @@
 #include "src/policy/admission.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <unordered_map>
 
@@ -16,9 +15,9 @@
 constexpr Millis kNoUpstreamRetryAfter = Millis(2000);
 // Waits from here on mean that no upstream is usable.
 constexpr Millis kUnusableWait = Millis(1'000'000'000);
-// How many times its time to the first token a request may be expected to
-// wait, by rank of its tier: the lowest tiers are refused first.
-constexpr std::array<double, 3> kPatience = {3, 1.2, 0.9};
+// How much of its time to the first token a request may be expected to wait.
+// A wait counts only own and higher tiers, so lower tiers are refused first.
+constexpr double kPatience = 0.75;
 
 // Requests that a workspace may still send.
 struct Bucket {
@@ -44,7 +43,6 @@
 struct Admission::Impl {
   AdmissionDecision CheckLoad(const AdmissionRequest& request) const;
 
-  std::unordered_map<ClassId, size_t> rank_;
   std::unordered_map<WorkspaceId, Bucket> buckets_;
 };
 
@@ -58,14 +56,10 @@
     return {ErrorCode::kDeadlineUnreachable,
             std::max(kMinRetryAfter, needed - request.deadline_left_)};
   }
-  const auto rank = rank_.find(request.class_);
-  const size_t index =
-      std::min(rank == rank_.end() ? 0 : rank->second, kPatience.size() - 1);
-  const double patience = kPatience[index];
   const double left = static_cast<double>(request.first_token_left_.count());
   const double wait = static_cast<double>(request.expected_wait_.count());
-  if (wait > 0 && wait > left * patience) {
-    const Millis excess(static_cast<int64_t>(wait - left * patience));
+  if (wait > 0 && wait > left * kPatience) {
+    const Millis excess(static_cast<int64_t>(wait - left * kPatience));
     return {ErrorCode::kOverloaded, std::max(kMinRetryAfter, excess)};
   }
   return {};
@@ -76,22 +70,7 @@
 Admission::Admission(Admission&&) noexcept = default;
 Admission& Admission::operator=(Admission&&) noexcept = default;
 
-void Admission::Configure(const std::vector<ServiceClass>& classes,
-                          const std::vector<Workspace>& workspaces) {
-  std::vector<Tier> tiers;
-  tiers.reserve(classes.size());
-  for (const ServiceClass& service_class : classes) {
-    tiers.push_back(service_class.tier_);
-  }
-  std::sort(tiers.begin(), tiers.end());
-  tiers.erase(std::unique(tiers.begin(), tiers.end()), tiers.end());
-  impl_->rank_.clear();
-  for (const ServiceClass& service_class : classes) {
-    const auto rank =
-        std::lower_bound(tiers.begin(), tiers.end(), service_class.tier_);
-    impl_->rank_[service_class.name_] =
-        static_cast<size_t>(rank - tiers.begin());
-  }
+void Admission::Configure(const std::vector<Workspace>& workspaces) {
   std::unordered_map<WorkspaceId, Bucket> buckets;
   for (const Workspace& workspace : workspaces) {
     const auto known = impl_->buckets_.find(workspace.name_);
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -35,9 +35,10 @@
   bool admitted() const { return code_ == ErrorCode::kOk; }
 };
 
-// Refuses early what can't meet its deadline, and what its workspace's limits
-// don't cover. The most urgent tier is never refused for load that it could
-// outwait; a lower one is refused once its first token would be late.
+// Refuses early what can't meet its deadline or whose first token would be
+// late, and what its workspace's limits don't cover. The expected wait counts
+// own and higher tiers only: no tier is refused for load of a lower one, and
+// the lowest is refused first.
 // Thread safety: none.
 class Admission {
  public:
@@ -46,10 +47,8 @@
   Admission(Admission&&) noexcept;
   Admission& operator=(Admission&&) noexcept;
 
-  // Takes over classes and workspace limits; buckets of known workspaces keep
-  // their level.
-  void Configure(const std::vector<ServiceClass>& classes,
-                 const std::vector<Workspace>& workspaces);
+  // Takes over workspace limits; buckets of known workspaces keep their level.
+  void Configure(const std::vector<Workspace>& workspaces);
 
   // Sets this entry's share of a workspace's limits, 0 to 1. Soft state: until
   // it is told, or if it is told 0, the share is whole, so that lost state
--- a/src/policy/work_queue.cc
+++ b/src/policy/work_queue.cc
@@ -25,6 +25,7 @@
 // A prompt token costs a small part of an output token.
 constexpr double kPromptTokensPerOutputToken = 16;
 constexpr double kPercent = 100;
+constexpr double kWorkDecayMillis = 4000;
 // Bounds on what a class may be owed and may owe, in requests.
 constexpr double kMaxCreditItems = 4;
 constexpr double kMinCreditItems = -4;
@@ -76,6 +77,7 @@
   int rank_ = 0;  // of its tier among the configured ones, from 0
   double floor_ = 0;
   double credit_ = 0;  // work owed
+  double mean_work_ = 0;
   int running_ = 0;
   KeySet on_time_;
   KeySet late_;
@@ -113,6 +115,8 @@
   void CountEnd(const QueueItem& item, double credit_change);
   QueueItem Remove(uint64_t handle);
   void Depart(Lane& lane, Millis now);
+  void Start(Lane& lane, double work, Millis now);
+  double FloorWait(const Lane& lane) const;
 
   std::pmr::unsynchronized_pool_resource memory_;
   std::vector<std::unique_ptr<Lane>> lanes_;
@@ -131,6 +135,8 @@
   double start_ = 0;
   double interval_ = kDefaultIntervalMillis;
   Millis last_pop_;
+  // Work started, decaying.
+  double recent_work_ = 0;
 };
 
 int WorkQueue::Impl::LaneOf(const ClassId& class_id, Tier tier, bool suspect) {
@@ -307,6 +313,28 @@
   lane.last_departure_ = now;
 }
 
+// Learns how fast requests and work start.
+void WorkQueue::Impl::Start(Lane& lane, double work, Millis now) {
+  const double since = static_cast<double>((now - last_pop_).count());
+  interval_ = Average(interval_, since, kIntervalGain);
+  recent_work_ = recent_work_ * std::exp(-since / kWorkDecayMillis) + work;
+  lane.mean_work_ = lane.mean_work_ == 0
+                        ? work
+                        : Average(lane.mean_work_, work, kIntervalGain);
+  last_pop_ = now;
+  Depart(lane, now);
+}
+
+// The time until a new request of the lane is due on its floor.
+double WorkQueue::Impl::FloorWait(const Lane& lane) const {
+  const double rate = recent_work_ / kWorkDecayMillis * lane.floor_;
+  if (rate <= 0) {
+    return kNever;
+  }
+  const double ahead = static_cast<double>(lane.on_time_.size() + 1);
+  return std::max(0.0, ahead * lane.mean_work_ - lane.credit_) / rate;
+}
+
 WorkQueue::WorkQueue() : impl_(std::make_unique<Impl>()) {}
 WorkQueue::~WorkQueue() = default;
 WorkQueue::WorkQueue(WorkQueue&&) noexcept = default;
@@ -387,10 +415,7 @@
       by_floor ? lane->credit_ - work
                : std::max(lane->credit_ - work, std::min(lane->credit_, 0.0));
   impl_->CountStart(*lane, item);
-  const double since = static_cast<double>((now - impl_->last_pop_).count());
-  impl_->interval_ = Average(impl_->interval_, since, kIntervalGain);
-  impl_->last_pop_ = now;
-  impl_->Depart(*lane, now);
+  impl_->Start(*lane, work, now);
   return item;
 }
 
@@ -428,22 +453,25 @@
   if (own == nullptr) {
     return Millis(0);
   }
+  // A new request goes before those that are late.
   size_t ahead = 0;
   for (const Lane* lane : impl_->by_tier_) {
-    ahead += lane->tier_ <= own->tier_ ? lane->size() : 0;
+    ahead += lane->tier_ <= own->tier_ ? lane->on_time_.size() : 0;
   }
   if (ahead == 0 && impl_->Counted(limits) < impl_->LimitOf(*own, limits)) {
     return Millis(0);
   }
-  const double queue = impl_->interval_ * static_cast<double>(ahead + 1);
+  const double floor_wait = impl_->FloorWait(*own);
   if (own->empty() || own->interval_ == 0) {
-    return Millis(static_cast<int64_t>(queue));
+    const double queue = impl_->interval_ * static_cast<double>(ahead + 1);
+    return Millis(static_cast<int64_t>(std::min(queue, floor_wait)));
   }
   const double since =
       static_cast<double>((now - own->last_departure_).count());
   const double interval = std::max(own->interval_, since);
-  const double lane_wait = interval * static_cast<double>(own->size() + 1);
-  return Millis(static_cast<int64_t>(lane_wait));
+  const double lane_wait =
+      interval * static_cast<double>(own->on_time_.size() + 1);
+  return Millis(static_cast<int64_t>(std::min(lane_wait, floor_wait)));
 }
 
 size_t WorkQueue::size() const {
