bergamotctl: check, publish, config, history, status and hashes

Cause: operators publish without the console too, and scripts need exit codes. Tried against fake_log: two publications from one base, a base that doesn't exist, history, a log that is gone; each told as it was. Conclusion: the local system can be configured from a script.

--- /dev/null
+++ b/tools/ctl/command.cc
@@ -0,0 +1,57 @@
+#include "tools/ctl/command.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace bergamotscale::ctl {
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> kCommands = {
+      {"check", "FILE...", "Checks configuration documents.", &RunCheck},
+      {"publish", "FILE --log=URL [--base=N] [--author=NAME] [--comment=TEXT]",
+       "Publishes a document that was edited from revision N, by default the\n"
+       "one in force. Exit code 0: accepted, 1: not published, 3: conflict,\n"
+       "4: pending under the id that is printed.",
+       &RunPublish},
+      {"config", "--log=URL", "Prints the document in force.", &RunConfig},
+      {"history", "--log=URL", "Prints what became of each publication.",
+       &RunHistory},
+      {"status", "URL...", "Asks processes whether they are up and ready.",
+       &RunStatus},
+      {"hash_key", "[KEY]",
+       "Prints the hash of a workspace key; without KEY, of a fresh one.",
+       &RunHashKey},
+      {"hash_password", "",
+       "Reads a password from standard input and prints its hash.",
+       &RunHashPassword},
+  };
+  return kCommands;
+}
+
+int FailUsage(const char* name) {
+  for (const Command& command : Commands()) {
+    if (command.name_ == std::string(name)) {
+      std::cerr << "usage: bergamotctl " << name << " " << command.usage_
+                << "\n";
+    }
+  }
+  return kExitUsage;
+}
+
+int Fail(const Error& error) {
+  std::cerr << error.Message() << "\n";
+  return kExitFailed;
+}
+
+Result<std::string> ReadText(const std::string& file) {
+  std::ifstream stream(file);
+  if (!stream) {
+    return Error(ErrorCode::kNotFound, file);
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+}  // namespace bergamotscale::ctl
--- /dev/null
+++ b/tools/ctl/status.cc
@@ -0,0 +1,62 @@
+#include <iostream>
+#include <sstream>
+
+#include "src/http/client.h"
+#include "tools/ctl/command.h"
+
+namespace bergamotscale::ctl {
+namespace {
+
+constexpr Millis kTimeout = Millis(2000);
+constexpr int kHttpOk = 200;
+constexpr char kRevisionMetric[] = "config_revision";
+
+Result<http::Reply> Get(const std::string& url) {
+  http::Call call;
+  call.url_ = url;
+  call.timeout_ = kTimeout;
+  return http::CallAndWait(call);
+}
+
+// @return the value of the metric that tells the revision, or "-".
+std::string RevisionIn(const std::string& metrics) {
+  std::istringstream lines(metrics);
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.find(kRevisionMetric) != std::string::npos && line[0] != '#') {
+      return line.substr(line.rfind(' ') + 1);
+    }
+  }
+  return "-";
+}
+
+bool PrintStatus(const std::string& url) {
+  const Result<http::Reply> health = Get(url + "/healthz");
+  if (!health.ok() || health.value().status_ != kHttpOk) {
+    std::cout << url << " unreachable\n";
+    return false;
+  }
+  const Result<http::Reply> ready = Get(url + "/readyz");
+  const bool is_ready = ready.ok() && ready.value().status_ == kHttpOk;
+  const Result<http::Reply> metrics = Get(url + "/metrics");
+  std::cout << url << (is_ready ? " ready" : " not ready") << " revision "
+            << (metrics.ok() ? RevisionIn(metrics.value().body_) : "-") << "\n";
+  return is_ready;
+}
+
+}  // namespace
+
+int RunStatus(const Arguments& arguments) {
+  if (arguments.empty()) {
+    return FailUsage("status");
+  }
+  int exit_code = kExitOk;
+  for (const std::string& url : arguments) {
+    if (!PrintStatus(url)) {
+      exit_code = kExitFailed;
+    }
+  }
+  return exit_code;
+}
+
+}  // namespace bergamotscale::ctl
