--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -149,8 +149,7 @@
     boost::asio::post(io_, [this] {
       const std::shared_ptr<const config::ConfigSnapshot> newest =
           config_.Read();
-      admission_.Configure(newest->document_.classes_,
-                           newest->document_.workspaces_);
+      admission_.Configure(newest->document_.workspaces_);
     });
   }
 
