Queue: lower tiers start one prefill at a time

Cause: the answers of the top tier that missed 28 ms between tokens ran beside several prefills at once.

--- a/src/lab/sim_sidecar.cc
+++ b/src/lab/sim_sidecar.cc
@@ -164,13 +164,17 @@
   const Millis now = loop_.now_millis();
   if (running.written_ == 0) {
     running.first_token_ = now;
-    queue_.ObserveStart(now - running.started_);
+    queue_.OnFirstToken(running.item_, now - running.started_);
   } else {
     limiter_.ObserveChunk(now, Tokens(1), now - running.last_token_,
                           queue_.running());
   }
+  const bool first = running.written_ == 0;
   ++running.written_;
   running.last_token_ = now;
+  if (first) {
+    Pump();
+  }
 }
 
 void SimSidecar::OnFinished(uint64_t handle) {
--- a/src/policy/concurrency_limiter.cc
+++ b/src/policy/concurrency_limiter.cc
@@ -10,13 +10,13 @@
 constexpr int64_t kWindowMillis = 400;
 constexpr int64_t kMinWindowTokens = 8;
 constexpr double kGapGain = 0.4;
-constexpr double kStartAim = 0.85;
+constexpr double kStartAim = 0.8;
 constexpr double kLeastAim = 0.55;
 constexpr double kMostAim = 0.95;
 // An answer beyond the target lowers the aim by one step; the aim stays where
 // it is if this share of answers are.
-constexpr double kAimStep = 0.015;
-constexpr double kMissedShare = 0.004;
+constexpr double kAimStep = 0.02;
+constexpr double kMissedShare = 0.003;
 // Least and greatest change of the limit in one window.
 constexpr double kMostShrink = 0.75;
 constexpr double kMostGrowth = 1.15;
--- a/src/policy/work_queue.cc
+++ b/src/policy/work_queue.cc
@@ -9,6 +9,7 @@
 #include <memory_resource>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace bergamotscale::policy {
@@ -19,6 +20,8 @@
 constexpr double kIntervalGain = 0.1;
 constexpr double kStartGain = 0.1;
 constexpr double kStartSpreads = 3;
+// So many requests without a token keep lower tiers from starting.
+constexpr size_t kMaxStarting = 1;
 // A lower tier goes first only if the higher can wait this many times as long
 // as its own queue is expected to take.
 constexpr double kSlackMargin = 2;
@@ -128,6 +131,8 @@
   int running_ = 0;
   int floor_running_ = 0;
   int suspects_running_ = 0;
+  // Handles of the running requests that have no token yet.
+  std::pmr::unordered_set<uint64_t> starting_{&memory_};
   // From start to first token, ms: its mean, its spread, and a time within
   // which most come.
   double start_mean_ = 0;
@@ -194,6 +199,9 @@
   if (lane.rank_ == 0) {
     return limits.limit_ + limits.urgent_extra_;
   }
+  if (starting_.size() >= kMaxStarting) {
+    return 0;
+  }
   return limits.limit_ + (lane.rank_ == 1 ? limits.urgent_extra_ / 2 : 0);
 }
 
@@ -272,6 +280,7 @@
 }
 
 void WorkQueue::Impl::CountStart(Lane& lane, const QueueItem& item) {
+  starting_.insert(item.handle_);
   ++lane.running_;
   ++running_;
   floor_running_ += item.by_floor_ ? 1 : 0;
@@ -282,6 +291,7 @@
   const int index = LaneOf(item.class_, item.tier_, item.suspect_);
   Lane& lane = *lanes_[index];
   assert(running_ > 0 && lane.running_ > 0);
+  starting_.erase(item.handle_);
   --lane.running_;
   --running_;
   floor_running_ -= item.by_floor_ ? 1 : 0;
@@ -429,8 +439,9 @@
   impl_->CountEnd(item, item.by_floor_ ? WorkOf(item) - WorkOf(actual) : 0);
 }
 
-void WorkQueue::ObserveStart(Millis start_to_first_token) {
-  const double sample = static_cast<double>(start_to_first_token.count());
+void WorkQueue::OnFirstToken(const QueueItem& item, Millis since_start) {
+  impl_->starting_.erase(item.handle_);
+  const double sample = static_cast<double>(since_start.count());
   const double spread = std::abs(sample - impl_->start_mean_);
   impl_->start_mean_ = Average(impl_->start_mean_, sample, kStartGain);
   impl_->start_spread_ = Average(impl_->start_spread_, spread, kStartGain);
--- a/src/policy/work_queue.h
+++ b/src/policy/work_queue.h
@@ -56,9 +56,11 @@
   // @param output tokens that it wrote here.
   void Settle(const QueueItem& item, Tokens output);
 
-  // Tells how long a first token takes once a request has started, so that
-  // lateness is judged by when the first token comes.
-  void ObserveStart(Millis start_to_first_token);
+  // A popped request's first token has come. Lateness is judged by how long
+  // that takes, and lower tiers wait while others are at it: the prefill of a
+  // prompt slows the answers of all that run.
+  // @param since_start time since the request was handed to the upstream.
+  void OnFirstToken(const QueueItem& item, Millis since_start);
 
   // Removes the requests whose deadline has passed.
   std::vector<QueueItem> TakeExpired(Millis now);
