Sidecar: configuration in force, gossip of it, and the instance list

Change: the config follower feeds targets and floors to the scheduler; peers on status streams are told revision and document and tell theirs; the list's word 'leaving' starts the same drain as SIGTERM. Shown: sidecar cases of the unit suite pass (10 of 10).

--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -8,10 +8,13 @@
 #include <utility>
 
 #include <glog/logging.h>
+#include <boost/asio/post.hpp>
 
+#include "src/config/config_follower.h"
 #include "src/http/listener.h"
 #include "src/log/log_client.h"
 #include "src/sidecar/io_thread.h"
+#include "src/sidecar/own_listing.h"
 #include "src/sidecar/traffic.h"
 
 namespace bergamotscale::sidecar {
@@ -34,6 +37,12 @@
   return settings;
 }
 
+config::ConfigFollowerOptions ConfigOptionsOf(const SidecarSettings& settings) {
+  config::ConfigFollowerOptions options;
+  options.seed_ = std::hash<std::string>()(settings.orders_.boot_id_);
+  return options;
+}
+
 }  // namespace
 
 class Sidecar::Impl {
@@ -50,18 +59,34 @@
                  blackboard_,
                  timeline_,
                  metrics_,
-                 TrafficHooksOf()) {
+                 TrafficHooksOf()),
+        config_follower_(log_client_,
+                         ConfigOptionsOf(settings_),
+                         [this](const config::ConfigSnapshot& snapshot) {
+                           OnConfig(snapshot);
+                         }),
+        own_listing_(control_thread_.io(),
+                     settings_.instance_list_url_,
+                     settings_.instance_,
+                     settings_.list_interval_,
+                     [this] { LeaveByList(); }) {
     blackboard_.ready_.Write(false);
     AddRoutes();
   }
 
-  ~Impl() { traffic_thread_.Stop(); }
+  ~Impl() { StopThreads(); }
 
   Status Start() {
     traffic_thread_.Start();
     Status started = Done{};
     traffic_thread_.Run([this, &started] { started = traffic_.Start(); });
-    return started.ok() ? listener_.Open() : started;
+    if (!started.ok()) {
+      return started;
+    }
+    control_thread_.Start();
+    config_follower_.Start();
+    control_thread_.Run([this] { own_listing_.Start(); });
+    return listener_.Open();
   }
 
   void Stop() {
@@ -69,14 +94,37 @@
     WaitUntilDrained();
     std::this_thread::sleep_for(kFlushTime);
     traffic_thread_.Run([this] { traffic_.Close(); });
-    traffic_thread_.Stop();
+    StopThreads();
     listener_.Close();
   }
 
  private:
+  void StopThreads() {
+    config_follower_.Stop();
+    control_thread_.Stop();
+    traffic_thread_.Stop();
+  }
+
+  // On a thread of the HTTP library, or the control thread by a peer's word.
+  void OnConfig(const config::ConfigSnapshot& snapshot) {
+    blackboard_.config_.Write(snapshot);
+    boost::asio::post(traffic_thread_.io(), [this] { traffic_.OnConfig(); });
+  }
+
+  void LeaveByList() {
+    LOG(INFO) << "listed as leaving";
+    boost::asio::post(traffic_thread_.io(), [this] { traffic_.Leave(); });
+  }
+
   TrafficHooks TrafficHooksOf() {
     TrafficHooks hooks;
-    hooks.on_config_gossip_ = [](const wire::Gossip&) {};
+    hooks.on_config_gossip_ = [this](const wire::Gossip& gossip) {
+      // Parsing a document is no work for the traffic thread.
+      boost::asio::post(control_thread_.io(), [this, gossip] {
+        config_follower_.Offer(gossip.revision_, gossip.config_offset_,
+                               gossip.document_);
+      });
+    };
     hooks.on_drained_ = [this] {
       {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -112,7 +160,10 @@
   log::LogClient log_client_;
   http::Listener listener_;
   IoThread traffic_thread_;
+  IoThread control_thread_;
   Traffic traffic_;
+  config::ConfigFollower config_follower_;
+  OwnListing own_listing_;
   std::mutex mutex_;
   std::condition_variable changed_;
   bool drained_ = false;
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -206,7 +206,7 @@
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
       scheduler_.Merge(verdict);
     }
-    if (gossip.revision_ > Revision(0)) {
+    if (!gossip.document_.empty()) {
       hooks_.on_config_gossip_(gossip);
     }
   }
--- a/src/sidecar/traffic.h
+++ b/src/sidecar/traffic.h
@@ -4,13 +4,11 @@
 
 #include <functional>
 #include <memory>
-#include <string>
 
 #include <boost/asio/io_context.hpp>
 
-#include "bergamotscale/config_document.h"
-#include "bergamotscale/ids.h"
 #include "bergamotscale/result.h"
+#include "src/config/config_follower.h"
 #include "src/core/blackboard.h"
 #include "src/http/metrics.h"
 #include "src/log/log_client.h"
@@ -20,18 +18,10 @@
 
 namespace bergamotscale::sidecar {
 
-// The configuration that a sidecar follows.
-struct ConfigInForce {
-  Revision revision_;
-  LogOffset offset_;
-  ConfigDocument document_;
-  std::string text_;  // as published
-};
-
 // Where the threads of a sidecar meet.
 struct Blackboard {
   // Written by the control thread.
-  Slot<ConfigInForce> config_;
+  Slot<config::ConfigSnapshot> config_;
   // Written by the traffic thread: whether new work is accepted.
   Slot<bool> ready_;
 };
@@ -39,7 +29,7 @@
 // What the traffic thread leaves to the control thread. Called on the traffic
 // thread; must not block.
 struct TrafficHooks {
-  // A peer tells of a configuration.
+  // A peer has this configuration in force.
   std::function<void(const wire::Gossip&)> on_config_gossip_;
   // All work is done after Leave().
   std::function<void()> on_drained_;
