bergamotctl: timeline and explain

Cause: nothing told an operator what became of a request. Change: two subcommands that fetch and merge the time lines of processes. Ruled out: reading logs (unbounded, unordered between processes). What it shows: events of two processes within one millisecond are out of order, since no message carries a timestamp yet.

--- a/tools/ctl/command.cc
+++ b/tools/ctl/command.cc
@@ -19,6 +19,13 @@
        &RunHistory},
       {"status", "URL...", "Asks processes whether they are up and ready.",
        &RunStatus},
+      {"timeline", "URL... [--output=FILE]",
+       "Merges the time lines of processes into the Chrome trace format.",
+       &RunTimeline},
+      {"explain", "REQUEST_ID URL...",
+       "Tells in words what became of a request, from the time lines of the\n"
+       "processes at these URLs.",
+       &RunExplain},
       {"hash_key", "[KEY]",
        "Prints the hash of a workspace key; without KEY, of a fresh one.",
        &RunHashKey},
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -47,6 +47,8 @@
 int RunConfig(const Arguments& arguments);
 int RunHistory(const Arguments& arguments);
 int RunStatus(const Arguments& arguments);
+int RunTimeline(const Arguments& arguments);
+int RunExplain(const Arguments& arguments);
 int RunHashKey(const Arguments& arguments);
 int RunHashPassword(const Arguments& arguments);
 
--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -86,7 +86,7 @@
 start console bergamot_console
 wait_for log-1 /healthz
 build/bin/bergamotctl publish examples/hanbit_tagworks.json \
-  --log "$(url_of log-1)" >"$folder/publish.log"
+  --log="$(url_of log-1)" >"$folder/publish.log"
 for name in "${names[@]}"; do
   wait_for "$name" /healthz
 done
