--- a/src/sidecar/upstream_call.cc
+++ b/src/sidecar/upstream_call.cc
@@ -22,6 +22,8 @@
 web::http::http_request RequestOf(const http::Call& call, const web::uri& uri) {
   web::http::http_request request(call.method_);
   request.set_request_uri(uri.resource());
+  // The peer then doesn't wait for another request on this connection.
+  request.headers().add("Connection", "close");
   for (const http::Header& header : call.headers_) {
     request.headers().add(header.name_, header.value_);
   }
--- a/tests/history_test.cc
+++ b/tests/history_test.cc
@@ -18,7 +18,7 @@
 }
 
 Execution RunOf(const std::string& key, int64_t at) {
-  return Execution{key, "request of " + key, at, "service-1"};
+  return Execution{key, "request of " + key, at, "service-1", "1"};
 }
 
 bool Belongs(const Send& send) {
@@ -78,7 +78,7 @@
   auto sends = GoodSends();
   sends.push_back(SendOf("b", SendResult::kMayHaveRun, 50));
   auto runs = kGoodRuns;
-  runs.push_back(Execution{"b", "b0", 60, "service-1"});
+  runs.push_back(Execution{"b", "b0", 60, "service-1", "1"});
   CHECK(BrokenBy(sends, runs) == "false not run;");
   runs.back().request_id_ = "b50";
   CHECK(BrokenBy(sends, runs).empty());
@@ -105,11 +105,11 @@
 
 TEST_CASE("history: a journal is read through a restart and a cut line") {
   const std::string lines =
-      R"({"number":0,"id":"r","key":"a","start":5,"outcome":"running"})"
+      R"({"number":0,"id":"r","key":"a","digest":1,"start":5,"outcome":"running"})"
       "\n"
-      R"({"number":0,"id":"r","key":"a","start":5,"outcome":"finished"})"
+      R"({"number":0,"id":"r","key":"a","digest":1,"start":5,"outcome":"finished"})"
       "\n"
-      R"({"number":0,"id":"s","key":"a","start":9,"outcome":"running"})"
+      R"({"number":0,"id":"s","key":"a","digest":1,"start":9,"outcome":"running"})"
       "\n"
       R"({"number":1,"id":)";
   CHECK(ParseJournal(lines, "service-1").size() == 2);
--- /dev/null
+++ b/tests/process/orders_bench.cc
@@ -0,0 +1,435 @@
+#include "tests/process/orders_bench.h"
+
+#include <algorithm>
+#include <future>
+#include <sstream>
+
+#include <xxhash.h>
+#include <nlohmann/json.hpp>
+
+#include "bergamotscale/clock.h"
+#include "src/config/config_record.h"
+#include "src/config/key_hash.h"
+#include "src/log/log_client.h"
+
+namespace bergamotscale::tests {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kAddress[] = "127.0.0.1";
+constexpr char kWorkspaceKey[] = "test-key";
+constexpr char kPath[] = "/v1/orders";
+constexpr int kPairs = 2;
+constexpr int kCallers = 4;
+constexpr int kMaxSends = 30;
+const Millis kCallTimeout(2500);
+constexpr std::chrono::milliseconds kBeforeFault(500);
+constexpr std::chrono::milliseconds kFaultTime(3500);
+constexpr std::chrono::milliseconds kAfterFault(700);
+constexpr std::chrono::milliseconds kThinkTime(5);
+constexpr std::chrono::milliseconds kResendPause(100);
+
+int64_t Now() {
+  return Clock::Wall().Now().count();
+}
+
+std::string UrlOf(uint16_t port) {
+  return "http://" + std::string(kAddress) + ":" + std::to_string(port);
+}
+
+json EndpointOf(uint16_t port) {
+  return {{"address", kAddress}, {"port", port}};
+}
+
+json ConfigOf() {
+  return json::parse(R"({
+    "classes": [{"name": "order", "tier": 1, "first_token_ms": 2000,
+      "between_tokens_ms": 40, "deadline_ms": 2000, "idempotent": true}],
+    "workspaces": [{"name": "workshop", "key_hashes": [")" +
+                     config::HashWorkspaceKey(kWorkspaceKey) + R"("],
+      "requests_per_second": 10000, "burst": 10000, "classes": ["order"]}],
+    "groups": [{"name": "orders", "kind": "service"}],
+    "models": [],
+    "services": [{"path": "/v1/orders", "group": "orders", "class": "order",
+      "idempotent": true}],
+    "operators": []})");
+}
+
+std::string ReadText(const std::string& file) {
+  std::ostringstream text;
+  text << std::ifstream(file).rdbuf();
+  return text.str();
+}
+
+std::string DigestOf(const std::string& body) {
+  return std::to_string(XXH3_64bits(body.data(), body.size()));
+}
+
+// The service answers with the digest of the body that it executed.
+bool AnswerIsOf(const Send& send) {
+  const json answer = json::parse(send.answer_, nullptr, false);
+  return answer.is_object() && answer.value("path", "") == kPath &&
+         answer.contains("digest") &&
+         answer["digest"].dump() == DigestOf(send.body_);
+}
+
+SendResult ResultOf(const Result<http::Reply>& reply) {
+  if (!reply.ok()) {
+    return SendResult::kUnanswered;
+  }
+  if (reply.value().status_ == 200) {
+    return SendResult::kAnswered;
+  }
+  const json body = json::parse(reply.value().body_, nullptr, false);
+  const json::json_pointer place("/error/verdict");
+  if (!body.is_object() || !body.contains(place)) {
+    return SendResult::kUnanswered;
+  }
+  return body[place] == "not_run" ? SendResult::kNotRun
+                                  : SendResult::kMayHaveRun;
+}
+
+}  // namespace
+
+const char* FaultName(Fault fault) {
+  constexpr const char* kNames[kFaultCount] = {
+      "kill entry",   "kill sidecar", "kill service", "stop entry",
+      "stop sidecar", "log down",     "log slow",     "log loses answers",
+      "cut link",     "silent link"};
+  return kNames[static_cast<int>(fault)];
+}
+
+OrdersBench::OrdersBench(uint64_t seed, KeyUse keys)
+    : random_(seed),
+      keys_(keys),
+      guard_(boost::asio::make_work_guard(io_)),
+      relay_thread_([this] { io_.run(); }) {
+  AddLog();
+  for (int index = 1; index <= kPairs; ++index) {
+    AddService(index);
+    AddSidecar(index);
+  }
+  for (int index = 1; index <= kPairs; ++index) {
+    AddEntry(index);
+  }
+}
+
+OrdersBench::~OrdersBench() {
+  nodes_.clear();
+  relays_.clear();
+  guard_.reset();
+  io_.stop();
+  relay_thread_.join();
+}
+
+void OrdersBench::Add(const std::string& binary,
+                      const std::string& name,
+                      const std::string& settings) {
+  Node node;
+  node.binary_ = binary;
+  node.name_ = name;
+  node.settings_ = settings;
+  nodes_.emplace(name, std::move(node));
+}
+
+void OrdersBench::AddLog() {
+  ports_["log"] = FreePort();
+  Add("fake_log", "log", json{{"port", ports_["log"]}}.dump());
+}
+
+void OrdersBench::AddService(int index) {
+  const std::string name = "service-" + std::to_string(index);
+  ports_[name] = FreePort();
+  Add("fake_service", name,
+      json{{"port", ports_[name]},
+           {"delay_ms", 20},
+           {"journal_file", folder_.File(name + ".journal")}}
+          .dump());
+}
+
+void OrdersBench::AddSidecar(int index) {
+  const std::string number = std::to_string(index);
+  const std::string name = "sidecar-" + number;
+  ports_[name] = FreePort();
+  ports_["link-" + number] = FreePort();
+  Add("bergamot_sidecar", name,
+      json{{"instance", name},
+           {"availability_zone", "a"},
+           {"group", "orders"},
+           {"kind", "service"},
+           {"upstream_url", UrlOf(ports_["service-" + number])},
+           {"link", EndpointOf(ports_["link-" + number])},
+           {"http", EndpointOf(ports_[name])},
+           {"log_url", UrlOf(ports_["log"])},
+           {"health_interval_ms", 100},
+           {"log_timeout_ms", 1000},
+           {"upstream_timeout_ms", 2000},
+           {"orders", {{"claim_timeout_ms", 1000}, {"outcome_wait_ms", 1000}}}}
+          .dump());
+}
+
+void OrdersBench::AddEntry(int index) {
+  const std::string name = "entry-" + std::to_string(index);
+  ports_[name] = FreePort();
+  json sidecars = json::array();
+  for (int sidecar = 1; sidecar <= kPairs; ++sidecar) {
+    const std::string number = std::to_string(sidecar);
+    const link::Endpoint target{kAddress, ports_["link-" + number]};
+    relays_.push_back(std::make_unique<testing::Relay>(io_, target));
+    sidecars.push_back({{"id", "sidecar-" + number},
+                        {"group", "orders"},
+                        {"availability_zone", "a"},
+                        {"address", kAddress},
+                        {"port", relays_.back()->endpoint().port_}});
+  }
+  Add("bergamot_entry", name,
+      json{{"instance", name},
+           {"availability_zone", "a"},
+           {"public", EndpointOf(ports_[name])},
+           {"listener", EndpointOf(FreePort())},
+           {"log_url", UrlOf(ports_["log"])},
+           {"sidecars", sidecars}}
+          .dump());
+}
+
+void OrdersBench::Launch(const std::string& name) {
+  Node& node = nodes_.at(name);
+  node.process_.reset();
+  node.process_ = std::make_unique<ChildProcess>(folder_, node.binary_, name,
+                                                 node.settings_);
+}
+
+bool OrdersBench::Publish() {
+  config::PublicationRecord record;
+  record.id_ = PublicationId("test");
+  record.document_ = ConfigOf();
+  record.author_ = "test";
+  log::LogClient client(UrlOf(ports_["log"]), Millis(2000));
+  std::promise<bool> appended;
+  client.Append(log::kConfigStream, config::EncodeRecord(record),
+                [&appended](const Result<LogOffset>& result) {
+                  appended.set_value(result.ok());
+                });
+  return appended.get_future().get();
+}
+
+bool OrdersBench::Start() {
+  Launch("log");
+  if (!WaitUntilOk(UrlOf(ports_["log"]) + "/healthz") || !Publish()) {
+    return false;
+  }
+  for (const auto& [name, node] : nodes_) {
+    if (name != "log") {
+      Launch(name);
+    }
+  }
+  for (const auto& [name, node] : nodes_) {
+    const bool ready = name == "log" || name.find("service") == 0;
+    if (!WaitUntilOk(UrlOf(ports_[name]) + (ready ? "/healthz" : "/readyz"))) {
+      return false;
+    }
+  }
+  return WarmUp();
+}
+
+// Both entries have a link to a sidecar once they answer an order.
+bool OrdersBench::WarmUp() {
+  constexpr int kTries = 100;
+  for (size_t entry = 0; entry < kPairs; ++entry) {
+    int tries = 0;
+    Send send;
+    do {
+      send = SendOnce(
+          "warm-" + std::to_string(entry) + "-" + std::to_string(tries), entry);
+      sends_.push_back(send);
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    } while (send.result_ != SendResult::kAnswered && ++tries < kTries);
+    if (tries == kTries) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::string OrdersBench::EntryUrl(size_t index) const {
+  return UrlOf(ports_.at("entry-" + std::to_string(index + 1)));
+}
+
+void OrdersBench::Run(const std::vector<Fault>& faults) {
+  calling_ = true;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < kCallers; ++caller) {
+    const uint64_t seed = random_();
+    callers.emplace_back([this, seed] { Call(seed); });
+  }
+  std::this_thread::sleep_for(kBeforeFault);
+  for (const Fault fault : faults) {
+    Begin(fault);
+    std::this_thread::sleep_for(std::chrono::milliseconds(random_() % 300));
+  }
+  std::this_thread::sleep_for(kFaultTime);
+  for (const Fault fault : faults) {
+    End(fault);
+  }
+  std::this_thread::sleep_for(kAfterFault);
+  calling_ = false;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+}
+
+void OrdersBench::Call(uint64_t seed) {
+  std::mt19937_64 random(seed);
+  while (calling_) {
+    SendOrder(random, "order-" + std::to_string(++next_order_));
+    std::this_thread::sleep_for(kThinkTime);
+  }
+}
+
+// Resends to the other entry until there is an answer of any kind. Some
+// callers ask again after the answer, which must be the same.
+void OrdersBench::SendOrder(std::mt19937_64& random, const std::string& key) {
+  size_t entry = random() % kPairs;
+  for (int sends = 0; sends < kMaxSends; ++sends) {
+    const Send send = SendOnce(key, entry);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      sends_.push_back(send);
+    }
+    const bool ask_again = keys_ == KeyUse::kKeys && random() % 8 == 0;
+    const bool answered = send.result_ == SendResult::kAnswered;
+    if (send.result_ != SendResult::kUnanswered && !(answered && ask_again)) {
+      return;
+    }
+    entry = (entry + 1) % kPairs;
+    if (!answered) {
+      std::this_thread::sleep_for(kResendPause);
+    }
+  }
+}
+
+Send OrdersBench::SendOnce(const std::string& key, size_t entry) {
+  Send send;
+  send.key_ = key;
+  send.body_ = json{{"order", key}}.dump();
+  http::Call call;
+  call.method_ = "POST";
+  call.url_ = EntryUrl(entry) + kPath;
+  call.body_ = send.body_;
+  call.timeout_ = kCallTimeout;
+  call.headers_.push_back(
+      {"Authorization", std::string("Bearer ") + kWorkspaceKey});
+  if (keys_ == KeyUse::kKeys) {
+    call.headers_.push_back({"Idempotency-Key", key});
+  }
+  send.sent_at_ = Now();
+  const Result<http::Reply> reply = http::CallAndWait(call);
+  send.ended_at_ = Now();
+  send.result_ = ResultOf(reply);
+  send.answer_ = reply.ok() ? reply.value().body_ : reply.error().detail_;
+  return send;
+}
+
+std::string OrdersBench::Chosen(const std::string& kind) {
+  return kind + "-" + std::to_string(random_() % kPairs + 1);
+}
+
+void OrdersBench::PostLogFaults(const std::string& text) {
+  http::Call call;
+  call.method_ = "POST";
+  call.url_ = UrlOf(ports_["log"]) + "/faults";
+  call.body_ = text;
+  http::CallAndWait(call);
+}
+
+void OrdersBench::Begin(Fault fault) {
+  switch (fault) {
+    case Fault::kKillEntry:
+    case Fault::kStopEntry:
+      targets_[fault] = Chosen("entry");
+      break;
+    case Fault::kKillSidecar:
+    case Fault::kStopSidecar:
+      targets_[fault] = Chosen("sidecar");
+      break;
+    case Fault::kKillService:
+      targets_[fault] = Chosen("service");
+      break;
+    case Fault::kLogDown:
+      PostLogFaults(R"({"down": true})");
+      return;
+    case Fault::kLogSlow:
+      PostLogFaults(R"({"slow_ms": 700})");
+      return;
+    case Fault::kLogLosesAnswers:
+      PostLogFaults(R"({"lose_answers": -1})");
+      return;
+    case Fault::kCutLink:
+      for (const auto& relay : relays_) {
+        relay->Cut();
+      }
+      return;
+    case Fault::kSilentLink:
+      relays_[random_() % relays_.size()]->Freeze();
+      return;
+  }
+  const bool stop = fault == Fault::kStopEntry || fault == Fault::kStopSidecar;
+  nodes_.at(targets_[fault]).process_->Signal(stop ? SIGSTOP : SIGKILL);
+}
+
+void OrdersBench::End(Fault fault) {
+  switch (fault) {
+    case Fault::kKillEntry:
+    case Fault::kKillSidecar:
+    case Fault::kKillService:
+      Launch(targets_[fault]);
+      return;
+    case Fault::kStopEntry:
+    case Fault::kStopSidecar:
+      nodes_.at(targets_[fault]).process_->Signal(SIGCONT);
+      return;
+    case Fault::kLogDown:
+    case Fault::kLogSlow:
+    case Fault::kLogLosesAnswers:
+      PostLogFaults(R"({"down": false, "slow_ms": 0, "lose_answers": 0})");
+      return;
+    case Fault::kCutLink:
+    case Fault::kSilentLink:
+      return;
+  }
+}
+
+std::vector<Execution> OrdersBench::Executions() const {
+  std::vector<Execution> executions;
+  for (int index = 1; index <= kPairs; ++index) {
+    const std::string name = "service-" + std::to_string(index);
+    const auto some =
+        ParseJournal(ReadText(folder_.File(name + ".journal")), name);
+    executions.insert(executions.end(), some.begin(), some.end());
+  }
+  if (keys_ == KeyUse::kKeys) {
+    return executions;
+  }
+  // Without keys an execution is known by the digest of its body.
+  std::map<std::string, std::string> keys;
+  for (const Send& send : sends_) {
+    keys[DigestOf(send.body_)] = send.key_;
+  }
+  for (Execution& execution : executions) {
+    execution.key_ = keys[execution.digest_];
+  }
+  return executions;
+}
+
+std::vector<Violation> OrdersBench::Check() {
+  return CheckHistory(sends_, Executions(), AnswerIsOf);
+}
+
+int OrdersBench::CountOf(SendResult result) const {
+  return static_cast<int>(std::count_if(
+      sends_.begin(), sends_.end(),
+      [result](const Send& send) { return send.result_ == result; }));
+}
+
+}  // namespace bergamotscale::tests
--- /dev/null
+++ b/tests/process/orders_bench.h
@@ -0,0 +1,113 @@
+// Orders through a whole system of real processes, with faults on order.
+#ifndef BERGAMOTSCALE_TESTS_PROCESS_ORDERS_BENCH_H_
+#define BERGAMOTSCALE_TESTS_PROCESS_ORDERS_BENCH_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio.hpp>
+
+#include "tests/support/child_process.h"
+#include "tests/support/history.h"
+#include "tests/support/relay.h"
+
+namespace bergamotscale::tests {
+
+enum class Fault {
+  kKillEntry,
+  kKillSidecar,
+  kKillService,
+  kStopEntry,    // SIGSTOP past every timeout, then SIGCONT
+  kStopSidecar,  // the same
+  kLogDown,
+  kLogSlow,
+  kLogLosesAnswers,
+  kCutLink,
+  kSilentLink,
+};
+inline constexpr int kFaultCount = 10;
+
+// @return a name for messages.
+const char* FaultName(Fault fault);
+
+// Whether callers mark their requests as orders.
+enum class KeyUse {
+  kKeys,
+  kNoKeys,  // the same resends without claims: shows what the faults do
+};
+
+// A log, two services with a sidecar each, two entries behind which callers
+// send. All on loopback; ends all of its processes.
+class OrdersBench {
+ public:
+  explicit OrdersBench(uint64_t seed, KeyUse keys = KeyUse::kKeys);
+  ~OrdersBench();
+  OrdersBench(const OrdersBench&) = delete;
+  OrdersBench& operator=(const OrdersBench&) = delete;
+
+  // @return whether the system answers.
+  bool Start();
+  // Sends orders for a time with faults in the middle of it, then lets the
+  // open ones end.
+  void Run(const std::vector<Fault>& faults);
+
+  std::vector<Violation> Check();
+  const std::vector<Send>& sends() const { return sends_; }
+  int CountOf(SendResult result) const;
+  std::vector<Execution> Executions() const;
+  std::string EntryUrl(size_t index) const;
+
+ private:
+  struct Node {
+    std::string binary_;
+    std::string name_;
+    std::string settings_;
+    std::unique_ptr<ChildProcess> process_;
+  };
+
+  void AddLog();
+  void AddService(int index);
+  void AddSidecar(int index);
+  void AddEntry(int index);
+  void Add(const std::string& binary,
+           const std::string& name,
+           const std::string& settings);
+  void Launch(const std::string& name);
+  bool Publish();
+  bool WarmUp();
+
+  void Call(uint64_t seed);
+  void SendOrder(std::mt19937_64& random, const std::string& key);
+  Send SendOnce(const std::string& key, size_t entry);
+
+  void Begin(Fault fault);
+  void End(Fault fault);
+  void PostLogFaults(const std::string& json);
+  std::string Chosen(const std::string& kind);
+
+  std::mt19937_64 random_;
+  KeyUse keys_;
+  ScratchFolder folder_;
+  boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard_;
+  std::thread relay_thread_;
+  std::vector<std::unique_ptr<testing::Relay>> relays_;
+  std::map<std::string, Node> nodes_;
+  std::map<std::string, uint16_t> ports_;
+  std::map<Fault, std::string> targets_;
+  std::mutex mutex_;
+  std::vector<Send> sends_;
+  std::atomic<bool> calling_{false};
+  std::atomic<int> next_order_{0};
+};
+
+}  // namespace bergamotscale::tests
+
+#endif  // BERGAMOTSCALE_TESTS_PROCESS_ORDERS_BENCH_H_
--- a/tests/support/history.cc
+++ b/tests/support/history.cc
@@ -171,7 +171,8 @@
     }
     starts[number] = start;
     executions.push_back({line.at("key").get<std::string>(),
-                          line.at("id").get<std::string>(), start, upstream});
+                          line.at("id").get<std::string>(), start, upstream,
+                          line.at("digest").dump()});
   }
   return executions;
 }
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -34,6 +34,7 @@
   std::string request_id_;
   int64_t started_at_ = 0;
   std::string upstream_;
+  std::string digest_;  // of what was executed
 };
 
 enum class Rule {
