--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -47,8 +47,10 @@
   queue_.Configure(document.classes_);
   classes_.clear();
   Millis tightest;
+  int floors = 0;
   for (const ServiceClass& service_class : document.classes_) {
     classes_.push_back(service_class.name_);
+    floors += service_class.floor_percent_;
     const bool first = tightest == Millis(0);
     if (first || service_class.between_tokens_ < tightest) {
       tightest = service_class.between_tokens_;
@@ -56,6 +58,7 @@
   }
   if (options_.learns_) {
     limiter_.SetTarget(tightest);
+    limiter_.SetFloors(floors);
   }
   Pump();
 }
@@ -105,6 +108,7 @@
   entry.digest_ = reserve.digest_;
   entry.hooks_ = std::move(hooks);
   entry.prefix_hashes_ = reserve.prefix_hashes_;
+  entry.between_tokens_target_ = reserve.between_tokens_target_;
   queue_.Push(entry.item_, clock_.Now());
   entries_.emplace(ticket, std::move(entry));
   Pump();
@@ -132,6 +136,10 @@
   Entry& entry = found->second;
   entry.started_ = true;
   entry.last_chunk_ = clock_.Now();
+  if (!options_.learns_) {
+    // A plain service has no prefill that lower tiers should wait for.
+    queue_.OnFirstToken(entry.item_, Millis(0));
+  }
   RememberPrefixes(entry);
   return true;
 }
@@ -146,7 +154,9 @@
   const Millis elapsed = now - entry.last_chunk_;
   // The first gap is the prefill's.
   if (entry.output_ == Tokens(0)) {
-    queue_.ObserveStart(elapsed);
+    entry.first_chunk_ = now;
+    queue_.OnFirstToken(entry.item_, elapsed);
+    Pump();
   } else {
     limiter_.ObserveChunk(now, tokens, elapsed, queue_.running());
   }
@@ -154,6 +164,17 @@
   entry.output_ += tokens;
 }
 
+void Scheduler::ObserveAnswer(const Entry& entry) {
+  const int64_t gaps = entry.output_.count() - 1;
+  if (!options_.learns_ || gaps < 1) {
+    return;
+  }
+  const Millis streamed = entry.last_chunk_ - entry.first_chunk_;
+  limiter_.ObserveAnswer(
+      static_cast<double>(streamed.count()) / static_cast<double>(gaps),
+      entry.between_tokens_target_);
+}
+
 void Scheduler::End(Ticket ticket, TicketEnd end) {
   const auto found = entries_.find(ticket);
   if (found == entries_.end()) {
@@ -166,6 +187,9 @@
   } else {
     queue_.Settle(entry.item_, entry.output_);
   }
+  if (end == TicketEnd::kCompleted) {
+    ObserveAnswer(entry);
+  }
   if (end == TicketEnd::kCompleted && entry.digest_ != 0) {
     quarantine_.OnCompleted({entry.digest_, entry.item_.suspect_},
                             clock_.Now());
--- a/src/sidecar/scheduler.h
+++ b/src/sidecar/scheduler.h
@@ -97,6 +97,8 @@
     bool granted_ = false;
     bool started_ = false;
     Millis granted_at_;
+    Millis between_tokens_target_;
+    Millis first_chunk_;
     Millis last_chunk_;
     Tokens output_;
   };
@@ -107,6 +109,7 @@
   void Grant(const policy::QueueItem& item);
   void Refuse(Ticket ticket, ErrorCode code);
   void RefuseWaiting(ErrorCode code);
+  void ObserveAnswer(const Entry& entry);
   void RememberPrefixes(const Entry& entry);
 
   SchedulerOptions options_;
