--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -144,14 +144,16 @@
   Entry& entry = found->second;
   const Millis now = clock_.Now();
   const Millis elapsed = now - entry.last_chunk_;
-  // The first gap is the prefill's.
-  if (entry.output_ == Tokens(0)) {
-    queue_.ObserveStart(elapsed);
-  } else {
-    limiter_.ObserveChunk(now, tokens, elapsed, queue_.running());
-  }
+  const bool first = entry.output_ == Tokens(0);
   entry.last_chunk_ = now;
   entry.output_ += tokens;
+  if (!first) {
+    limiter_.ObserveChunk(now, tokens, elapsed, queue_.running());
+    return;
+  }
+  queue_.OnFirstToken(entry.item_, elapsed);
+  // A lower tier may have waited for this prefill.
+  Pump();
 }
 
 void Scheduler::End(Ticket ticket, TicketEnd end) {
