Time line: timestamps on messages order cause before effect

Cause: explain showed a sidecar's start before the entry's send of the work, since equal milliseconds fell back on instance names. Ruled out: finer wall clocks (they differ between machines). Change: a hybrid logical timestamp on reservations, grants, work, answers' ends and refusals; each side observes it.

--- /dev/null
+++ b/src/core/timestamp.h
@@ -0,0 +1,28 @@
+// A hybrid logical clock's reading, which orders events of several processes.
+#ifndef BERGAMOTSCALE_SRC_CORE_TIMESTAMP_H_
+#define BERGAMOTSCALE_SRC_CORE_TIMESTAMP_H_
+
+#include <cstdint>
+
+#include <msgpack.hpp>
+
+namespace bergamotscale {
+
+// Wall time in milliseconds, then a counter for events of one instant. A
+// process moves its clock past each timestamp that a peer sends, so an effect
+// never orders before its cause. See Timeline.
+struct Timestamp {
+  int64_t wall_ms_ = 0;
+  int64_t counter_ = 0;
+
+  friend bool operator<(const Timestamp& a, const Timestamp& b) {
+    return a.wall_ms_ != b.wall_ms_ ? a.wall_ms_ < b.wall_ms_
+                                    : a.counter_ < b.counter_;
+  }
+
+  MSGPACK_DEFINE(wall_ms_, counter_)
+};
+
+}  // namespace bergamotscale
+
+#endif  // BERGAMOTSCALE_SRC_CORE_TIMESTAMP_H_
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -97,6 +97,7 @@
     reserve.prefix_hashes_ = policy::HashPrefixes(request_.prompt_);
     reserve.digest_ = request_.digest_;
     reserve.suspect_ = plan_.suspect_;
+    reserve.sent_ = traffic_.timeline_.Now();
     return reserve;
   }
 
@@ -120,10 +121,10 @@
       return;
     }
     places_.push_back(Place{view.sidecar_, stream.value(), false});
-    places_.back().stream_.Send(wire::Encode(ReserveMessage()));
     AddEvent(EventType::kReserved, view.sidecar_,
              "expected wait " + std::to_string(view.expected_wait_.count()) +
                  " ms, " + std::to_string(view.running_) + " running");
+    places_.back().stream_.Send(wire::Encode(ReserveMessage()));
   }
 
   void OnMessage(size_t index, std::string_view frame) {
@@ -175,6 +176,7 @@
     if (!CheckOwn(index, granted)) {
       return;
     }
+    traffic_.timeline_.Observe(granted.value().sent_);
     AddEvent(EventType::kGranted, places_[index].sidecar_);
     if (bound_) {
       EndPlace(index, Error(ErrorCode::kProtocolError, "granted twice"),
@@ -208,8 +210,9 @@
     work.key_ = request_.key_;
     work.resume_text_ = plan_.resume_text_;
     work.resume_tokens_ = plan_.resume_tokens_;
-    places_[bound_index_].stream_.Send(wire::Encode(work));
     AddEvent(EventType::kBound, places_[bound_index_].sidecar_);
+    work.sent_ = traffic_.timeline_.Now();
+    places_[bound_index_].stream_.Send(wire::Encode(work));
     NoteStarted();
   }
 
@@ -247,6 +250,7 @@
     if (!CheckOwn(index, finished)) {
       return;
     }
+    traffic_.timeline_.Observe(finished.value().sent_);
     done_ = true;
     places_[index].ended_ = true;
     places_[index].stream_.Finish();
@@ -258,6 +262,7 @@
     if (!CheckOwn(index, refused)) {
       return;
     }
+    traffic_.timeline_.Observe(refused.value().sent_);
     const wire::Refused& message = refused.value();
     retry_after_ = std::max(retry_after_, message.retry_after_);
     EndPlace(index, Error(message.code_, message.detail_), message.verdict_);
--- a/src/sidecar/work_session.cc
+++ b/src/sidecar/work_session.cc
@@ -81,6 +81,7 @@
     return;
   }
   reserve_ = reserve.value();
+  context_.timeline_.Observe(reserve_.sent_);
   state_ = State::kWaiting;
   context_.timeline_.Add(EventType::kReserved, reserve_.request_id_,
                          reserve_.entry_);
@@ -105,6 +106,7 @@
                          reserve_.entry_);
   wire::Granted granted;
   granted.request_id_ = reserve_.request_id_;
+  granted.sent_ = context_.timeline_.Now();
   stream_.Send(wire::Encode(granted));
 }
 
@@ -125,6 +127,7 @@
     Refuse(fault, Verdict::kNotRun, Millis(0));
     return;
   }
+  context_.timeline_.Observe(work.value().sent_);
   if (!context_.scheduler_.Start(ticket_)) {
     Refuse(ErrorCode::kCancelled, Verdict::kNotRun, Millis(0));
     return;
@@ -275,6 +278,7 @@
   refused.verdict_ = verdict;
   refused.retry_after_ = retry_after;
   refused.detail_ = error.detail_;
+  refused.sent_ = context_.timeline_.Now();
   stream_.Send(wire::Encode(refused));
   stream_.Finish();
   End(state_ == State::kRunning ? TicketEnd::kCancelled
@@ -293,10 +297,11 @@
 void WorkSession::SendFinished(const wire::Finished& finished) {
   wire::Finished message = finished;
   message.request_id_ = reserve_.request_id_;
-  stream_.Send(wire::Encode(message));
-  stream_.Finish();
   context_.timeline_.Add(EventType::kFinished, reserve_.request_id_,
                          reserve_.entry_);
+  message.sent_ = context_.timeline_.Now();
+  stream_.Send(wire::Encode(message));
+  stream_.Finish();
 }
 
 void WorkSession::End(TicketEnd end) {
--- a/src/timeline/timeline.h
+++ b/src/timeline/timeline.h
@@ -10,6 +10,7 @@
 
 #include "bergamotscale/clock.h"
 #include "bergamotscale/ids.h"
+#include "src/core/timestamp.h"
 
 namespace bergamotscale::timeline {
 
@@ -40,16 +41,6 @@
   kDropped,  // a late or foreign chunk was dropped
 };
 
-// Hybrid logical clock: wall time, then a counter for events of one instant.
-struct Timestamp {
-  int64_t wall_ms_ = 0;
-  int64_t counter_ = 0;
-  friend bool operator<(const Timestamp& a, const Timestamp& b) {
-    return a.wall_ms_ != b.wall_ms_ ? a.wall_ms_ < b.wall_ms_
-                                    : a.counter_ < b.counter_;
-  }
-};
-
 struct Event {
   Timestamp time_;
   EventType type_ = EventType::kArrived;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -13,6 +13,7 @@
 #include "bergamotscale/result.h"
 #include "bergamotscale/units.h"
 #include "bergamotscale/verdict.h"
+#include "src/core/timestamp.h"
 
 namespace bergamotscale::wire {
 
@@ -44,6 +45,8 @@
   uint64_t digest_ = 0;
   // A suspect must run alone.
   bool suspect_ = false;
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
   MSGPACK_DEFINE(request_id_,
                  attempt_,
                  entry_,
@@ -60,13 +63,16 @@
                  expected_output_,
                  prefix_hashes_,
                  digest_,
-                 suspect_)
+                 suspect_,
+                 sent_)
 };
 
 // Sidecar to entry: the slot is held for a short time; send Work or reset.
 struct Granted {
   RequestId request_id_;
-  MSGPACK_DEFINE(request_id_)
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
+  MSGPACK_DEFINE(request_id_, sent_)
 };
 
 // Entry to sidecar, second message: what to execute.
@@ -82,6 +88,8 @@
   // Answer text that the caller already has; the engine continues after it.
   std::string resume_text_;
   Tokens resume_tokens_;
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
   MSGPACK_DEFINE(request_id_,
                  method_,
                  path_,
@@ -90,7 +98,8 @@
                  idempotent_,
                  key_,
                  resume_text_,
-                 resume_tokens_)
+                 resume_tokens_,
+                 sent_)
 };
 
 // Sidecar to entry: a piece of the answer, numbered from zero in an attempt.
@@ -115,6 +124,8 @@
   Tokens cached_tokens_;
   // True if this is the recorded outcome of an earlier execution.
   bool replayed_ = false;
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
   MSGPACK_DEFINE(request_id_,
                  http_status_,
                  content_type_,
@@ -123,7 +134,8 @@
                  prompt_tokens_,
                  output_tokens_,
                  cached_tokens_,
-                 replayed_)
+                 replayed_,
+                 sent_)
 };
 
 // Sidecar to entry, last message of an attempt that was refused or failed.
@@ -134,7 +146,9 @@
   // Zero if waiting doesn't help.
   Millis retry_after_;
   std::string detail_;
-  MSGPACK_DEFINE(request_id_, code_, verdict_, retry_after_, detail_)
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
+  MSGPACK_DEFINE(request_id_, code_, verdict_, retry_after_, detail_, sent_)
 };
 
 // Load of one class at a sidecar.
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -21,7 +21,7 @@
 }
 
 TEST_CASE("wire: a broken or foreign frame is a protocol error") {
-  const std::string frame = Encode(Granted{RequestId("r-1")});
+  const std::string frame = Encode(Granted{RequestId("r-1"), Timestamp()});
   CHECK(!Decode<Work>(frame).ok());
   CHECK(!Decode<Granted>(frame.substr(0, frame.size() - 1)).ok());
   CHECK(!Decode<Granted>("").ok());
