HTTP: caller guard, a bounded byte relay in front of the listener

Found on the way: the library drops what it has read behind a request, so pipelined requests were lost (failing first: 4 of 5 replies, or none); the guard holds them until the reply is through. Ruled out: forwarding the next request at the first byte of a reply, as a reply's later part looks like the next reply's first.

--- /dev/null
+++ b/tests/caller_guard_test.cc
@@ -0,0 +1,408 @@
+// The caller guard in front of a listener of cpprestsdk.
+#include "src/http/caller_guard.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <cpprest/producerconsumerstream.h>
+#include <doctest/doctest.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "src/http/listener.h"
+#include "src/http/request_bounds.h"
+#include "tests/support/free_port.h"
+
+namespace bergamotscale::http {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+template <typename Condition>
+bool WaitFor(const Condition& condition, milliseconds patience) {
+  const auto end = std::chrono::steady_clock::now() + patience;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  return true;
+}
+
+// A blocking caller that speaks raw HTTP.
+class RawCaller {
+ public:
+  explicit RawCaller(uint16_t port) : socket_(io_) {
+    socket_.connect(
+        tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+  }
+  // @return whether all was taken.
+  bool Send(const std::string& text) {
+    boost::system::error_code error;
+    boost::asio::write(socket_, boost::asio::buffer(text), error);
+    return !error;
+  }
+  // @return what came until text was among it, or until the end.
+  std::string ReadUntil(const std::string& text) {
+    boost::system::error_code error;
+    std::array<char, 4096> buffer;
+    while (received_.find(text) == std::string::npos && !error) {
+      const size_t count =
+          socket_.read_some(boost::asio::buffer(buffer), error);
+      received_.append(buffer.data(), count);
+    }
+    return received_;
+  }
+  std::string ReadAll() { return ReadUntil("\x01never"); }
+  void Close() { socket_.close(); }
+
+ private:
+  boost::asio::io_context io_;
+  tcp::socket socket_;
+  std::string received_;
+};
+
+std::string PostOf(const std::string& path, const std::string& body) {
+  return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+int64_t ResidentBytes() {
+  std::ifstream statm("/proc/self/statm");
+  int64_t total_pages = 0;
+  int64_t resident_pages = 0;
+  statm >> total_pages >> resident_pages;
+  return resident_pages * sysconf(_SC_PAGESIZE);
+}
+
+// A listener with a guard in front, whose io_context runs on its own thread.
+class GuardBench {
+ public:
+  explicit GuardBench(CallerGuardOptions options = CallerGuardOptions())
+      : listener_port_(testing::FreePort()),
+        listener_("127.0.0.1", listener_port_),
+        work_(boost::asio::make_work_guard(io_)) {
+    listener_.Route("POST", "/wait", [this](web::http::http_request request) {
+      const std::string& address = request.remote_address();
+      guard_->RequestStarted(address);
+      watches_.push_back(guard_->OnCallerLeft(address, [this] { ++left_; }));
+      waiting_.push_back(request);
+      ++waiting_count_;
+    });
+    listener_.Route("POST", "/echo", [this](web::http::http_request request) {
+      request.extract_utf8string(true).then(
+          [this, request](const pplx::task<std::string>& body) {
+            try {
+              const std::string text = body.get();
+              ++echoed_;
+              ReplyText(request, 200, text, "text/plain");
+            } catch (const std::exception&) {
+              ++broken_bodies_;
+            }
+          });
+    });
+    listener_.Route("GET", "/stream", [this](web::http::http_request request) {
+      Stream(request);
+    });
+    REQUIRE(listener_.Open().ok());
+    options.public_endpoint_ = {"127.0.0.1", 0};
+    options.listener_endpoint_ = {"127.0.0.1", listener_port_};
+    guard_ = std::make_unique<CallerGuard>(io_, options);
+    port_ = guard_->Listen().value().port_;
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  ~GuardBench() {
+    boost::asio::post(io_, [this] { guard_->Close(); });
+    work_.reset();
+    thread_.join();
+    for (web::http::http_request& request : waiting_) {
+      ReplyText(request, 200, "late", "text/plain");
+    }
+    stream_buffer_.close(std::ios_base::out).wait();
+    listener_.Close();
+  }
+  GuardBench(const GuardBench&) = delete;
+  GuardBench& operator=(const GuardBench&) = delete;
+
+  void Stream(web::http::http_request request) {
+    const std::string& address = request.remote_address();
+    guard_->RequestStarted(address);
+    watches_.push_back(guard_->OnCallerLeft(address, [this] { ++left_; }));
+    web::http::http_response response(200);
+    response.set_body(
+        concurrency::streams::istream(stream_buffer_.create_istream()),
+        "text/event-stream");
+    request.reply(response).then([](const pplx::task<void>& task) {
+      try {
+        task.get();
+      } catch (const std::exception&) {
+        // The caller left, as some tests want.
+      }
+    });
+    ++streaming_;
+  }
+
+  void Write(const std::string& text) {
+    stream_buffer_
+        .putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()), text.size())
+        .wait();
+    stream_buffer_.sync().wait();
+  }
+
+  uint16_t listener_port_;
+  Listener listener_;
+  boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_;
+  std::unique_ptr<CallerGuard> guard_;
+  uint16_t port_ = 0;
+  std::atomic<int> left_{0};
+  std::atomic<int> waiting_count_{0};
+  std::atomic<int> echoed_{0};
+  std::atomic<int> broken_bodies_{0};
+  std::atomic<int> streaming_{0};
+  std::vector<web::http::http_request> waiting_;
+  std::vector<CallerWatch> watches_;
+  concurrency::streams::producer_consumer_buffer<uint8_t> stream_buffer_;
+  std::thread thread_;
+};
+
+TEST_CASE("caller guard: a caller that leaves while it waits is noticed") {
+  GuardBench bench;
+  // The trap: behind the listener alone, nothing tells that it has left.
+  RawCaller bare(bench.listener_port_);
+  bare.Send(PostOf("/wait", "x"));
+  REQUIRE(
+      WaitFor([&] { return bench.waiting_count_ == 1; }, milliseconds(5000)));
+  bare.Close();
+  std::this_thread::sleep_for(milliseconds(1000));
+  CHECK(!bench.waiting_[0].get_response().is_done());
+  CHECK(bench.left_ == 0);
+
+  RawCaller caller(bench.port_);
+  caller.Send(PostOf("/wait", "x"));
+  REQUIRE(
+      WaitFor([&] { return bench.waiting_count_ == 2; }, milliseconds(5000)));
+  CHECK(bench.waiting_[1].remote_address().rfind("127.1.", 0) == 0);
+  caller.Close();
+  CHECK(WaitFor([&] { return bench.left_ == 1; }, milliseconds(1000)));
+  // A hook that comes too late is called as well; a cancelled one is not.
+  std::atomic<int> late{0};
+  const CallerWatch watch = bench.guard_->OnCallerLeft(
+      bench.waiting_[1].remote_address(), [&late] { ++late; });
+  CHECK(WaitFor([&] { return late == 1; }, milliseconds(1000)));
+}
+
+TEST_CASE("caller guard: a cancelled hook is not called") {
+  GuardBench bench;
+  RawCaller caller(bench.port_);
+  caller.Send(PostOf("/wait", "x"));
+  REQUIRE(
+      WaitFor([&] { return bench.waiting_count_ == 1; }, milliseconds(5000)));
+  std::atomic<int> called{0};
+  {
+    const CallerWatch watch = bench.guard_->OnCallerLeft(
+        bench.waiting_[0].remote_address(), [&called] { ++called; });
+  }
+  caller.Close();
+  CHECK(WaitFor([&] { return bench.left_ == 1; }, milliseconds(1000)));
+  CHECK(called == 0);
+}
+
+TEST_CASE(
+    "caller guard: a caller with unread bytes is noticed when it leaves") {
+  GuardBench bench;
+  RawCaller caller(bench.port_);
+  caller.Send(PostOf("/wait", "x"));
+  REQUIRE(
+      WaitFor([&] { return bench.waiting_count_ == 1; }, milliseconds(5000)));
+  // More requests than the listener reads while the first one waits.
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(caller.Send(PostOf("/echo", std::string(4096, 'x'))));
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  CHECK(bench.left_ == 0);
+  caller.Close();
+  CHECK(WaitFor([&] { return bench.left_ == 1; }, milliseconds(1000)));
+}
+
+TEST_CASE("caller guard: a stream passes at once and its caller's end shows") {
+  GuardBench bench;
+  RawCaller caller(bench.port_);
+  caller.Send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+  REQUIRE(WaitFor([&] { return bench.streaming_ == 1; }, milliseconds(5000)));
+  const auto start = std::chrono::steady_clock::now();
+  bench.Write("data: one\n\n");
+  CHECK(caller.ReadUntil("data: one\n\n").find("data: one") !=
+        std::string::npos);
+  CHECK(std::chrono::steady_clock::now() - start < milliseconds(500));
+  caller.Close();
+  CHECK(WaitFor([&] { return bench.left_ == 1; }, milliseconds(1000)));
+}
+
+TEST_CASE("caller guard: pipelined requests on one connection pass") {
+  GuardBench bench;
+  RawCaller caller(bench.port_);
+  std::string requests;
+  for (int i = 0; i < 5; ++i) {
+    requests += PostOf("/echo", "body" + std::to_string(i));
+  }
+  caller.Send(requests);
+  const std::string replies = caller.ReadUntil("body4");
+  for (int i = 0; i < 5; ++i) {
+    CHECK(replies.find("body" + std::to_string(i)) != std::string::npos);
+  }
+  // Cut anywhere, and with a body in chunks.
+  const std::string chunked =
+      "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "5\r\nchunk\r\n0\r\n\r\n";
+  for (const char c : chunked) {
+    caller.Send(std::string(1, c));
+  }
+  CHECK(caller.ReadUntil("chunk").find("chunk") != std::string::npos);
+  caller.Send(PostOf("/echo", "after"));
+  CHECK(caller.ReadUntil("after").find("after") != std::string::npos);
+  CHECK(bench.echoed_ == 7);
+}
+
+TEST_CASE("caller guard: slow headers and slow bodies are answered 408") {
+  CallerGuardOptions options;
+  options.header_timeout_ = Millis(300);
+  options.body_timeout_ = Millis(300);
+  GuardBench bench(options);
+  RawCaller slow_headers(bench.port_);
+  slow_headers.Send("POST /echo HTTP/1.1\r\nHost:");
+  RawCaller slow_body(bench.port_);
+  slow_body.Send("POST /echo HTTP/1.1\r\nContent-Length: 5\r\n\r\nab");
+  for (RawCaller* caller : {&slow_headers, &slow_body}) {
+    const std::string reply = caller->ReadAll();
+    CHECK(reply.rfind("HTTP/1.1 408 ", 0) == 0);
+    CHECK(reply.find("\"caller_too_slow\"") != std::string::npos);
+    CHECK(reply.find("\"not_run\"") != std::string::npos);
+  }
+  CHECK(bench.echoed_ == 0);
+  RawCaller next(bench.port_);
+  next.Send(PostOf("/echo", "fine"));
+  CHECK(next.ReadUntil("fine").find("fine") != std::string::npos);
+}
+
+TEST_CASE("caller guard: headers and bodies over the limit are refused") {
+  CallerGuardOptions options;
+  options.max_header_ = Bytes(1000);
+  options.max_body_ = Bytes(100000);
+  GuardBench bench(options);
+  RawCaller headers(bench.port_);
+  headers.Send("GET /echo HTTP/1.1\r\nA: " + std::string(2000, 'a'));
+  CHECK(headers.ReadAll().rfind("HTTP/1.1 431 ", 0) == 0);
+  RawCaller declared(bench.port_);
+  declared.Send("POST /echo HTTP/1.1\r\nContent-Length: 100001\r\n\r\n");
+  CHECK(declared.ReadAll().rfind("HTTP/1.1 413 ", 0) == 0);
+  RawCaller chunked(bench.port_);
+  chunked.Send(
+      "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 20; ++i) {
+    chunked.Send("2710\r\n" + std::string(10000, 'x') + "\r\n");
+  }
+  CHECK(chunked.ReadAll().rfind("HTTP/1.1 413 ", 0) == 0);
+  RawCaller within(bench.port_);
+  within.Send(PostOf("/echo", std::string(99999, 'x') + "y"));
+  CHECK(within.ReadUntil("xy").rfind("HTTP/1.1 200 ", 0) == 0);
+  CHECK(bench.echoed_ == 1);
+}
+
+TEST_CASE("caller guard: a huge caller leaves memory bounded") {
+  constexpr int64_t kAllowedGrowth = int64_t{16} * 1024 * 1024;
+  CallerGuardOptions options;
+  options.max_body_ = Bytes(int64_t{1} * 1024 * 1024);
+  GuardBench bench(options);
+  const int64_t before = ResidentBytes();
+  RawCaller huge(bench.port_);
+  huge.Send(
+      "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const std::string chunk = "10000\r\n" + std::string(0x10000, 'x') + "\r\n";
+  for (int i = 0; i < 2000 && huge.Send(chunk); ++i) {
+  }
+  CHECK(huge.ReadAll().rfind("HTTP/1.1 413 ", 0) == 0);
+  CHECK(ResidentBytes() - before < kAllowedGrowth);
+  CHECK(bench.echoed_ == 0);
+}
+
+TEST_CASE("caller guard: too many connections are answered 503") {
+  CallerGuardOptions options;
+  options.max_connections_ = 2;
+  GuardBench bench(options);
+  RawCaller first(bench.port_);
+  RawCaller second(bench.port_);
+  CHECK(WaitFor([&] { return bench.guard_->open_connections() == 2; },
+                milliseconds(5000)));
+  RawCaller third(bench.port_);
+  const std::string reply = third.ReadAll();
+  CHECK(reply.rfind("HTTP/1.1 503 ", 0) == 0);
+  CHECK(reply.find("Retry-After: 1\r\n") != std::string::npos);
+  first.Close();
+  CHECK(WaitFor([&] { return bench.guard_->open_connections() == 1; },
+                milliseconds(1000)));
+  RawCaller fourth(bench.port_);
+  fourth.Send(PostOf("/echo", "fine"));
+  CHECK(fourth.ReadUntil("fine").rfind("HTTP/1.1 200 ", 0) == 0);
+}
+
+TEST_CASE("caller guard: a graceful stop lets open requests end") {
+  GuardBench bench;
+  RawCaller idle(bench.port_);
+  RawCaller caller(bench.port_);
+  caller.Send(PostOf("/wait", "x"));
+  REQUIRE(
+      WaitFor([&] { return bench.waiting_count_ == 1; }, milliseconds(5000)));
+  bench.guard_->StopAccepting();
+  CHECK(idle.ReadAll().empty());
+  CHECK(WaitFor([&] { return bench.guard_->open_connections() == 1; },
+                milliseconds(1000)));
+  const web::http::http_request request = bench.waiting_[0];
+  bench.waiting_.clear();
+  ReplyText(request, 200, "whole", "text/plain");
+  bench.guard_->RequestFinished(request.remote_address());
+  CHECK(caller.ReadAll().find("whole") != std::string::npos);
+  CHECK(WaitFor([&] { return bench.guard_->open_connections() == 0; },
+                milliseconds(1000)));
+}
+
+TEST_CASE("caller guard: bounds don't depend on how bytes are cut") {
+  const std::string text = PostOf("/a", "12345") + PostOf("/b", "") +
+                           PostOf("/c", std::string(50, 'c'));
+  for (size_t size = 1; size <= text.size(); ++size) {
+    RequestBounds bounds(Bytes(100), Bytes(50));
+    for (size_t at = 0; at < text.size(); at += size) {
+      std::string_view piece = std::string_view(text).substr(at, size);
+      while (!piece.empty()) {
+        size_t taken = 0;
+        REQUIRE(bounds.Take(piece, &taken) == ErrorCode::kOk);
+        piece.remove_prefix(taken);
+        bounds.OnReply();
+      }
+    }
+    CHECK(bounds.requests_begun() == 3);
+    CHECK(bounds.phase() == RequestPhase::kBetween);
+  }
+  RequestBounds bounds(Bytes(100), Bytes(50));
+  size_t taken = 0;
+  CHECK(bounds.Take("POST / HTTP/1.1\r\ncontent-LENGTH : 51\r\n\r\n", &taken) ==
+        ErrorCode::kBodyTooLarge);
+}
+
+}  // namespace
+}  // namespace bergamotscale::http
