--- a/src/policy/work_queue.cc
+++ b/src/policy/work_queue.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <cmath>
 #include <cstdint>
 #include <limits>
 #include <memory_resource>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 namespace bergamotscale::policy {
@@ -17,12 +19,16 @@
 constexpr double kDefaultIntervalMillis = 100;
 constexpr double kIntervalGain = 0.1;
 constexpr double kStartGain = 0.1;
+constexpr double kStartSpreads = 3;
+// So many requests without a token keep lower tiers from starting.
+constexpr size_t kMaxStarting = 1;
 // A lower tier goes first only if the higher can wait this many times as long
 // as its own queue is expected to take.
 constexpr double kSlackMargin = 2;
 // A prompt token costs a small part of an output token.
 constexpr double kPromptTokensPerOutputToken = 16;
 constexpr double kPercent = 100;
+constexpr double kWorkDecayMillis = 4000;
 // Bounds on what a class may be owed and may owe, in requests.
 constexpr double kMaxCreditItems = 4;
 constexpr double kMinCreditItems = -4;
@@ -74,6 +80,7 @@
   int rank_ = 0;  // of its tier among the configured ones, from 0
   double floor_ = 0;
   double credit_ = 0;  // work owed
+  double mean_work_ = 0;
   int running_ = 0;
   KeySet on_time_;
   KeySet late_;
@@ -111,6 +118,8 @@
   void CountEnd(const QueueItem& item, double credit_change);
   QueueItem Remove(uint64_t handle);
   void Depart(Lane& lane, Millis now);
+  void Start(Lane& lane, double work, Millis now);
+  double FloorWait(const Lane& lane) const;
 
   std::pmr::unsynchronized_pool_resource memory_;
   std::vector<std::unique_ptr<Lane>> lanes_;
@@ -122,9 +131,17 @@
   int running_ = 0;
   int floor_running_ = 0;
   int suspects_running_ = 0;
-  double start_ = 0;  // ms from start to first token
+  // Handles of the running requests that have no token yet.
+  std::pmr::unordered_set<uint64_t> starting_{&memory_};
+  // From start to first token, ms: its mean, its spread, and a time within
+  // which most come.
+  double start_mean_ = 0;
+  double start_spread_ = 0;
+  double start_ = 0;
   double interval_ = kDefaultIntervalMillis;
   Millis last_pop_;
+  // Work started, decaying.
+  double recent_work_ = 0;
 };
 
 int WorkQueue::Impl::LaneOf(const ClassId& class_id, Tier tier, bool suspect) {
@@ -182,6 +199,9 @@
   if (lane.rank_ == 0) {
     return limits.limit_ + limits.urgent_extra_;
   }
+  if (starting_.size() >= kMaxStarting) {
+    return 0;
+  }
   return limits.limit_ + (lane.rank_ == 1 ? limits.urgent_extra_ / 2 : 0);
 }
 
@@ -260,6 +280,7 @@
 }
 
 void WorkQueue::Impl::CountStart(Lane& lane, const QueueItem& item) {
+  starting_.insert(item.handle_);
   ++lane.running_;
   ++running_;
   floor_running_ += item.by_floor_ ? 1 : 0;
@@ -270,6 +291,7 @@
   const int index = LaneOf(item.class_, item.tier_, item.suspect_);
   Lane& lane = *lanes_[index];
   assert(running_ > 0 && lane.running_ > 0);
+  starting_.erase(item.handle_);
   --lane.running_;
   --running_;
   floor_running_ -= item.by_floor_ ? 1 : 0;
@@ -301,6 +323,28 @@
   lane.last_departure_ = now;
 }
 
+// Learns how fast requests and work start.
+void WorkQueue::Impl::Start(Lane& lane, double work, Millis now) {
+  const double since = static_cast<double>((now - last_pop_).count());
+  interval_ = Average(interval_, since, kIntervalGain);
+  recent_work_ = recent_work_ * std::exp(-since / kWorkDecayMillis) + work;
+  lane.mean_work_ = lane.mean_work_ == 0
+                        ? work
+                        : Average(lane.mean_work_, work, kIntervalGain);
+  last_pop_ = now;
+  Depart(lane, now);
+}
+
+// The time until a new request of the lane is due on its floor.
+double WorkQueue::Impl::FloorWait(const Lane& lane) const {
+  const double rate = recent_work_ / kWorkDecayMillis * lane.floor_;
+  if (rate <= 0) {
+    return kNever;
+  }
+  const double ahead = static_cast<double>(lane.on_time_.size() + 1);
+  return std::max(0.0, ahead * lane.mean_work_ - lane.credit_) / rate;
+}
+
 WorkQueue::WorkQueue() : impl_(std::make_unique<Impl>()) {}
 WorkQueue::~WorkQueue() = default;
 WorkQueue::WorkQueue(WorkQueue&&) noexcept = default;
@@ -381,10 +425,7 @@
       by_floor ? lane->credit_ - work
                : std::max(lane->credit_ - work, std::min(lane->credit_, 0.0));
   impl_->CountStart(*lane, item);
-  const double since = static_cast<double>((now - impl_->last_pop_).count());
-  impl_->interval_ = Average(impl_->interval_, since, kIntervalGain);
-  impl_->last_pop_ = now;
-  impl_->Depart(*lane, now);
+  impl_->Start(*lane, work, now);
   return item;
 }
 
@@ -398,9 +439,13 @@
   impl_->CountEnd(item, item.by_floor_ ? WorkOf(item) - WorkOf(actual) : 0);
 }
 
-void WorkQueue::ObserveStart(Millis start_to_first_token) {
-  const double sample = static_cast<double>(start_to_first_token.count());
-  impl_->start_ = Average(impl_->start_, sample, kStartGain);
+void WorkQueue::OnFirstToken(const QueueItem& item, Millis since_start) {
+  impl_->starting_.erase(item.handle_);
+  const double sample = static_cast<double>(since_start.count());
+  const double spread = std::abs(sample - impl_->start_mean_);
+  impl_->start_mean_ = Average(impl_->start_mean_, sample, kStartGain);
+  impl_->start_spread_ = Average(impl_->start_spread_, spread, kStartGain);
+  impl_->start_ = impl_->start_mean_ + kStartSpreads * impl_->start_spread_;
 }
 
 std::vector<QueueItem> WorkQueue::TakeExpired(Millis now) {
@@ -419,22 +464,25 @@
   if (own == nullptr) {
     return Millis(0);
   }
+  // A new request goes before those that are late.
   size_t ahead = 0;
   for (const Lane* lane : impl_->by_tier_) {
-    ahead += lane->tier_ <= own->tier_ ? lane->size() : 0;
+    ahead += lane->tier_ <= own->tier_ ? lane->on_time_.size() : 0;
   }
   if (ahead == 0 && impl_->Counted(limits) < impl_->LimitOf(*own, limits)) {
     return Millis(0);
   }
-  const double queue = impl_->interval_ * static_cast<double>(ahead + 1);
+  const double floor_wait = impl_->FloorWait(*own);
   if (own->empty() || own->interval_ == 0) {
-    return Millis(static_cast<int64_t>(queue));
+    const double queue = impl_->interval_ * static_cast<double>(ahead + 1);
+    return Millis(static_cast<int64_t>(std::min(queue, floor_wait)));
   }
   const double since =
       static_cast<double>((now - own->last_departure_).count());
   const double interval = std::max(own->interval_, since);
-  const double lane_wait = interval * static_cast<double>(own->size() + 1);
-  return Millis(static_cast<int64_t>(lane_wait));
+  const double lane_wait =
+      interval * static_cast<double>(own->on_time_.size() + 1);
+  return Millis(static_cast<int64_t>(std::min(lane_wait, floor_wait)));
 }
 
 size_t WorkQueue::size() const {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -2,19 +2,19 @@
 
 #include <chrono>
 #include <condition_variable>
-#include <future>
 #include <mutex>
 #include <random>
 #include <thread>
 #include <utility>
 
 #include <glog/logging.h>
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "src/config/config_follower.h"
 #include "src/http/listener.h"
 #include "src/log/log_client.h"
+#include "src/sidecar/io_thread.h"
+#include "src/sidecar/own_listing.h"
 #include "src/sidecar/traffic.h"
 
 namespace bergamotscale::sidecar {
@@ -37,51 +37,12 @@
   return settings;
 }
 
-// @return a context that lives as long as the process, because calls that the
-// HTTP library has not finished at the end still name it.
-boost::asio::io_context& NewContext() {
-  static auto* contexts =
-      new std::vector<std::unique_ptr<boost::asio::io_context>>();
-  contexts->push_back(std::make_unique<boost::asio::io_context>());
-  return *contexts->back();
+config::ConfigFollowerOptions ConfigOptionsOf(const SidecarSettings& settings) {
+  config::ConfigFollowerOptions options;
+  options.seed_ = std::hash<std::string>()(settings.orders_.boot_id_);
+  return options;
 }
 
-// An io_context with the one thread that runs it.
-class IoThread {
- public:
-  IoThread() : io_(NewContext()), guard_(boost::asio::make_work_guard(io_)) {}
-  ~IoThread() { Stop(); }
-  IoThread(const IoThread&) = delete;
-  IoThread& operator=(const IoThread&) = delete;
-
-  void Start() {
-    thread_ = std::thread([this] { io_.run(); });
-  }
-  void Stop() {
-    io_.stop();
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-  }
-  // Runs a step on the thread and waits for it.
-  template <typename Step>
-  void Run(Step step) {
-    std::promise<void> done;
-    boost::asio::post(io_, [&step, &done] {
-      step();
-      done.set_value();
-    });
-    done.get_future().wait();
-  }
-  boost::asio::io_context& io() { return io_; }
-
- private:
-  boost::asio::io_context& io_;
-  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
-      guard_;
-  std::thread thread_;
-};
-
 }  // namespace
 
 class Sidecar::Impl {
@@ -98,18 +59,34 @@
                  blackboard_,
                  timeline_,
                  metrics_,
-                 TrafficHooksOf()) {
+                 TrafficHooksOf()),
+        config_follower_(log_client_,
+                         ConfigOptionsOf(settings_),
+                         [this](const config::ConfigSnapshot& snapshot) {
+                           OnConfig(snapshot);
+                         }),
+        own_listing_(control_thread_.io(),
+                     settings_.instance_list_url_,
+                     settings_.instance_,
+                     settings_.list_interval_,
+                     [this] { LeaveByList(); }) {
     blackboard_.ready_.Write(false);
     AddRoutes();
   }
 
-  ~Impl() { traffic_thread_.Stop(); }
+  ~Impl() { StopThreads(); }
 
   Status Start() {
     traffic_thread_.Start();
     Status started = Done{};
     traffic_thread_.Run([this, &started] { started = traffic_.Start(); });
-    return started.ok() ? listener_.Open() : started;
+    if (!started.ok()) {
+      return started;
+    }
+    control_thread_.Start();
+    config_follower_.Start();
+    control_thread_.Run([this] { own_listing_.Start(); });
+    return listener_.Open();
   }
 
   void Stop() {
@@ -117,14 +94,37 @@
     WaitUntilDrained();
     std::this_thread::sleep_for(kFlushTime);
     traffic_thread_.Run([this] { traffic_.Close(); });
-    traffic_thread_.Stop();
+    StopThreads();
     listener_.Close();
   }
 
  private:
+  void StopThreads() {
+    config_follower_.Stop();
+    control_thread_.Stop();
+    traffic_thread_.Stop();
+  }
+
+  // On a thread of the HTTP library, or the control thread by a peer's word.
+  void OnConfig(const config::ConfigSnapshot& snapshot) {
+    blackboard_.config_.Write(snapshot);
+    boost::asio::post(traffic_thread_.io(), [this] { traffic_.OnConfig(); });
+  }
+
+  void LeaveByList() {
+    LOG(INFO) << "listed as leaving";
+    boost::asio::post(traffic_thread_.io(), [this] { traffic_.Leave(); });
+  }
+
   TrafficHooks TrafficHooksOf() {
     TrafficHooks hooks;
-    hooks.on_config_gossip_ = [](const wire::Gossip&) {};
+    hooks.on_config_gossip_ = [this](const wire::Gossip& gossip) {
+      // Parsing a document is no work for the traffic thread.
+      boost::asio::post(control_thread_.io(), [this, gossip] {
+        config_follower_.Offer(gossip.revision_, gossip.config_offset_,
+                               gossip.document_);
+      });
+    };
     hooks.on_drained_ = [this] {
       {
         const std::lock_guard<std::mutex> lock(mutex_);
@@ -160,7 +160,10 @@
   log::LogClient log_client_;
   http::Listener listener_;
   IoThread traffic_thread_;
+  IoThread control_thread_;
   Traffic traffic_;
+  config::ConfigFollower config_follower_;
+  OwnListing own_listing_;
   std::mutex mutex_;
   std::condition_variable changed_;
   bool drained_ = false;
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -125,7 +125,7 @@
  private:
   link::StreamHooks Accept(const std::string& path, link::Stream stream) {
     if (path == wire::kStatusPath) {
-      const link::StreamHooks hooks = hub_.Accept(std::move(stream));
+      link::StreamHooks hooks = hub_.Accept(std::move(stream));
       SendStatus();
       SendConfig();
       SendVerdicts(scheduler_.Verdicts(kMaxGossipVerdicts));
@@ -206,7 +206,7 @@
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
       scheduler_.Merge(verdict);
     }
-    if (gossip.revision_ > Revision(0)) {
+    if (!gossip.document_.empty()) {
       hooks_.on_config_gossip_(gossip);
     }
   }
