--- a/benchmark/path_benchmark.cc
+++ b/benchmark/path_benchmark.cc
@@ -135,6 +135,9 @@
 }
 
 int RunBenchmark() {
+  // The sidecar learns the engine's concurrency; this round lets it.
+  Samples warm_up;
+  Round(FLAGS_entry, FLAGS_seed, &warm_up).Run();
   Samples direct;
   Samples path;
   for (int round = 0; round < FLAGS_rounds; ++round) {
--- a/src/load/load_command.cc
+++ b/src/load/load_command.cc
@@ -15,28 +15,28 @@
 #include "src/load/load_run.h"
 #include "src/load/workload.h"
 
-DEFINE_string(load_entries, "", "URLs of entries, separated by commas");
-DEFINE_string(load_engines,
+DEFINE_string(entries, "", "URLs of entries, separated by commas");
+DEFINE_string(engines,
               "",
               "URLs of engine stand-ins, whose journals tell wasted tokens");
-DEFINE_string(load_mix, "tagworks", "workload: tagworks or stoves");
-DEFINE_uint64(load_seed, 1, "seed of the arrivals");
-DEFINE_double(load_rate, 10, "arrivals a second without the burst");
-DEFINE_double(load_seconds, 30, "length of the arrivals");
-DEFINE_string(load_burst_class, "", "class that bursts; empty for none");
-DEFINE_double(load_burst_factor, 5, "arrivals of that class are times this");
-DEFINE_double(load_burst_start, 10, "start of the burst, in seconds");
-DEFINE_double(load_burst_seconds, 10, "length of the burst");
-DEFINE_double(load_leavers, 0, "share of callers that leave early");
-DEFINE_int32(load_crashing, 0, "number of requests that crash their engine");
-DEFINE_string(load_keys,
+DEFINE_string(mix, "tagworks", "workload: tagworks or stoves");
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_double(rate, 10, "arrivals a second without the burst");
+DEFINE_double(seconds, 30, "length of the arrivals");
+DEFINE_string(burst_class, "", "class that bursts; empty for none");
+DEFINE_double(burst_factor, 5, "arrivals of that class are times this");
+DEFINE_double(burst_start, 10, "start of the burst, in seconds");
+DEFINE_double(burst_seconds, 10, "length of the burst");
+DEFINE_double(leavers, 0, "share of callers that leave early");
+DEFINE_int32(crashing, 0, "number of requests that crash their engine");
+DEFINE_string(keys,
               "",
               "workspace keys, largest workspace first; empty for those of "
-              "--load_print_config");
-DEFINE_bool(load_print_config,
+              "--print_config");
+DEFINE_bool(print_config,
             false,
             "print a configuration that fits the workload and exit");
-DEFINE_string(load_json, "", "file for the report as JSON");
+DEFINE_string(json, "", "file for the report as JSON");
 
 namespace bergamotscale::load {
 namespace {
@@ -64,16 +64,16 @@
 
 WorkloadOptions OptionsOfFlags() {
   WorkloadOptions options;
-  options.mix_ = FLAGS_load_mix == "stoves" ? Mix::kStoves : Mix::kTagworks;
-  options.seed_ = FLAGS_load_seed;
-  options.length_ = ToMillis(FLAGS_load_seconds);
-  options.requests_per_second_ = FLAGS_load_rate;
-  options.early_leavers_ = FLAGS_load_leavers;
-  options.crashing_requests_ = FLAGS_load_crashing;
-  if (!FLAGS_load_burst_class.empty()) {
+  options.mix_ = FLAGS_mix == "stoves" ? Mix::kStoves : Mix::kTagworks;
+  options.seed_ = FLAGS_seed;
+  options.length_ = ToMillis(FLAGS_seconds);
+  options.requests_per_second_ = FLAGS_rate;
+  options.early_leavers_ = FLAGS_leavers;
+  options.crashing_requests_ = FLAGS_crashing;
+  if (!FLAGS_burst_class.empty()) {
     options.burst_ =
-        Burst{ClassId(FLAGS_load_burst_class), ToMillis(FLAGS_load_burst_start),
-              ToMillis(FLAGS_load_burst_seconds), FLAGS_load_burst_factor};
+        Burst{ClassId(FLAGS_burst_class), ToMillis(FLAGS_burst_start),
+              ToMillis(FLAGS_burst_seconds), FLAGS_burst_factor};
   }
   return options;
 }
@@ -110,7 +110,7 @@
   const double seconds =
       static_cast<double>((wall.Now() - start).count()) / kMillisPerSecond;
   LoadReport report = MakeReport(options.mix_, options, seconds, results);
-  const std::vector<std::string> engines = SplitCommas(FLAGS_load_engines);
+  const std::vector<std::string> engines = SplitCommas(FLAGS_engines);
   if (!engines.empty()) {
     std::this_thread::sleep_for(std::chrono::milliseconds(kSettleTime.count()));
     report.written_ = ReadJournals(engines, start);
@@ -130,25 +130,25 @@
 
 int RunLoadCommand() {
   const WorkloadOptions options = OptionsOfFlags();
-  if (FLAGS_load_mix != "stoves" && FLAGS_load_mix != "tagworks") {
-    std::cerr << "--load_mix: expected tagworks or stoves\n";
+  if (FLAGS_mix != "stoves" && FLAGS_mix != "tagworks") {
+    std::cerr << "--mix: expected tagworks or stoves\n";
     return kExitUsage;
   }
-  if (FLAGS_load_print_config) {
+  if (FLAGS_print_config) {
     std::cout << SerializeConfigDocument(ConfigOf(options.mix_)) << "\n";
     return 0;
   }
   LoadRunOptions run;
-  run.entry_urls_ = SplitCommas(FLAGS_load_entries);
-  run.keys_ = SplitCommas(FLAGS_load_keys);
+  run.entry_urls_ = SplitCommas(FLAGS_entries);
+  run.keys_ = SplitCommas(FLAGS_keys);
   if (run.entry_urls_.empty()) {
-    std::cerr << "--load_entries: expected at least one URL\n";
+    std::cerr << "--entries: expected at least one URL\n";
     return kExitUsage;
   }
   const LoadReport report = RunAndReport(run, options);
   std::cout << TableOf(report);
-  if (!FLAGS_load_json.empty()) {
-    std::ofstream(FLAGS_load_json) << JsonOf(report);
+  if (!FLAGS_json.empty()) {
+    std::ofstream(FLAGS_json) << JsonOf(report);
   }
   return WrongAnswers(report) > 0 ? kExitWrongAnswer : 0;
 }
--- a/src/load/load_command.h
+++ b/src/load/load_command.h
@@ -4,7 +4,7 @@
 
 namespace bergamotscale::load {
 
-// Runs a workload by the flags named load_*, prints a table and, if asked,
+// Runs a workload by its flags, prints a table and, if asked,
 // writes JSON. The flags must be parsed and the HTTP library's thread pool
 // started. Call from the main thread.
 // @return the exit code: 0, 1 if an answer was wrong, 2 for wrong flags.
--- a/tools/ctl/command.cc
+++ b/tools/ctl/command.cc
@@ -19,6 +19,18 @@
        &RunHistory},
       {"status", "URL...", "Asks processes whether they are up and ready.",
        &RunStatus},
+      {"load",
+       "--entries=URL,... [--engines=URL,...] [--mix=tagworks|stoves]\n"
+       "  [--seed=N] [--rate=N] [--seconds=N] [--leavers=SHARE] "
+       "[--crashing=N]\n"
+       "  [--burst_class=NAME --burst_factor=N --burst_start=S "
+       "--burst_seconds=S]\n"
+       "  [--keys=KEY,...] [--json=FILE] [--print_config]",
+       "Sends a workload after a user's mix, open loop, and reports targets,\n"
+       "refusals, goodput and, with --engines, wasted tokens by class. The\n"
+       "same seed gives the same arrivals. --print_config prints a document\n"
+       "that fits the workload.",
+       &RunLoad},
       {"hash_key", "[KEY]",
        "Prints the hash of a workspace key; without KEY, of a fresh one.",
        &RunHashKey},
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -47,6 +47,7 @@
 int RunConfig(const Arguments& arguments);
 int RunHistory(const Arguments& arguments);
 int RunStatus(const Arguments& arguments);
+int RunLoad(const Arguments& arguments);
 int RunHashKey(const Arguments& arguments);
 int RunHashPassword(const Arguments& arguments);
 
