--- a/src/lab/recorder.cc
+++ b/src/lab/recorder.cc
@@ -109,6 +109,17 @@
   return first - arrival.at_ > emulator::ToMicros(service_class.first_token_);
 }
 
+// A caller that left, or a run that ended, before the first token was due
+// proves nothing.
+bool Recorder::Undecided(int request) const {
+  const Progress& progress = progress_[request];
+  if (progress.end_ == End::kLeft) {
+    return !FirstTokenMissed(request, progress.ended_);
+  }
+  return progress.end_ == End::kOpen && progress.delivered_ == 0 &&
+         !FirstTokenMissed(request, emulator::ToMicros(scenario_.duration_));
+}
+
 double Recorder::BetweenTokens(int request) const {
   const Progress& progress = progress_[request];
   if (progress.delivered_ < 2) {
@@ -167,8 +178,7 @@
     if (arrivals_[i].class_ != class_index || !Measured(i)) {
       continue;
     }
-    // A caller that left before the target had passed proves nothing.
-    if (progress.end_ == End::kLeft && !FirstTokenMissed(i, progress.ended_)) {
+    if (Undecided(i)) {
       continue;
     }
     ++report.requests_;
--- a/src/lab/recorder.h
+++ b/src/lab/recorder.h
@@ -17,7 +17,7 @@
 struct ClassReport {
   std::string name_;
   int64_t tier_ = 0;
-  int64_t requests_ = 0;  // without those whose caller left
+  int64_t requests_ = 0;  // those decided by the end
   int64_t refused_ = 0;
   int64_t failed_ = 0;  // given up, or lost with an engine
   int64_t completed_ = 0;
@@ -82,6 +82,7 @@
   bool InWindow(Micros at) const;
   bool Measured(int request) const;
   bool FirstTokenMissed(int request, Micros by) const;
+  bool Undecided(int request) const;
   bool Attained(int request) const;
   double BetweenTokens(int request) const;
   ClassReport MakeClassReport(int class_index) const;
