Entry and sidecar: mend how they use the policy

The sidecar's status named one wait, the longest of all classes, and none by class, so that admission either saw a lower tier's load for the top tier or no load at all; waits now go by class. Resumed answers were queued behind requests that have no token yet: Reserve tells of them.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -97,6 +97,7 @@
     reserve.prefix_hashes_ = policy::HashPrefixes(request_.prompt_);
     reserve.digest_ = request_.digest_;
     reserve.suspect_ = plan_.suspect_;
+    reserve.resumed_ = plan_.resume_tokens_ > Tokens(0);
     return reserve;
   }
 
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -122,6 +122,9 @@
       return;
     }
     peer.status_ = std::move(status).value();
+    // Dispatch looks prefixes up in order.
+    std::sort(peer.status_.cached_prefixes_.begin(),
+              peer.status_.cached_prefixes_.end());
     peer.reported_ = steady_.Now();
     peer.has_report_ = true;
     peer.placed_since_ = 0;
--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -89,6 +89,7 @@
   item.deadline_ = now + reserve.deadline_left_;
   item.prompt_tokens_ = reserve.prompt_tokens_;
   item.expected_output_ = reserve.expected_output_;
+  item.resumed_ = reserve.resumed_;
   item.suspect_ =
       reserve.suspect_ ||
       (reserve.digest_ != 0 &&
@@ -333,9 +334,10 @@
     load.class_ = name;
     load.waiting_ = static_cast<int>(queue_.SizeOf(name));
     load.running_ = queue_.RunningOf(name);
+    load.expected_wait_ = queue_.ExpectedWait(name, now, limits);
     status->classes_.push_back(load);
-    status->expected_wait_ = std::max(status->expected_wait_,
-                                      queue_.ExpectedWait(name, now, limits));
+    status->expected_wait_ =
+        std::max(status->expected_wait_, load.expected_wait_);
   }
 }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -42,8 +42,10 @@
   std::vector<uint64_t> prefix_hashes_;
   // Digest of what would be executed; the key of quarantine.
   uint64_t digest_ = 0;
-  // A suspect must run alone.
+  // At most one suspect runs at an upstream.
   bool suspect_ = false;
+  // The caller has a part of the answer already.
+  bool resumed_ = false;
   MSGPACK_DEFINE(request_id_,
                  attempt_,
                  entry_,
@@ -60,7 +62,8 @@
                  expected_output_,
                  prefix_hashes_,
                  digest_,
-                 suspect_)
+                 suspect_,
+                 resumed_)
 };
 
 // Sidecar to entry: the slot is held for a short time; send Work or reset.
