--- a/tests/experiment_test.cc
+++ b/tests/experiment_test.cc
@@ -1,4 +1,5 @@
 // The bounds that the policy must keep, in short runs of the experiment.
+#include <future>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,21 +26,51 @@
   return scenario;
 }
 
-// Runs that several tests look at are made once.
-Report Run(const Scenario& scenario, PolicyKind kind, uint64_t seed) {
+// Reports by user, scenario, policy and seed. Runs that several tests look at
+// are made once.
+std::map<std::string, Report>& Reports() {
   static std::map<std::string, Report> reports;
-  const std::string key = scenario.user_ + " " + scenario.name_ + " " +
-                          PolicyName(kind) + " " + std::to_string(seed);
-  const auto known = reports.find(key);
-  if (known != reports.end()) {
-    return known->second;
+  return reports;
+}
+
+std::string KeyOf(const Scenario& scenario, PolicyKind kind, uint64_t seed) {
+  return scenario.user_ + " " + scenario.name_ + " " + PolicyName(kind) + " " +
+         std::to_string(seed);
+}
+
+// Runs the policies with all users and seeds, a few at a time.
+void RunAll(const std::string& name, const std::vector<PolicyKind>& kinds) {
+  for (const std::string& user : ScenarioUsers()) {
+    const Scenario scenario = Short(user, name);
+    for (const uint64_t seed : kSeeds) {
+      const std::vector<Arrival> arrivals = GenerateArrivals(scenario, seed);
+      std::map<std::string, std::future<Report>> runs;
+      for (const PolicyKind kind : kinds) {
+        const std::string key = KeyOf(scenario, kind, seed);
+        if (Reports().count(key) == 0) {
+          runs[key] = std::async(std::launch::async, [&, kind] {
+            return Simulate(scenario, arrivals, kind, seed);
+          });
+        }
+      }
+      for (auto& [key, run] : runs) {
+        Reports()[key] = run.get();
+      }
+    }
   }
-  const Report report =
-      Simulate(scenario, GenerateArrivals(scenario, seed), kind, seed);
-  reports[key] = report;
-  return report;
 }
 
+// Precondition: RunAll() has run it.
+const Report& Run(const Scenario& scenario, PolicyKind kind, uint64_t seed) {
+  return Reports().at(KeyOf(scenario, kind, seed));
+}
+
+const std::vector<PolicyKind> kBaselines = {
+    PolicyKind::kRoundRobin, PolicyKind::kLeastConnections, PolicyKind::kFifo};
+const std::vector<PolicyKind> kCompared = {
+    PolicyKind::kBergamot, PolicyKind::kRoundRobin,
+    PolicyKind::kLeastConnections, PolicyKind::kFifo};
+
 // Calls back with each user's scenario and each seed.
 template <typename Check>
 void ForUsersAndSeeds(const std::string& name, Check check) {
@@ -53,6 +84,7 @@
 }
 
 TEST_CASE("experiment: a burst of the lowest class leaves the top tier alone") {
+  RunAll("bulk_burst", kCompared);
   ForUsersAndSeeds("bulk_burst", [](const Scenario& scenario, uint64_t seed) {
     const Report report = Run(scenario, PolicyKind::kBergamot, seed);
     const ClassReport& top = report.classes_.front();
@@ -64,9 +96,7 @@
       CHECK(each.least_per_window_ > 0);
     }
     CHECK(report.goodput_percent_ >= 97);
-    for (const PolicyKind baseline :
-         {PolicyKind::kRoundRobin, PolicyKind::kLeastConnections,
-          PolicyKind::kFifo}) {
+    for (const PolicyKind baseline : kBaselines) {
       const Report other = Run(scenario, baseline, seed);
       CAPTURE(other.policy_);
       CHECK(report.goodput_percent_ >= other.goodput_percent_);
@@ -76,11 +106,10 @@
 }
 
 TEST_CASE("experiment: goodput in tokens no lower than the best baseline") {
+  RunAll("bulk_burst", kCompared);
   ForUsersAndSeeds("bulk_burst", [](const Scenario& scenario, uint64_t seed) {
     const Report report = Run(scenario, PolicyKind::kBergamot, seed);
-    for (const PolicyKind baseline :
-         {PolicyKind::kRoundRobin, PolicyKind::kLeastConnections,
-          PolicyKind::kFifo}) {
+    for (const PolicyKind baseline : kBaselines) {
       const Report other = Run(scenario, baseline, seed);
       CAPTURE(other.policy_);
       CHECK(report.goodput_ >= other.goodput_);
@@ -89,6 +118,7 @@
 }
 
 TEST_CASE("experiment: a burst of the top tier orders attainment by tier") {
+  RunAll("urgent_burst", kCompared);
   ForUsersAndSeeds("urgent_burst", [](const Scenario& scenario, uint64_t seed) {
     const Report report = Run(scenario, PolicyKind::kBergamot, seed);
     for (size_t i = 1; i < report.classes_.size(); ++i) {
@@ -99,15 +129,14 @@
       CHECK(each.completed_ > 0);
     }
     CHECK(report.goodput_percent_ >= 97);
-    for (const PolicyKind baseline :
-         {PolicyKind::kRoundRobin, PolicyKind::kLeastConnections,
-          PolicyKind::kFifo}) {
+    for (const PolicyKind baseline : kBaselines) {
       CHECK(report.goodput_ >= Run(scenario, baseline, seed).goodput_);
     }
   });
 }
 
 TEST_CASE("experiment: faults and leaving callers waste little") {
+  RunAll("faults", {PolicyKind::kBergamot, PolicyKind::kRoundRobin});
   ForUsersAndSeeds("faults", [](const Scenario& scenario, uint64_t seed) {
     const Report report = Run(scenario, PolicyKind::kBergamot, seed);
     const Report robin = Run(scenario, PolicyKind::kRoundRobin, seed);
@@ -121,6 +150,7 @@
 }
 
 TEST_CASE("experiment: a crashing request takes down two engines at most") {
+  RunAll("crasher", {PolicyKind::kBergamot});
   ForUsersAndSeeds("crasher", [](const Scenario& scenario, uint64_t seed) {
     const Report report = Run(scenario, PolicyKind::kBergamot, seed);
     CHECK(report.crashes_ <= 2);
--- a/tools/ctl/command.cc
+++ b/tools/ctl/command.cc
@@ -26,6 +26,12 @@
        "Tells in words what became of a request, from the time lines of the\n"
        "processes at these URLs.",
        &RunExplain},
+      {"experiment",
+       "[--user=NAME] [--scenario=NAMES] [--policy=NAMES] [--seeds=1,2,3]\n"
+       "      [--plots=FOLDER]",
+       "Runs the policies against each other without sockets and prints a\n"
+       "table; with --plots also writes data and scripts for gnuplot.",
+       &RunExperiment},
       {"hash_key", "[KEY]",
        "Prints the hash of a workspace key; without KEY, of a fresh one.",
        &RunHashKey},
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -49,6 +49,7 @@
 int RunStatus(const Arguments& arguments);
 int RunTimeline(const Arguments& arguments);
 int RunExplain(const Arguments& arguments);
+int RunExperiment(const Arguments& arguments);
 int RunHashKey(const Arguments& arguments);
 int RunHashPassword(const Arguments& arguments);
 
