--- a/tests/process/orders_bench.cc
+++ b/tests/process/orders_bench.cc
@@ -42,18 +42,23 @@
   return {{"address", kAddress}, {"port", port}};
 }
 
-json ConfigOf() {
-  return json::parse(R"({
+// @param idempotent whether entries may retry what may have run; the claims
+// must hold either way.
+json ConfigOf(bool idempotent) {
+  json document = json::parse(R"({
     "classes": [{"name": "order", "tier": 1, "first_token_ms": 2000,
       "between_tokens_ms": 40, "deadline_ms": 2000, "idempotent": true}],
     "workspaces": [{"name": "workshop", "key_hashes": [")" +
-                     config::HashWorkspaceKey(kWorkspaceKey) + R"("],
+                              config::HashWorkspaceKey(kWorkspaceKey) + R"("],
       "requests_per_second": 10000, "burst": 10000, "classes": ["order"]}],
     "groups": [{"name": "orders", "kind": "service"}],
     "models": [],
     "services": [{"path": "/v1/orders", "group": "orders", "class": "order",
       "idempotent": true}],
     "operators": []})");
+  document["classes"][0]["idempotent"] = idempotent;
+  document["services"][0]["idempotent"] = idempotent;
+  return document;
 }
 
 std::string ReadText(const std::string& file) {
@@ -203,7 +208,7 @@
 bool OrdersBench::Publish() {
   config::PublicationRecord record;
   record.id_ = PublicationId("test");
-  record.document_ = ConfigOf();
+  record.document_ = ConfigOf(keys_ == KeyUse::kNoKeys || random_() % 2 == 0);
   record.author_ = "test";
   log::LogClient client(UrlOf(ports_["log"]), Millis(2000));
   std::promise<bool> appended;
