Orders: claims go at once within a burst, outcomes wait for company

Cause: an order's outcome used up the next append, so that the claim of the next order waited for the interval: 40 to 44 ms an order through the whole path, one caller. Change: credits for appends with a burst of five; outcomes wait 30 ms for a claim to go with.

--- a/src/orders/claim_batcher.cc
+++ b/src/orders/claim_batcher.cc
@@ -25,9 +25,15 @@
       : options_(options),
         steady_(std::move(steady)),
         append_(std::move(append)),
-        on_failed_(std::move(on_failed)) {}
+        on_failed_(std::move(on_failed)),
+        // As if the last appends of a burst had been long ago.
+        next_credit_(steady_.Now() - options_.interval_ * options_.burst_) {}
 
   void Add(OrderRecord record) {
+    if (waiting_.empty()) {
+      waiting_since_ = steady_.Now();
+    }
+    waiting_claims_ += record.kind_ == RecordKind::kClaim ? 1 : 0;
     waiting_.push_back(std::move(record));
     DropSurplus();
     Tick();
@@ -46,19 +52,19 @@
       return false;
     }
     waiting_.erase(found);
+    --waiting_claims_;
     return true;
   }
 
   void Tick() {
-    const bool idle = waiting_.empty() && parts_.empty();
-    if (in_flight_ || idle || steady_.Now() < not_before_) {
+    if (in_flight_ || !IsDue(steady_.Now())) {
       return;
     }
     auto batch = std::make_shared<OrderBatch>(TakeBatch());
     in_flight_ = true;
     flying_ = batch->records_.size();
     ++appends_;
-    not_before_ = steady_.Now() + options_.interval_;
+    SpendCredit(steady_.Now());
     std::weak_ptr<Impl> weak = weak_from_this();
     append_(EncodeBatch(*batch), [weak, batch](Result<LogOffset> result) {
       if (auto self = weak.lock()) {
@@ -72,6 +78,21 @@
   int64_t appends() const { return appends_; }
 
  private:
+  bool IsDue(Millis now) const {
+    if (now < not_before_ || now < next_credit_ + options_.interval_) {
+      return false;
+    }
+    const bool waited =
+        !waiting_.empty() && now >= waiting_since_ + options_.outcome_delay_;
+    return waiting_claims_ > 0 || waited || !parts_.empty();
+  }
+
+  // Credits come at the interval and are kept up to the burst.
+  void SpendCredit(Millis now) {
+    const Millis oldest_kept = now - options_.interval_ * options_.burst_;
+    next_credit_ = std::max(next_credit_, oldest_kept) + options_.interval_;
+  }
+
   OrderBatch TakeBatch() {
     OrderBatch batch;
     int64_t bytes = 0;
@@ -80,9 +101,12 @@
       if (!batch.records_.empty() && Bytes(bytes) > options_.max_bytes_) {
         break;
       }
+      const bool claim = waiting_.front().kind_ == RecordKind::kClaim;
+      waiting_claims_ -= claim ? 1 : 0;
       batch.records_.push_back(std::move(waiting_.front()));
       waiting_.pop_front();
     }
+    waiting_since_ = steady_.Now();
     if (!parts_.empty()) {
       batch.snapshot_parts_.push_back(std::move(parts_.front()));
       parts_.pop_front();
@@ -123,8 +147,10 @@
   void QueueAgain(const OrderBatch& batch, bool with_claims) {
     for (auto record = batch.records_.rbegin(); record != batch.records_.rend();
          ++record) {
-      if (with_claims || record->kind_ != RecordKind::kClaim) {
+      const bool claim = record->kind_ == RecordKind::kClaim;
+      if (with_claims || !claim) {
         waiting_.push_front(*record);
+        waiting_claims_ += claim ? 1 : 0;
       }
     }
     for (const SnapshotPart& part : batch.snapshot_parts_) {
@@ -156,6 +182,9 @@
   bool in_flight_ = false;
   size_t flying_ = 0;
   int failures_ = 0;
+  int waiting_claims_ = 0;
+  Millis waiting_since_;
+  Millis next_credit_;
   Millis not_before_;
   int64_t dropped_ = 0;
   int64_t appends_ = 0;
--- a/src/orders/claim_batcher.h
+++ b/src/orders/claim_batcher.h
@@ -21,9 +21,13 @@
 using AppendFunction = std::function<void(std::string payload, AppendHook)>;
 
 struct BatcherOptions {
-  // Least time between two appends of this process: its share of what the log
-  // takes from the whole system.
-  Millis interval_ = Millis(50);
+  // Mean time between two appends of this process under load: its share of
+  // what the log takes from the whole system.
+  Millis interval_ = Millis(80);
+  // Appends that a process which was quiet may make at once.
+  int burst_ = 5;
+  // Outcomes and releases wait this long for a claim to go with.
+  Millis outcome_delay_ = Millis(30);
   // Wait before records of a failed append are sent again.
   Millis retry_delay_ = Millis(250);
   // Failed appends in a row after which claims are not tried again.
@@ -35,7 +39,8 @@
   size_t max_waiting_ = 10000;
 };
 
-// One append is in flight at a time. Outcomes, releases and snapshots are
+// One append is in flight at a time; what comes meanwhile goes with the next.
+// Outcomes, releases and snapshots are
 // appended again until one succeeds, which the fold takes as one; a claim only
 // after an append that was surely not made.
 // Thread safety: use from one thread, on which the append's hook is called.
