--- a/src/config/document_reader.cc
+++ b/src/config/document_reader.cc
@@ -20,6 +20,7 @@
 constexpr double kMaxRequestsPerSecond = 1000000;
 constexpr int kMaxBurst = 1000000;
 constexpr size_t kMaxNameSize = 64;
+constexpr char kNameForm[] = "a name of at most 64 letters, digits or -_.:";
 
 bool IsNameCharacter(char letter) {
   return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') ||
@@ -40,13 +41,32 @@
          std::all_of(text.begin(), text.end(), allowed);
 }
 
+bool IsGroupKind(const std::string& text) {
+  return text == "engine" || text == "service";
+}
+
+// Reads a required string and checks it; a missing one is reported once.
+void ReadChecked(FieldReader& reader,
+                 const char* key,
+                 bool (*is_valid)(const std::string&),
+                 const char* expected,
+                 std::string* target) {
+  static const std::string kUnset = std::string("unset\0", 6);
+  std::string text = kUnset;
+  reader.String(key, Need::kRequired, &text);
+  if (text == kUnset) {
+    return;
+  }
+  if (!is_valid(text)) {
+    reader.AddError(key, expected);
+  }
+  *target = std::move(text);
+}
+
 template <typename Id>
 void ReadName(FieldReader& reader, const char* key, Id* target) {
   std::string text;
-  reader.String(key, Need::kRequired, &text);
-  if (!text.empty() && !IsName(text)) {
-    reader.AddError(key, "a name of at most 64 letters, digits or -_.:");
-  }
+  ReadChecked(reader, key, &IsName, kNameForm, &text);
   *target = Id(text);
 }
 
@@ -92,12 +112,8 @@
 void ReadGroup(FieldReader& reader, UpstreamGroup* target) {
   ReadName(reader, "name", &target->name_);
   std::string kind;
-  reader.String("kind", Need::kRequired, &kind);
-  if (kind == "service") {
-    target->kind_ = GroupKind::kService;
-  } else if (!kind.empty() && kind != "engine") {
-    reader.AddError("kind", "\"engine\" or \"service\"");
-  }
+  ReadChecked(reader, "kind", &IsGroupKind, "\"engine\" or \"service\"", &kind);
+  target->kind_ = kind == "service" ? GroupKind::kService : GroupKind::kEngine;
   reader.Boolean("checks_fence", Need::kOptional, &target->checks_fence_);
 }
 
@@ -107,25 +123,17 @@
 }
 
 void ReadService(FieldReader& reader, ServiceRoute* target) {
-  reader.String("path", Need::kRequired, &target->path_);
-  if (!target->path_.empty() && !IsServicePath(target->path_)) {
-    reader.AddError("path", "a path such as \"/v1/orders\"");
-  }
+  ReadChecked(reader, "path", &IsServicePath, "a path such as \"/v1/orders\"",
+              &target->path_);
   ReadName(reader, "group", &target->group_);
   ReadName(reader, "class", &target->class_);
   reader.Boolean("idempotent", Need::kOptional, &target->idempotent_);
 }
 
 void ReadOperator(FieldReader& reader, Operator* target) {
-  reader.String("name", Need::kRequired, &target->name_);
-  if (!target->name_.empty() && !IsName(target->name_)) {
-    reader.AddError("name", "a name of at most 64 letters, digits or -_.:");
-  }
-  reader.String("password_hash", Need::kRequired, &target->password_hash_);
-  if (!target->password_hash_.empty() &&
-      !IsPasswordHash(target->password_hash_)) {
-    reader.AddError("password_hash", "iterations$hex salt$hex hash");
-  }
+  ReadChecked(reader, "name", &IsName, kNameForm, &target->name_);
+  ReadChecked(reader, "password_hash", &IsPasswordHash,
+              "iterations$hex salt$hex hash", &target->password_hash_);
 }
 
 template <typename T>
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -16,6 +16,8 @@
 http_client_config ConfigOf(const Call& call) {
   http_client_config config;
   config.set_timeout(std::chrono::milliseconds(call.timeout_.count()));
+  // A redirect would send the call a second time.
+  config.set_max_redirects(0);
   return config;
 }
 
@@ -50,6 +52,7 @@
     reply.status_ = response.status_code();
     reply.body_ = body.get();
     reply.content_type_ = response.headers().content_type();
+    response.headers().match("Set-Cookie", reply.set_cookie_);
     return reply;
   } catch (const std::exception& failure) {
     return Error(ErrorCode::kUpstreamFailed, failure.what());
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -29,6 +29,7 @@
   int status_ = 0;
   std::string body_;
   std::string content_type_;
+  std::string set_cookie_;
 };
 
 // Makes the call on a fresh connection. cpprestsdk sends a request again by
--- a/tests/config_document_test.cc
+++ b/tests/config_document_test.cc
@@ -67,6 +67,13 @@
         "d:models[0].group: expected the name of a group of kind engine\n"
         "d:services[0].group: expected the name of a group of kind service\n"
         "d:services[0].path: expected a path that the entry doesn't answer");
+  CHECK(FaultsOf(R"({"models":[{"name":"","group":"g"}],
+                     "groups":[{"name":"g","kind":""}],
+                     "operators":[{"name":"o"}]})") ==
+        "d:groups[0].kind: expected \"engine\" or \"service\"\n"
+        "d:models[0].name: expected a name of at most 64 letters, digits or "
+        "-_.:\n"
+        "d:operators[0].password_hash: expected a value, but it is missing");
   CHECK(FaultsOf("[]") == "d:: expected a JSON object");
   CHECK(FaultsOf("{") == "d:: expected a JSON object");
 }
