--- a/tests/config_fold_test.cc
+++ b/tests/config_fold_test.cc
@@ -1,11 +1,15 @@
 // Config fold: base matching, duplicates, snapshots, lost records.
+#include <iostream>
 #include <string>
 #include <utility>
 
 #include <doctest/doctest.h>
 
+#include "bergamotscale/clock.h"
 #include "src/config/config_fold.h"
 #include "src/config/delta.h"
+#include "src/config/document_reader.h"
+#include "src/config/key_hash.h"
 
 namespace bergamotscale::config {
 namespace {
@@ -71,6 +75,39 @@
       !ApplyDelta(from, json::parse(R"([{"op":"remove","path":"/x"}])")).ok());
 }
 
+TEST_CASE("config fold: one change at the target size is a small record") {
+  constexpr int kWorkspaces = 5300;
+  ConfigDocument document;
+  document.classes_ = {{ClassId("quote")}};
+  for (int index = 0; index < kWorkspaces; ++index) {
+    Workspace workspace;
+    workspace.name_ = WorkspaceId("workspace-" + std::to_string(index));
+    workspace.key_hashes_ = {HashWorkspaceKey(std::to_string(index))};
+    workspace.classes_ = {ClassId("quote")};
+    document.workspaces_.push_back(workspace);
+  }
+  const json from = ConfigDocumentToJson(document);
+  document.workspaces_[7].burst_ = 7;
+  document.workspaces_.erase(document.workspaces_.begin());
+  const json to = ConfigDocumentToJson(document);
+  PublicationRecord record;
+  record.id_ = PublicationId("p-0123456789abcdef01234567");
+  record.base_ = Revision(1);
+  record.delta_ = MakeDelta(from, to);
+  const std::string payload = EncodeRecord(record);
+  ConfigFold fold;
+  fold.Apply(Publication(0, "a", 0, from));
+  const Clock clock = Clock::Steady();
+  const Millis start = clock.Now();
+  fold.Apply({LogOffset(1), payload});
+  std::cout << "document of " << kWorkspaces
+            << " workspaces: " << from.dump().size()
+            << " bytes; record of two changes: " << payload.size()
+            << " bytes; folded in " << (clock.Now() - start).count() << " ms\n";
+  CHECK(fold.document() == to);
+  CHECK(payload.size() < 1000);
+}
+
 TEST_CASE("config fold: a snapshot gives a fresh process what was lost") {
   ConfigFold fold;
   fold.OnLost(LogOffset(7));
