--- a/benchmark/path_benchmark.cc
+++ b/benchmark/path_benchmark.cc
@@ -1,3 +1,4 @@
+// With --open_rate it only sends requests by the entry, at that rate.
 // Time that the whole path adds to calling the engine stand-in directly, taken
 // in one run: rounds of direct calls and of calls by the entry take turns.
 #include <algorithm>
@@ -30,6 +31,8 @@
 DEFINE_int32(rounds, 4, "rounds of each kind");
 DEFINE_int32(tokens, 16, "length of each answer");
 DEFINE_double(pause_ms, 20, "longest pause of a stream between requests");
+DEFINE_double(open_rate, 0, "requests a second by the entry alone, open loop");
+DEFINE_bool(orders, false, "send orders to a plain service instead");
 DEFINE_uint64(seed, 1, "seed of the pauses");
 
 namespace bergamotscale::load {
@@ -38,6 +41,7 @@
 using boost::asio::steady_timer;
 
 constexpr double kMicrosPerMilli = 1000;
+constexpr double kMicrosPerSecond = 1e6;
 constexpr Millis kTimeout = Millis(10000);
 constexpr int kHttpThreads = 4;
 
@@ -57,7 +61,11 @@
 
   void Run() {
     const auto work = boost::asio::make_work_guard(io_);
-    for (int stream = 0; stream < FLAGS_streams; ++stream) {
+    start_ = std::chrono::steady_clock::now();
+    if (open()) {
+      SendAtRate();
+    }
+    for (int stream = 0; !open() && stream < FLAGS_streams; ++stream) {
       Pause();
     }
     while (ended_ < FLAGS_requests) {
@@ -71,6 +79,20 @@
     std::unique_ptr<LiveRequest> request_;
   };
 
+  static bool open() { return FLAGS_open_rate > 0; }
+
+  void SendAtRate() {
+    const double at = sent_ / FLAGS_open_rate * kMicrosPerSecond;
+    const auto timer = std::make_shared<steady_timer>(
+        io_, start_ + std::chrono::microseconds(static_cast<int64_t>(at)));
+    timer->async_wait([this, timer](const boost::system::error_code&) {
+      Send();
+      if (sent_ < FLAGS_requests) {
+        SendAtRate();
+      }
+    });
+  }
+
   void Pause() {
     std::uniform_real_distribution<double> pause(0, FLAGS_pause_ms);
     const auto timer = std::make_shared<steady_timer>(
@@ -92,6 +114,12 @@
     arrival.model_ = ModelId(FLAGS_model);
     arrival.prompt_ = "number " + std::to_string(random_()) +
                       " [tokens=" + std::to_string(FLAGS_tokens) + "]";
+    if (FLAGS_orders) {
+      arrival.class_ = ClassId("order");
+      arrival.order_ = true;
+      arrival.path_ = "/v1/orders";
+      arrival.key_ = IdempotencyKey("order-" + std::to_string(random_()));
+    }
     live->request_ = std::make_unique<LiveRequest>(
         io_, url_, FLAGS_key, kTimeout, arrival,
         [this](const RequestResult& result) { End(result); });
@@ -112,7 +140,9 @@
     }
     boost::asio::post(io_, [this, number = result.number_] {
       live_.erase(number);
-      Pause();
+      if (!open()) {
+        Pause();
+      }
     });
   }
 
@@ -121,6 +151,7 @@
   Samples* samples_;
   boost::asio::io_context io_;
   std::unordered_map<int64_t, std::unique_ptr<Live>> live_;
+  std::chrono::steady_clock::time_point start_;
   int sent_ = 0;
   int ended_ = 0;
 };
@@ -134,7 +165,19 @@
               a.p99_, b.p50_, b.p99_, b.p50_ - a.p50_, b.p99_ - a.p99_);
 }
 
+int RunOpen() {
+  Samples path;
+  Round(FLAGS_entry, std::random_device()(), &path).Run();
+  const Spread whole = SpreadOf(path.whole_);
+  std::printf("%zu by the path, %d failed; whole answers %.2f ms, 99th %.2f\n",
+              path.whole_.size(), path.failed_, whole.p50_, whole.p99_);
+  return path.failed_ == 0 ? 0 : 1;
+}
+
 int RunBenchmark() {
+  if (FLAGS_open_rate > 0) {
+    return RunOpen();
+  }
   // The sidecar learns the engine's concurrency; this round lets it.
   Samples warm_up;
   Round(FLAGS_entry, FLAGS_seed, &warm_up).Run();
