Entry: the caller guard stands before the listener

Cause: the listener doesn't tell that a caller left and bounds nothing. Change: callers connect to the guard; the router watches each connection; a stop waits for open connections.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -15,6 +15,7 @@
 #include "src/entry/membership.h"
 #include "src/entry/router.h"
 #include "src/entry/traffic.h"
+#include "src/http/caller_guard.h"
 #include "src/http/listener.h"
 #include "src/log/log_client.h"
 
@@ -41,6 +42,20 @@
   return options;
 }
 
+http::CallerGuardOptions GuardOptionsOf(const EntrySettings& settings) {
+  const CallerLimits& limits = settings.limits_;
+  http::CallerGuardOptions options;
+  options.public_endpoint_ = settings.public_;
+  options.listener_endpoint_ = settings.listener_;
+  options.max_connections_ = limits.max_connections_;
+  options.max_header_ = limits.max_header_;
+  options.max_body_ = limits.max_body_;
+  options.header_timeout_ = limits.header_timeout_;
+  options.body_timeout_ = limits.body_timeout_;
+  options.idle_timeout_ = limits.idle_timeout_;
+  return options;
+}
+
 }  // namespace
 
 class Entry::Impl {
@@ -71,8 +86,9 @@
                   [this](const config::ConfigSnapshot& snapshot) {
                     OnConfig(snapshot);
                   }),
+        guard_(io_, GuardOptions()),
         router_(traffic_, config_, Connections()),
-        listener_(settings_.public_.address_, settings_.public_.port_),
+        listener_(settings_.listener_.address_, settings_.listener_.port_),
         membership_(control_io_,
                     settings_.instance_list_url_,
                     settings_.sidecars_,
@@ -94,6 +110,10 @@
     if (!opened.ok()) {
       return opened;
     }
+    const Result<link::Endpoint> listening = guard_.Listen();
+    if (!listening.ok()) {
+      return listening.error();
+    }
     membership_.Start();
     ScheduleGossip();
     traffic_thread_ = std::thread([this] { io_.run(); });
@@ -109,7 +129,8 @@
     leaving_ = true;
     timeline_.Add(timeline::EventType::kLeaving, RequestId());
     std::this_thread::sleep_for(ToChrono(settings_.leave_grace_));
-    while (router_.active() > 0) {
+    guard_.StopAccepting();
+    while (router_.active() > 0 || guard_.open_connections() > 0) {
       std::this_thread::sleep_for(ToChrono(kDrainPoll));
     }
     listener_.Close();
@@ -122,6 +143,7 @@
     boost::asio::post(io_, [this] {
       gossip_timer_.cancel();
       upstreams_.Close();
+      guard_.Close();
       work_.reset();
     });
     traffic_thread_.join();
@@ -130,12 +152,26 @@
  private:
   bool ready() const { return !leaving_ && config_.Read() != nullptr; }
 
+  http::CallerGuardOptions GuardOptions() {
+    http::CallerGuardOptions options = GuardOptionsOf(settings_);
+    options.on_refused_ = [this](ErrorCode code) {
+      metrics_.Add("bergamot_refused", ErrorName(code));
+    };
+    return options;
+  }
+
   ConnectionHooks Connections() {
     ConnectionHooks hooks;
-    hooks.request_started_ = [](const std::string&) {};
-    hooks.request_finished_ = [](const std::string&) {};
-    hooks.watch_ = [](const std::string&, std::function<void()>) {
-      return std::shared_ptr<void>();
+    hooks.request_started_ = [this](const std::string& address) {
+      guard_.RequestStarted(address);
+    };
+    hooks.request_finished_ = [this](const std::string& address) {
+      guard_.RequestFinished(address);
+    };
+    hooks.watch_ = [this](const std::string& address,
+                          std::function<void()> left) {
+      return std::make_shared<http::CallerWatch>(
+          guard_.OnCallerLeft(address, std::move(left)));
     };
     return hooks;
   }
@@ -218,6 +254,7 @@
   Traffic traffic_;
   log::LogClient log_;
   config::ConfigFollower follower_;
+  http::CallerGuard guard_;
   Router router_;
   http::Listener listener_;
   Membership membership_;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -66,7 +66,8 @@
                  prefix_hashes_,
                  digest_,
                  suspect_,
-                 sent_, resumed_)
+                 sent_,
+                 resumed_)
 };
 
 // Sidecar to entry: the slot is held for a short time; send Work or reset.
