--- /dev/null
+++ b/tests/experiment_test.cc
@@ -0,0 +1,180 @@
+// The bounds that the policy must keep, in short runs of the experiment.
+#include <future>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "src/lab/experiment.h"
+
+namespace bergamotscale::lab {
+namespace {
+
+constexpr uint64_t kSeeds[] = {1, 2, 3};
+
+Scenario Short(const std::string& user, const std::string& name) {
+  Scenario scenario = MakeScenario(user, name).value();
+  scenario.duration_ = Millis(45'000);
+  scenario.measure_from_ = Millis(10'000);
+  scenario.measure_to_ = Millis(40'000);
+  Faults& faults = scenario.faults_;
+  faults.crash_at_ = Millis(12'000);
+  faults.crasher_at_ = Millis(12'000);
+  faults.straggler_from_ = Millis(20'000);
+  faults.straggler_to_ = Millis(35'000);
+  return scenario;
+}
+
+// Reports by user, scenario, policy and seed. Runs that several tests look at
+// are made once.
+std::map<std::string, Report>& Reports() {
+  static std::map<std::string, Report> reports;
+  return reports;
+}
+
+std::string KeyOf(const Scenario& scenario, PolicyKind kind, uint64_t seed) {
+  return scenario.user_ + " " + scenario.name_ + " " + PolicyName(kind) + " " +
+         std::to_string(seed);
+}
+
+// Runs the policies with all users and seeds, a few at a time.
+void RunAll(const std::string& name, const std::vector<PolicyKind>& kinds) {
+  for (const std::string& user : ScenarioUsers()) {
+    const Scenario scenario = Short(user, name);
+    for (const uint64_t seed : kSeeds) {
+      const std::vector<Arrival> arrivals = GenerateArrivals(scenario, seed);
+      std::map<std::string, std::future<Report>> runs;
+      for (const PolicyKind kind : kinds) {
+        const std::string key = KeyOf(scenario, kind, seed);
+        if (Reports().count(key) == 0) {
+          runs[key] = std::async(std::launch::async, [&, kind] {
+            return Simulate(scenario, arrivals, kind, seed);
+          });
+        }
+      }
+      for (auto& [key, run] : runs) {
+        Reports()[key] = run.get();
+      }
+    }
+  }
+}
+
+// Precondition: RunAll() has run it.
+const Report& Run(const Scenario& scenario, PolicyKind kind, uint64_t seed) {
+  return Reports().at(KeyOf(scenario, kind, seed));
+}
+
+const std::vector<PolicyKind> kBaselines = {
+    PolicyKind::kRoundRobin, PolicyKind::kLeastConnections, PolicyKind::kFifo};
+const std::vector<PolicyKind> kCompared = {
+    PolicyKind::kBergamot, PolicyKind::kRoundRobin,
+    PolicyKind::kLeastConnections, PolicyKind::kFifo};
+
+// Calls back with each user's scenario and each seed.
+template <typename Check>
+void ForUsersAndSeeds(const std::string& name, Check check) {
+  for (const std::string& user : ScenarioUsers()) {
+    for (const uint64_t seed : kSeeds) {
+      CAPTURE(user);
+      CAPTURE(seed);
+      check(Short(user, name), seed);
+    }
+  }
+}
+
+TEST_CASE("experiment: a burst of the lowest class leaves the top tier alone") {
+  RunAll("bulk_burst", kCompared);
+  ForUsersAndSeeds("bulk_burst", [](const Scenario& scenario, uint64_t seed) {
+    const Report report = Run(scenario, PolicyKind::kBergamot, seed);
+    const ClassReport& top = report.classes_.front();
+    CHECK(top.attainment_ >= 99);
+    CHECK(top.refused_ == 0);
+    CHECK(top.failed_ == 0);
+    CHECK(top.preempted_ == 0);
+    for (const ClassReport& each : report.classes_) {
+      CHECK(each.least_per_window_ > 0);
+    }
+    CHECK(report.goodput_percent_ >= 97);
+    for (const PolicyKind baseline : kBaselines) {
+      const Report other = Run(scenario, baseline, seed);
+      CAPTURE(other.policy_);
+      CHECK(report.goodput_percent_ >= other.goodput_percent_);
+      CHECK(top.attainment_ >= other.classes_.front().attainment_);
+    }
+  });
+}
+
+TEST_CASE("experiment: goodput in tokens no lower than the best baseline") {
+  RunAll("bulk_burst", kCompared);
+  ForUsersAndSeeds("bulk_burst", [](const Scenario& scenario, uint64_t seed) {
+    const Report report = Run(scenario, PolicyKind::kBergamot, seed);
+    for (const PolicyKind baseline : kBaselines) {
+      const Report other = Run(scenario, baseline, seed);
+      CAPTURE(other.policy_);
+      CHECK(report.goodput_ >= other.goodput_);
+    }
+  });
+}
+
+TEST_CASE("experiment: a burst of the top tier orders attainment by tier") {
+  RunAll("urgent_burst", kCompared);
+  ForUsersAndSeeds("urgent_burst", [](const Scenario& scenario, uint64_t seed) {
+    const Report report = Run(scenario, PolicyKind::kBergamot, seed);
+    for (size_t i = 1; i < report.classes_.size(); ++i) {
+      CHECK(report.classes_[i - 1].attainment_ >
+            report.classes_[i].attainment_);
+    }
+    for (const ClassReport& each : report.classes_) {
+      CHECK(each.completed_ > 0);
+    }
+    CHECK(report.goodput_percent_ >= 97);
+    for (const PolicyKind baseline : kBaselines) {
+      CHECK(report.goodput_ >= Run(scenario, baseline, seed).goodput_);
+    }
+  });
+}
+
+TEST_CASE("experiment: faults and leaving callers waste little") {
+  RunAll("faults", {PolicyKind::kBergamot, PolicyKind::kRoundRobin});
+  ForUsersAndSeeds("faults", [](const Scenario& scenario, uint64_t seed) {
+    const Report report = Run(scenario, PolicyKind::kBergamot, seed);
+    const Report robin = Run(scenario, PolicyKind::kRoundRobin, seed);
+    CHECK(report.crashes_ == 1);
+    CHECK(report.wasted_percent_ < 1);
+    CHECK(report.wasted_percent_ * 10 <= robin.wasted_percent_);
+    for (const ClassReport& each : report.classes_) {
+      CHECK(each.failed_ == 0);
+    }
+  });
+}
+
+TEST_CASE("experiment: a crashing request takes down two engines at most") {
+  RunAll("crasher", {PolicyKind::kBergamot});
+  ForUsersAndSeeds("crasher", [](const Scenario& scenario, uint64_t seed) {
+    const Report report = Run(scenario, PolicyKind::kBergamot, seed);
+    CHECK(report.crashes_ <= 2);
+    // Only the crashing request itself goes without an answer.
+    CHECK(report.classes_.front().refused_ <= 1);
+    for (const ClassReport& each : report.classes_) {
+      CHECK(each.failed_ == 0);
+    }
+  });
+}
+
+TEST_CASE("experiment: the same seed gives the same report and arrivals") {
+  ExperimentOptions options;
+  options.users_ = {"plygu"};
+  options.scenarios_ = {"steady"};
+  options.policies_ = {"bergamot", "power_of_two"};
+  options.seeds_ = {7};
+  const auto first = RunExperiment(options);
+  const auto second = RunExperiment(options);
+  REQUIRE(first.ok());
+  CHECK(FormatTable(first.value()) == FormatTable(second.value()));
+  options.scenarios_ = {"nothing"};
+  CHECK(RunExperiment(options).error().code_ == ErrorCode::kNotFound);
+}
+
+}  // namespace
+}  // namespace bergamotscale::lab
