--- a/tools/ctl/command.cc
+++ b/tools/ctl/command.cc
@@ -14,6 +14,11 @@
        "one in force. Exit code 0: accepted, 1: not published, 3: conflict,\n"
        "4: pending under the id that is printed.",
        &RunPublish},
+      {"restore", "FILE --log=URL --revision=N",
+       "Puts a document in force when the log no longer tells the revision:\n"
+       "every process was down for longer than the log keeps records. N must\n"
+       "be above any revision that was ever in force.",
+       &RunRestore},
       {"config", "--log=URL", "Prints the document in force.", &RunConfig},
       {"history", "--log=URL", "Prints what became of each publication.",
        &RunHistory},
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -44,6 +44,7 @@
 // The subcommands, one in each file of this directory.
 int RunCheck(const Arguments& arguments);
 int RunPublish(const Arguments& arguments);
+int RunRestore(const Arguments& arguments);
 int RunConfig(const Arguments& arguments);
 int RunHistory(const Arguments& arguments);
 int RunStatus(const Arguments& arguments);
