Settings, metrics and time line: one reader of link settings, true quantiles

Cause: entry and sidecar each had their own reader of ids, endpoints and link options; /metrics showed quantiles of 0 for distributions with fewer than nine samples (the estimator's markers); explain called a sidecar's events by the entry's names. Change: src/link/link_settings, src/settings/id_field; quantiles show from nine samples on; events kQueued and kOffered. Before: p50 0 after one sample of 10 ms (local check).

--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -2,36 +2,24 @@
 
 #include <utility>
 
+#include "src/link/link_settings.h"
+#include "src/settings/id_field.h"
+
 namespace bergamotscale::entry {
 namespace {
 
 using settings::FieldReader;
 using Need = FieldReader::Need;
 
-constexpr int kMaxPort = 65535;
 constexpr Millis kMaxTimeout = Millis(600000);
 
-template <typename Id>
-void ReadId(FieldReader& reader, const char* key, Id* target) {
-  std::string value;
-  reader.String(key, Need::kRequired, &value);
-  *target = Id(value);
-}
-
-void ReadEndpointFields(FieldReader& reader, link::Endpoint* endpoint) {
-  int port = 0;
-  reader.String("address", Need::kRequired, &endpoint->address_);
-  reader.Integer("port", Need::kRequired, 1, kMaxPort, &port);
-  endpoint->port_ = static_cast<uint16_t>(port);
-}
-
 void ReadSidecars(FieldReader& reader, std::vector<SidecarMember>* sidecars) {
   reader.Objects("sidecars", Need::kOptional, [&](FieldReader& item) {
     SidecarMember member;
-    ReadId(item, "id", &member.id_);
-    ReadId(item, "group", &member.group_);
-    ReadId(item, "availability_zone", &member.zone_);
-    ReadEndpointFields(item, &member.endpoint_);
+    settings::ReadId(item, "id", &member.id_);
+    settings::ReadId(item, "group", &member.group_);
+    settings::ReadId(item, "availability_zone", &member.zone_);
+    link::ReadEndpointMembers(item, &member.endpoint_);
     sidecars->push_back(std::move(member));
   });
 }
@@ -60,38 +48,21 @@
   });
 }
 
-void ReadLink(FieldReader& reader, link::LinkOptions* options) {
-  reader.Object("link_options", Need::kOptional, [&](FieldReader& item) {
-    item.Duration("heartbeat_interval_ms", Need::kOptional, Millis(10),
-                  kMaxTimeout, &options->heartbeat_interval_);
-    item.Duration("heartbeat_timeout_ms", Need::kOptional, Millis(20),
-                  kMaxTimeout, &options->heartbeat_timeout_);
-    item.Duration("connect_timeout_ms", Need::kOptional, Millis(10),
-                  kMaxTimeout, &options->connect_timeout_);
-    item.Duration("reconnect_delay_ms", Need::kOptional, Millis(10),
-                  kMaxTimeout, &options->reconnect_delay_);
-  });
-}
-
 }  // namespace
 
 void ReadEntrySettings(FieldReader& reader, EntrySettings* settings) {
   constexpr int kMaxReservations = 8;
   constexpr int kMaxEvents = 1000000;
-  ReadId(reader, "instance", &settings->instance_);
-  ReadId(reader, "availability_zone", &settings->zone_);
-  reader.Object("public", Need::kRequired, [&](FieldReader& item) {
-    ReadEndpointFields(item, &settings->public_);
-  });
-  reader.Object("listener", Need::kRequired, [&](FieldReader& item) {
-    ReadEndpointFields(item, &settings->listener_);
-  });
+  settings::ReadId(reader, "instance", &settings->instance_);
+  settings::ReadId(reader, "availability_zone", &settings->zone_);
+  link::ReadEndpoint(reader, "public", &settings->public_);
+  link::ReadEndpoint(reader, "listener", &settings->listener_);
   reader.String("log_url", Need::kRequired, &settings->log_url_);
   reader.String("instance_list_url", Need::kOptional,
                 &settings->instance_list_url_);
   ReadSidecars(reader, &settings->sidecars_);
   ReadLimits(reader, &settings->limits_);
-  ReadLink(reader, &settings->link_);
+  link::ReadLinkOptions(reader, &settings->link_);
   reader.Integer("reservations", Need::kOptional, 1, kMaxReservations,
                  &settings->reservations_);
   reader.Integer("timeline_events", Need::kOptional, 1, kMaxEvents,
--- a/src/http/metrics.cc
+++ b/src/http/metrics.cc
@@ -19,6 +19,10 @@
 
 constexpr std::array<double, 3> kQuantiles = {0.5, 0.95, 0.99};
 
+// The estimator keeps two markers a quantile and three more; with fewer
+// samples its quantiles mean nothing and are not shown.
+constexpr size_t kMinSamples = 2 * kQuantiles.size() + 3;
+
 using Accumulator = acc::accumulator_set<
     double,
     acc::stats<acc::tag::count, acc::tag::mean, acc::tag::extended_p_square>>;
@@ -103,6 +107,9 @@
          << acc::count(samples) << "\n";
     text << SeriesText({key.name_ + "_mean", key.label_}, "") << " "
          << acc::mean(samples) << "\n";
+    if (acc::count(samples) < kMinSamples) {
+      continue;
+    }
     for (size_t i = 0; i < kQuantiles.size(); ++i) {
       std::ostringstream quantile;
       quantile << "quantile=\"" << kQuantiles[i] << "\"";
--- a/src/sidecar/settings.cc
+++ b/src/sidecar/settings.cc
@@ -1,33 +1,17 @@
 #include "src/sidecar/settings.h"
 
+#include "src/link/link_settings.h"
+#include "src/settings/id_field.h"
+
 namespace bergamotscale::sidecar {
 namespace {
 
 using settings::FieldReader;
 using Need = settings::FieldReader::Need;
 
-constexpr int kMaxPort = 65535;
 const Millis kOneMilli(1);
 const Millis kOneHour(3'600'000);
 
-template <typename Id>
-void ReadId(FieldReader& reader, const char* key, Id* target) {
-  std::string value = target->value();
-  reader.String(key, Need::kRequired, &value);
-  *target = Id(value);
-}
-
-void ReadEndpoint(FieldReader& reader,
-                  const char* key,
-                  link::Endpoint* target) {
-  reader.Object(key, Need::kRequired, [target](FieldReader& nested) {
-    int port = target->port_;
-    nested.String("address", Need::kRequired, &target->address_);
-    nested.Integer("port", Need::kRequired, 1, kMaxPort, &port);
-    target->port_ = static_cast<uint16_t>(port);
-  });
-}
-
 void ReadKind(FieldReader& reader, GroupKind* kind) {
   std::string name = "engine";
   reader.String("kind", Need::kRequired, &name);
@@ -41,13 +25,6 @@
   reader.Duration(key, Need::kOptional, kOneMilli, kOneHour, target);
 }
 
-void ReadLinkOptions(FieldReader& reader, link::LinkOptions* options) {
-  reader.Object("link_options", Need::kOptional, [options](FieldReader& link) {
-    ReadDuration(link, "heartbeat_interval_ms", &options->heartbeat_interval_);
-    ReadDuration(link, "heartbeat_timeout_ms", &options->heartbeat_timeout_);
-  });
-}
-
 void ReadOrders(FieldReader& reader, orders::ExecutorOptions* options) {
   reader.Object("orders", Need::kOptional, [options](FieldReader& orders) {
     ReadDuration(orders, "claim_timeout_ms", &options->claim_timeout_);
@@ -63,17 +40,17 @@
 }  // namespace
 
 void ReadSidecarSettings(FieldReader& reader, SidecarSettings* settings) {
-  ReadId(reader, "instance", &settings->instance_);
-  ReadId(reader, "availability_zone", &settings->zone_);
-  ReadId(reader, "group", &settings->group_);
+  settings::ReadId(reader, "instance", &settings->instance_);
+  settings::ReadId(reader, "availability_zone", &settings->zone_);
+  settings::ReadId(reader, "group", &settings->group_);
   ReadKind(reader, &settings->kind_);
   reader.String("upstream_url", Need::kRequired, &settings->upstream_url_);
-  ReadEndpoint(reader, "link", &settings->link_);
-  ReadEndpoint(reader, "http", &settings->http_);
+  link::ReadEndpoint(reader, "link", &settings->link_);
+  link::ReadEndpoint(reader, "http", &settings->http_);
   reader.String("log_url", Need::kRequired, &settings->log_url_);
   reader.String("instance_list_url", Need::kOptional,
                 &settings->instance_list_url_);
-  ReadLinkOptions(reader, &settings->link_options_);
+  link::ReadLinkOptions(reader, &settings->link_options_);
   reader.Integer("initial_slots", Need::kOptional, 1, 4096,
                  &settings->initial_slots_);
   reader.Integer("max_slots", Need::kOptional, 1, 4096, &settings->max_slots_);
--- a/src/sidecar/work_session.cc
+++ b/src/sidecar/work_session.cc
@@ -83,7 +83,7 @@
   reserve_ = reserve.value();
   context_.timeline_.Observe(reserve_.sent_);
   state_ = State::kWaiting;
-  context_.timeline_.Add(EventType::kReserved, reserve_.request_id_,
+  context_.timeline_.Add(EventType::kQueued, reserve_.request_id_,
                          reserve_.entry_);
   std::weak_ptr<WorkSession> weak = weak_from_this();
   TicketHooks hooks;
@@ -102,7 +102,7 @@
 
 void WorkSession::OnGranted() {
   state_ = State::kGranted;
-  context_.timeline_.Add(EventType::kGranted, reserve_.request_id_,
+  context_.timeline_.Add(EventType::kOffered, reserve_.request_id_,
                          reserve_.entry_);
   wire::Granted granted;
   granted.request_id_ = reserve_.request_id_;
--- a/src/timeline/event_json.cc
+++ b/src/timeline/event_json.cc
@@ -14,6 +14,8 @@
 constexpr EventRow kEventTable[] = {
     {EventType::kArrived, "arrived"},
     {EventType::kReserved, "reserved"},
+    {EventType::kQueued, "queued"},
+    {EventType::kOffered, "offered"},
     {EventType::kGranted, "granted"},
     {EventType::kBound, "bound"},
     {EventType::kWithdrawn, "withdrawn"},
--- a/src/timeline/report.cc
+++ b/src/timeline/report.cc
@@ -108,13 +108,16 @@
       return "the request arrived (" + detail + ")";
     case EventType::kReserved:
       return "a reservation was placed at " + peer + " (" + detail + ")";
+    case EventType::kQueued:
+      return "a reservation of " + peer + " joined the queue";
+    case EventType::kOffered:
+      return "a slot was free and was offered to " + peer;
     case EventType::kGranted:
-      return peer.empty() ? "the reservation was granted a slot"
-                          : peer + " granted a slot";
+      return peer + " granted a slot";
     case EventType::kBound:
       return "the work was sent to " + peer + ", the first to grant";
     case EventType::kWithdrawn:
-      return "the reservation at " + peer + " was withdrawn";
+      return "the reservation was withdrawn (" + peer + ")";
     case EventType::kFirstToken:
       return "the first token reached the caller";
     case EventType::kFinished:
--- a/src/timeline/timeline.h
+++ b/src/timeline/timeline.h
@@ -17,6 +17,8 @@
 enum class EventType {
   kArrived,        // a request was read and admitted to the queue
   kReserved,       // a reservation was placed; peer is the sidecar
+  kQueued,         // a reservation came in; peer is the entry
+  kOffered,        // a slot was offered; peer is the entry
   kGranted,        // a sidecar granted a slot; peer is the sidecar
   kBound,          // the work was sent to a sidecar
   kWithdrawn,      // a reservation was given up
