--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -8,7 +8,9 @@
 #include <glog/logging.h>
 #include <boost/asio/post.hpp>
 
+#include "bergamotscale/clock.h"
 #include "src/link/link.h"
+#include "src/policy/demand_table.h"
 #include "src/sidecar/orders_feed.h"
 #include "src/sidecar/scheduler.h"
 #include "src/sidecar/status_hub.h"
@@ -206,11 +208,34 @@
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
       scheduler_.Merge(verdict);
     }
+    TakeDemands(gossip);
     if (!gossip.document_.empty()) {
       hooks_.on_config_gossip_(gossip);
     }
   }
 
+  void TakeDemands(const wire::Gossip& gossip) {
+    std::vector<policy::WorkspaceDemand> demands;
+    demands.reserve(gossip.demands_.size());
+    for (const wire::WorkspaceDemand& demand : gossip.demands_) {
+      demands.push_back({demand.workspace_, demand.per_second_});
+    }
+    demands_.Take(gossip.from_, std::move(demands), clock_.Now());
+  }
+
+  // Tells each entry how much all of them see of the workspaces.
+  void SendDemands() {
+    wire::Gossip gossip;
+    gossip.from_ = settings_.instance_;
+    for (const policy::WorkspaceDemand& demand : demands_.Sums(clock_.Now())) {
+      gossip.demands_.push_back(
+          wire::WorkspaceDemand{demand.workspace_, demand.per_second_});
+    }
+    if (!gossip.demands_.empty()) {
+      hub_.Broadcast(gossip);
+    }
+  }
+
   void SendStatus() {
     wire::SidecarStatus status;
     status.sidecar_ = settings_.instance_;
@@ -224,11 +249,15 @@
   void SendGossip() {
     SendConfig();
     SendVerdicts(scheduler_.Verdicts(kMaxGossipVerdicts));
+    SendDemands();
   }
 
   void SendVerdicts(const std::vector<wire::CrashVerdict>& verdicts) {
     if (!verdicts.empty()) {
-      hub_.Broadcast(verdicts, settings_.instance_);
+      wire::Gossip gossip;
+      gossip.from_ = settings_.instance_;
+      gossip.crash_verdicts_ = verdicts;
+      hub_.Broadcast(gossip);
     }
   }
 
@@ -260,6 +289,8 @@
   Ticker tick_;
   Ticker status_;
   Ticker gossip_;
+  policy::DemandTable demands_;
+  const Clock clock_ = Clock::Steady();
   std::vector<ModelId> models_;
   bool upstream_up_ = false;
   bool leaving_ = false;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -13,6 +13,7 @@
 #include "bergamotscale/result.h"
 #include "bergamotscale/units.h"
 #include "bergamotscale/verdict.h"
+#include "src/core/timestamp.h"
 
 namespace bergamotscale::wire {
 
@@ -46,6 +47,8 @@
   bool suspect_ = false;
   // The caller has a part of the answer already.
   bool resumed_ = false;
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
   MSGPACK_DEFINE(request_id_,
                  attempt_,
                  entry_,
@@ -63,13 +66,16 @@
                  prefix_hashes_,
                  digest_,
                  suspect_,
-                 resumed_)
+                 resumed_,
+                 sent_)
 };
 
 // Sidecar to entry: the slot is held for a short time; send Work or reset.
 struct Granted {
   RequestId request_id_;
-  MSGPACK_DEFINE(request_id_)
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
+  MSGPACK_DEFINE(request_id_, sent_)
 };
 
 // Entry to sidecar, second message: what to execute.
@@ -85,6 +91,8 @@
   // Answer text that the caller already has; the engine continues after it.
   std::string resume_text_;
   Tokens resume_tokens_;
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
   MSGPACK_DEFINE(request_id_,
                  method_,
                  path_,
@@ -93,7 +101,8 @@
                  idempotent_,
                  key_,
                  resume_text_,
-                 resume_tokens_)
+                 resume_tokens_,
+                 sent_)
 };
 
 // Sidecar to entry: a piece of the answer, numbered from zero in an attempt.
@@ -118,6 +127,8 @@
   Tokens cached_tokens_;
   // True if this is the recorded outcome of an earlier execution.
   bool replayed_ = false;
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
   MSGPACK_DEFINE(request_id_,
                  http_status_,
                  content_type_,
@@ -126,7 +137,8 @@
                  prompt_tokens_,
                  output_tokens_,
                  cached_tokens_,
-                 replayed_)
+                 replayed_,
+                 sent_)
 };
 
 // Sidecar to entry, last message of an attempt that was refused or failed.
@@ -137,7 +149,9 @@
   // Zero if waiting doesn't help.
   Millis retry_after_;
   std::string detail_;
-  MSGPACK_DEFINE(request_id_, code_, verdict_, retry_after_, detail_)
+  // Orders the time lines of sender and receiver.
+  Timestamp sent_;
+  MSGPACK_DEFINE(request_id_, code_, verdict_, retry_after_, detail_, sent_)
 };
 
 // Load of one class at a sidecar.
@@ -188,6 +202,13 @@
   MSGPACK_DEFINE(digest_, crashes_, convicted_, expires_in_)
 };
 
+// Requests per second of one workspace.
+struct WorkspaceDemand {
+  WorkspaceId workspace_;
+  double per_second_ = 0;
+  MSGPACK_DEFINE(workspace_, per_second_)
+};
+
 // Either way on a status stream: soft state that peers pass on. A peer with an
 // older revision is sent the document.
 struct Gossip {
@@ -196,7 +217,15 @@
   LogOffset config_offset_;
   std::string document_;
   std::vector<CrashVerdict> crash_verdicts_;
-  MSGPACK_DEFINE(from_, revision_, config_offset_, document_, crash_verdicts_)
+  // From an entry, what it sees itself; from a sidecar, the sums of what it was
+  // told. Empty if there is nothing to tell.
+  std::vector<WorkspaceDemand> demands_;
+  MSGPACK_DEFINE(from_,
+                 revision_,
+                 config_offset_,
+                 document_,
+                 crash_verdicts_,
+                 demands_)
 };
 
 // Any message, as one frame: the type's number, then its fields.
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -50,6 +50,7 @@
 int RunTimeline(const Arguments& arguments);
 int RunExplain(const Arguments& arguments);
 int RunExperiment(const Arguments& arguments);
+int RunLoad(const Arguments& arguments);
 int RunHashKey(const Arguments& arguments);
 int RunHashPassword(const Arguments& arguments);
 
