--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -97,8 +97,8 @@
     reserve.prefix_hashes_ = policy::HashPrefixes(request_.prompt_);
     reserve.digest_ = request_.digest_;
     reserve.suspect_ = plan_.suspect_;
-    reserve.resumed_ = plan_.resume_tokens_ > Tokens(0);
     reserve.sent_ = traffic_.timeline_.Now();
+    reserve.resumed_ = plan_.resume_tokens_ > Tokens(0);
     return reserve;
   }
 
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -45,10 +45,10 @@
   uint64_t digest_ = 0;
   // At most one suspect runs at an upstream.
   bool suspect_ = false;
-  // The caller has a part of the answer already.
-  bool resumed_ = false;
   // Orders the time lines of sender and receiver.
   Timestamp sent_;
+  // The caller has a part of the answer already.
+  bool resumed_ = false;
   MSGPACK_DEFINE(request_id_,
                  attempt_,
                  entry_,
@@ -66,8 +66,8 @@
                  prefix_hashes_,
                  digest_,
                  suspect_,
-                 resumed_,
-                 sent_)
+                 sent_,
+                 resumed_)
 };
 
 // Sidecar to entry: the slot is held for a short time; send Work or reset.
--- a/tests/process/orders_bench.cc
+++ b/tests/process/orders_bench.cc
@@ -21,12 +21,13 @@
 constexpr char kWorkspaceKey[] = "test-key";
 constexpr char kPath[] = "/v1/orders";
 constexpr int kPairs = 2;
-constexpr int kCallers = 4;
+constexpr int kCallers = 8;
 constexpr int kMaxSends = 30;
 const Millis kCallTimeout(2500);
 constexpr std::chrono::milliseconds kBeforeFault(500);
 constexpr std::chrono::milliseconds kFaultTime(3500);
 constexpr std::chrono::milliseconds kAfterFault(700);
+constexpr std::chrono::milliseconds kCutPause(250);
 constexpr std::chrono::milliseconds kThinkTime(5);
 constexpr std::chrono::milliseconds kResendPause(100);
 
@@ -42,18 +43,23 @@
   return {{"address", kAddress}, {"port", port}};
 }
 
-json ConfigOf() {
-  return json::parse(R"({
+// @param idempotent whether entries may retry what may have run; the claims
+// must hold either way.
+json ConfigOf(bool idempotent) {
+  json document = json::parse(R"({
     "classes": [{"name": "order", "tier": 1, "first_token_ms": 2000,
       "between_tokens_ms": 40, "deadline_ms": 2000, "idempotent": true}],
     "workspaces": [{"name": "workshop", "key_hashes": [")" +
-                     config::HashWorkspaceKey(kWorkspaceKey) + R"("],
+                              config::HashWorkspaceKey(kWorkspaceKey) + R"("],
       "requests_per_second": 10000, "burst": 10000, "classes": ["order"]}],
     "groups": [{"name": "orders", "kind": "service"}],
     "models": [],
     "services": [{"path": "/v1/orders", "group": "orders", "class": "order",
       "idempotent": true}],
     "operators": []})");
+  document["classes"][0]["idempotent"] = idempotent;
+  document["services"][0]["idempotent"] = idempotent;
+  return document;
 }
 
 std::string ReadText(const std::string& file) {
@@ -203,7 +209,7 @@
 bool OrdersBench::Publish() {
   config::PublicationRecord record;
   record.id_ = PublicationId("test");
-  record.document_ = ConfigOf();
+  record.document_ = ConfigOf(keys_ == KeyUse::kNoKeys || random_() % 2 == 0);
   record.author_ = "test";
   log::LogClient client(UrlOf(ports_["log"]), Millis(2000));
   std::promise<bool> appended;
@@ -268,7 +274,11 @@
     Begin(fault);
     std::this_thread::sleep_for(std::chrono::milliseconds(random_() % 300));
   }
-  std::this_thread::sleep_for(kFaultTime);
+  const auto end = std::chrono::steady_clock::now() + kFaultTime;
+  while (std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kCutPause);
+    CutIfAsked(faults);
+  }
   for (const Fault fault : faults) {
     End(fault);
   }
@@ -343,6 +353,14 @@
   http::CallAndWait(call);
 }
 
+void OrdersBench::CutIfAsked(const std::vector<Fault>& faults) {
+  const bool cut =
+      std::find(faults.begin(), faults.end(), Fault::kCutLink) != faults.end();
+  if (cut) {
+    relays_[random_() % relays_.size()]->Cut();
+  }
+}
+
 void OrdersBench::Begin(Fault fault) {
   switch (fault) {
     case Fault::kKillEntry:
@@ -366,9 +384,6 @@
       PostLogFaults(R"({"lose_answers": -1})");
       return;
     case Fault::kCutLink:
-      for (const auto& relay : relays_) {
-        relay->Cut();
-      }
       return;
     case Fault::kSilentLink:
       relays_[random_() % relays_.size()]->Freeze();
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -49,8 +49,8 @@
 int RunStatus(const Arguments& arguments);
 int RunTimeline(const Arguments& arguments);
 int RunExplain(const Arguments& arguments);
-int RunExperiment(const Arguments& arguments);
 int RunLoad(const Arguments& arguments);
+int RunExperiment(const Arguments& arguments);
 int RunHashKey(const Arguments& arguments);
 int RunHashPassword(const Arguments& arguments);
 
