--- a/src/policy/admission.cc
+++ b/src/policy/admission.cc
@@ -11,6 +11,8 @@
 constexpr double kMillisPerSecond = 1000;
 constexpr double kDemandDecayMillis = 2000;
 constexpr double kMinShare = 0.02;
+constexpr double kLeastDemand = 0.01;  // requests per second
+constexpr Millis kShareLifetime = Millis(5000);
 constexpr Millis kMinRetryAfter = Millis(1000);
 constexpr Millis kNoUpstreamRetryAfter = Millis(2000);
 // Waits from here on mean that no upstream is usable.
@@ -22,6 +24,9 @@
 // Requests that a workspace may still send.
 struct Bucket {
   void Refill(Millis now) {
+    if (now - share_set_ > kShareLifetime) {
+      share_ = 1;
+    }
     const double since = static_cast<double>((now - refilled_).count());
     const double rate = rate_ * share_ / kMillisPerSecond;
     level_ = std::min(Capacity(), level_ + rate * std::max(since, 0.0));
@@ -29,6 +34,9 @@
     refilled_ = now;
   }
   double Capacity() const { return std::max(1.0, burst_ * share_); }
+  double PerSecond() const {
+    return demand_ / kDemandDecayMillis * kMillisPerSecond;
+  }
 
   double rate_ = 0;  // requests per second
   double burst_ = 0;
@@ -36,6 +44,7 @@
   double level_ = 0;
   double demand_ = 0;  // requests, decaying
   Millis refilled_;
+  Millis share_set_;
 };
 
 }  // namespace
@@ -88,13 +97,20 @@
   impl_->buckets_ = std::move(buckets);
 }
 
-void Admission::SetShare(const WorkspaceId& workspace, double share) {
-  const auto found = impl_->buckets_.find(workspace);
-  if (found == impl_->buckets_.end()) {
-    return;
+void Admission::TakeDemands(const std::vector<WorkspaceDemand>& of_all_entries,
+                            Millis now) {
+  for (const WorkspaceDemand& demand : of_all_entries) {
+    const auto found = impl_->buckets_.find(demand.workspace_);
+    if (found == impl_->buckets_.end()) {
+      continue;
+    }
+    Bucket& bucket = found->second;
+    bucket.Refill(now);
+    const double own = bucket.PerSecond();
+    const double all = std::max(demand.per_second_, own);
+    bucket.share_ = all > 0 && own > 0 ? std::max(own / all, kMinShare) : 1;
+    bucket.share_set_ = now;
   }
-  const bool known = share > 0 && share <= 1;
-  found->second.share_ = known ? std::max(share, kMinShare) : 1;
 }
 
 AdmissionDecision Admission::Admit(const AdmissionRequest& request,
@@ -119,15 +135,16 @@
   return decision;
 }
 
-double Admission::Demand(const WorkspaceId& workspace, Millis now) const {
-  const auto found = impl_->buckets_.find(workspace);
-  if (found == impl_->buckets_.end()) {
-    return 0;
+std::vector<WorkspaceDemand> Admission::Demands(Millis now) const {
+  std::vector<WorkspaceDemand> demands;
+  for (const auto& [workspace, known] : impl_->buckets_) {
+    Bucket bucket = known;
+    bucket.Refill(now);
+    if (bucket.PerSecond() > kLeastDemand) {
+      demands.push_back({workspace, bucket.PerSecond()});
+    }
   }
-  const Bucket& bucket = found->second;
-  const double since = static_cast<double>((now - bucket.refilled_).count());
-  return bucket.demand_ * std::exp(-std::max(since, 0.0) / kDemandDecayMillis) /
-         kDemandDecayMillis * kMillisPerSecond;
+  return demands;
 }
 
 }  // namespace bergamotscale::policy
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -9,6 +9,7 @@
 #include "bergamotscale/error.h"
 #include "bergamotscale/ids.h"
 #include "bergamotscale/units.h"
+#include "src/policy/demand_table.h"
 
 namespace bergamotscale::policy {
 
@@ -50,17 +51,19 @@
   // Takes over workspace limits; buckets of known workspaces keep their level.
   void Configure(const std::vector<Workspace>& workspaces);
 
-  // Sets this entry's share of a workspace's limits, 0 to 1. Soft state: until
-  // it is told, or if it is told 0, the share is whole, so that lost state
-  // serves too much rather than too little.
-  void SetShare(const WorkspaceId& workspace, double share);
+  // Takes in how much all entries together see of the workspaces, from which
+  // this entry's share of each limit follows. Soft state: a share that isn't
+  // renewed is whole again after a few seconds, so that lost state serves too
+  // much rather than too little.
+  void TakeDemands(const std::vector<WorkspaceDemand>& of_all_entries,
+                   Millis now);
 
   // Decides on a request and, if it is admitted, charges its workspace.
   AdmissionDecision Admit(const AdmissionRequest& request, Millis now);
 
-  // @return requests per second that this entry has seen of a workspace,
-  // admitted or not: the soft state from which shares are reckoned.
-  double Demand(const WorkspaceId& workspace, Millis now) const;
+  // @return what this entry has seen of the workspaces lately, admitted or not;
+  // those not seen are left out.
+  std::vector<WorkspaceDemand> Demands(Millis now) const;
 
  private:
   struct Impl;
