--- /dev/null
+++ b/src/policy/work_queue_impl.h
@@ -0,0 +1,133 @@
+// Inside of WorkQueue: lanes of requests, and the choice between them.
+#ifndef BERGAMOTSCALE_SRC_POLICY_WORK_QUEUE_IMPL_H_
+#define BERGAMOTSCALE_SRC_POLICY_WORK_QUEUE_IMPL_H_
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <memory_resource>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "src/policy/work_queue.h"
+
+namespace bergamotscale::policy {
+
+// Time between starts that is assumed before any is known.
+inline constexpr double kDefaultIntervalMillis = 100;
+inline constexpr double kNever = std::numeric_limits<double>::infinity();
+
+// @return the work of a request, in output tokens; at least 1.
+double WorkOf(const QueueItem& item);
+
+// @return the mean moved towards a sample by a part of the distance.
+inline double Average(double mean, double sample, double gain) {
+  return mean + (sample - mean) * gain;
+}
+
+// Position of an item in the sets of its lane, or by deadline.
+struct QueueKey {
+  int64_t due_ = 0;
+  uint64_t handle_ = 0;
+  friend bool operator<(const QueueKey& a, const QueueKey& b) {
+    return a.due_ != b.due_ ? a.due_ < b.due_ : a.handle_ < b.handle_;
+  }
+};
+using KeySet = std::pmr::set<QueueKey>;
+
+// The requests of one class that wait; suspects have a lane of their own, so
+// that they can be passed over together.
+struct QueueLane {
+  QueueLane(ClassId class_id,
+            Tier tier,
+            bool suspects,
+            std::pmr::memory_resource* memory)
+      : class_(std::move(class_id)),
+        tier_(tier),
+        suspects_(suspects),
+        on_time_(memory),
+        late_(memory) {}
+
+  bool empty() const { return on_time_.empty() && late_.empty(); }
+  size_t size() const { return on_time_.size() + late_.size(); }
+  const QueueKey& Head() const {
+    return *(on_time_.empty() ? late_ : on_time_).begin();
+  }
+
+  ClassId class_;
+  Tier tier_;
+  bool suspects_;
+  int rank_ = 0;  // of its tier among the configured ones, from 0
+  double floor_ = 0;
+  double credit_ = 0;  // work owed
+  double mean_work_ = 0;
+  int running_ = 0;
+  KeySet on_time_;
+  KeySet late_;
+  // Time between departures while requests wait.
+  double interval_ = 0;
+  Millis last_departure_;
+};
+
+// A request that waits.
+struct QueueEntry {
+  QueueItem item_;
+  int lane_ = 0;
+  QueueKey key_;
+};
+
+struct WorkQueue::Impl {
+  int LaneOf(const ClassId& class_id, Tier tier, bool suspect);
+  const QueueLane* FindLane(const ClassId& class_id, bool suspect) const;
+  void Rank();
+  void MarkLate(Millis now);
+  bool Blocked(const QueueLane& lane) const {
+    return lane.empty() || (lane.suspects_ && suspects_running_ > 0);
+  }
+  int LimitOf(const QueueLane& lane, const SlotLimits& limits) const;
+  // Running requests that count towards the limit.
+  int Counted(const SlotLimits& limits) const {
+    return running_ - std::min(floor_running_, limits.floor_extra_);
+  }
+  double Slack(const QueueLane& lane, Millis now) const;
+  QueueLane* NextByTier(Millis now, const SlotLimits& limits);
+  QueueLane* NextByFloor(const SlotLimits& limits);
+  void Credit(double work);
+  void CountStart(QueueLane& lane, const QueueItem& item);
+  void CountEnd(const QueueItem& item, double credit_change);
+  QueueItem Remove(uint64_t handle);
+  void Depart(QueueLane& lane, Millis now);
+  void Start(QueueLane& lane, double work, Millis now);
+  double FloorWait(const QueueLane& lane) const;
+
+  std::pmr::unsynchronized_pool_resource memory_;
+  std::vector<std::unique_ptr<QueueLane>> lanes_;
+  std::vector<QueueLane*> by_tier_;
+  std::unordered_map<ClassId, std::array<int, 2>> lane_of_class_;
+  std::pmr::unordered_map<uint64_t, QueueEntry> entries_{&memory_};
+  KeySet by_deadline_{&memory_};
+  std::vector<Tier> tiers_;  // configured
+  int running_ = 0;
+  int floor_running_ = 0;
+  int suspects_running_ = 0;
+  // Handles of the running requests that have no token yet.
+  std::pmr::unordered_set<uint64_t> starting_{&memory_};
+  // From start to first token, ms: its mean, its spread, and a time within
+  // which most come.
+  double start_mean_ = 0;
+  double start_spread_ = 0;
+  double start_ = 0;
+  double interval_ = kDefaultIntervalMillis;
+  Millis last_pop_;
+  // Work started, decaying.
+  double recent_work_ = 0;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_WORK_QUEUE_IMPL_H_
