--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -293,6 +293,22 @@
     if (failure.error_.code_ == ErrorCode::kUpstreamFailed) {
       ++crashes_;
       suspect_ = true;
+      TellOfCrash();
+    }
+  }
+
+  // Told at once: the caller may send the request again to another entry
+  // before the next round of gossip. Peers take the worse of two records, so
+  // that the sidecar telling of the same crash counts nothing twice.
+  void TellOfCrash() {
+    const policy::QuarantineOptions lifetimes;
+    const bool convicted = crashes_ > 1;
+    const policy::SuspicionRecord record{
+        request_.digest_, crashes_, convicted,
+        convicted ? lifetimes.conviction_lifetime_
+                  : lifetimes.suspect_lifetime_};
+    if (traffic_.quarantine_.Merge(record, traffic_.steady_.Now())) {
+      traffic_.upstreams_.SpreadGossip();
     }
   }
 
--- /dev/null
+++ b/tests/answer_writer_test.cc
@@ -0,0 +1,99 @@
+// Answers to callers: one that is given up must not hold its connection.
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+#include "src/entry/answer_writer.h"
+#include "src/http/listener.h"
+#include "tests/support/free_port.h"
+
+namespace bergamotscale::entry {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr auto kCloseTimeout = std::chrono::seconds(3);
+constexpr char kRequest[] = "GET /answer HTTP/1.1\r\nHost: x\r\n\r\n";
+
+// A listener whose one route hands its writer to the test.
+class Exchange {
+ public:
+  Exchange() : listener_("127.0.0.1", port_) {
+    listener_.Route("GET", "/answer", [this](web::http::http_request request) {
+      writer_promise_.set_value(std::make_unique<AnswerWriter>(
+          request, RequestId("r-1"), ModelId("m"), [] {}));
+    });
+  }
+
+  bool Open() { return listener_.Open().ok(); }
+
+  // Sends the request on a connection that stays open.
+  std::unique_ptr<AnswerWriter> Ask() {
+    socket_.connect(tcp::endpoint(
+        boost::asio::ip::make_address("127.0.0.1"), port_));
+    boost::asio::write(socket_, boost::asio::buffer(std::string(kRequest)));
+    return writer_promise_.get_future().get();
+  }
+
+  void HangUp() { socket_.close(); }
+
+  // @return whether the listener closes in time. A listener that doesn't is
+  // left to its thread.
+  bool Closes() {
+    auto closed = std::make_shared<std::promise<void>>();
+    std::future<void> future = closed->get_future();
+    std::thread([this, closed] {
+      listener_.Close();
+      closed->set_value();
+    }).detach();
+    return future.wait_for(kCloseTimeout) == std::future_status::ready;
+  }
+
+ private:
+  const uint16_t port_ = testing::FreePort();
+  std::promise<std::unique_ptr<AnswerWriter>> writer_promise_;
+  boost::asio::io_context io_;
+  tcp::socket socket_{io_};
+  http::Listener listener_;
+};
+
+enum class Caller { kStays, kLeaves };
+
+// Gives an answer up and closes the listener. The exchange outlives the test
+// if its listener doesn't close.
+bool ClosesAfterGivingUp(Caller caller, int chunks) {
+  auto* exchange = new Exchange();
+  REQUIRE(exchange->Open());
+  std::unique_ptr<AnswerWriter> writer = exchange->Ask();
+  for (int i = 0; i < chunks; ++i) {
+    writer->WriteChunk("a");
+  }
+  if (caller == Caller::kLeaves) {
+    exchange->HangUp();
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  writer.reset();
+  const bool closes = exchange->Closes();
+  if (closes) {
+    delete exchange;
+  }
+  return closes;
+}
+
+TEST_CASE("answer writer: a stream that is given up lets the listener close") {
+  CHECK(ClosesAfterGivingUp(Caller::kStays, 1));
+  CHECK(ClosesAfterGivingUp(Caller::kLeaves, 1));
+  CHECK(ClosesAfterGivingUp(Caller::kLeaves, 100));
+}
+
+TEST_CASE("answer writer: an answer never begun lets the listener close") {
+  CHECK(ClosesAfterGivingUp(Caller::kStays, 0));
+  CHECK(ClosesAfterGivingUp(Caller::kLeaves, 0));
+}
+
+}  // namespace
+}  // namespace bergamotscale::entry
