Process tests: faults, leaving callers and planned stops on a real local system

Found: (1) an engine's stream that went silent was noticed only by the class's deadline, 20 s: now a stream that stands still for 2 s is given up and resumed elsewhere, if the work may run again. A stream that is silent before its first byte is still left to the deadline. (2) An engine that writes nothing doesn't notice a closed connection, so a request whose caller left ran on for more than 1 s: the sidecar now also calls /v1/cancel.

--- a/src/sidecar/engine_protocol.cc
+++ b/src/sidecar/engine_protocol.cc
@@ -59,6 +59,14 @@
   return call;
 }
 
+http::Call EngineCancelOf(const std::string& base_url, const RequestId& id) {
+  http::Call call;
+  call.method_ = "POST";
+  call.url_ = base_url + "/v1/cancel";
+  call.body_ = json{{"id", id.value()}}.dump();
+  return call;
+}
+
 Result<EngineEvent> ParseEngineEvent(const std::string& data) {
   EngineEvent event;
   if (data == kEndMark) {
--- a/src/sidecar/engine_protocol.h
+++ b/src/sidecar/engine_protocol.h
@@ -29,6 +29,9 @@
                                 const wire::Work& work,
                                 Tier tier);
 
+// @return the call that cancels the request of that id at an engine.
+http::Call EngineCancelOf(const std::string& base_url, const RequestId& id);
+
 // @return the event in the data of a server-sent event, or kProtocolError.
 // Thread safety: safe.
 Result<EngineEvent> ParseEngineEvent(const std::string& data);
--- a/src/sidecar/execution.cc
+++ b/src/sidecar/execution.cc
@@ -1,11 +1,15 @@
 #include "src/sidecar/execution.h"
 
+#include <chrono>
 #include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "bergamotscale/clock.h"
+#include "src/http/client.h"
 #include "src/sidecar/engine_protocol.h"
 #include "src/sidecar/event_reader.h"
 #include "src/sidecar/upstream_call.h"
@@ -45,11 +49,16 @@
 
 class Execution::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(const SidecarSettings& settings,
+  Impl(boost::asio::io_context& io,
+       const SidecarSettings& settings,
        const wire::Work& work,
        ExecutionHooks hooks)
       : kind_(settings.kind_),
+        upstream_url_(settings.upstream_url_),
         max_answer_(settings.max_answer_),
+        stall_timeout_(settings.stall_timeout_),
+        may_run_again_(work.idempotent_),
+        stall_timer_(io),
         hooks_(std::move(hooks)),
         events_(settings.max_answer_,
                 [this](const std::string& data) { OnEvent(data); }) {
@@ -66,7 +75,7 @@
             : ServiceCallOf(settings.upstream_url_, work);
     if (!call.ok()) {
       auto self = shared_from_this();
-      const Error error = call.error();
+      const Error& error = call.error();
       boost::asio::post(io,
                         [self, error] { self->Fail(error, Verdict::kNotRun); });
       return;
@@ -77,7 +86,11 @@
 
   void Cancel() {
     // The hooks stay, as one of them may be what cancels.
+    if (!ended_) {
+      CancelAtEngine();
+    }
     ended_ = true;
+    stall_timer_.cancel();
     call_.reset();
   }
 
@@ -107,11 +120,51 @@
     return kind_ == GroupKind::kEngine && head_.status_ == kHttpOk;
   }
 
+  // An engine may notice a closed connection only when it writes.
+  void CancelAtEngine() {
+    if (kind_ == GroupKind::kEngine && call_ != nullptr) {
+      http::CallOnce(EngineCancelOf(upstream_url_, finished_.request_id_),
+                     [](const Result<http::Reply>&) {});
+    }
+  }
+
+  // A stream that has begun and stands still is taken for a connection that
+  // went silent. Work that may not run again is left to its deadline.
+  void NoteProgress() {
+    last_data_ = clock_.Now();
+    if (may_run_again_ && !std::exchange(watched_, true)) {
+      WatchForStall(stall_timeout_);
+    }
+  }
+
+  void WatchForStall(Millis wait) {
+    stall_timer_.expires_after(std::chrono::milliseconds(wait.count()));
+    stall_timer_.async_wait(
+        [weak = weak_from_this()](const boost::system::error_code& error) {
+          const auto self = weak.lock();
+          if (!error && self != nullptr && !self->ended_) {
+            self->CheckStall();
+          }
+        });
+  }
+
+  void CheckStall() {
+    const Millis silent = clock_.Now() - last_data_;
+    if (silent < stall_timeout_) {
+      WatchForStall(stall_timeout_ - silent);
+      return;
+    }
+    CancelAtEngine();
+    Fail(Error(ErrorCode::kLinkSilent, "the engine's stream stands still"),
+         Verdict::kMayHaveRun);
+  }
+
   void OnData(std::string_view data) {
     if (ended_) {
       return;
     }
     if (Streams()) {
+      NoteProgress();
       const Status status = events_.Feed(data);
       if (!status.ok()) {
         Fail(status.error(), Verdict::kMayHaveRun);
@@ -194,8 +247,15 @@
     hooks.on_failed_(error, verdict);
   }
 
-  GroupKind kind_;
-  Bytes max_answer_;
+  const GroupKind kind_;
+  const std::string upstream_url_;
+  const Bytes max_answer_;
+  const Millis stall_timeout_;
+  const bool may_run_again_;
+  const Clock clock_ = Clock::Steady();
+  boost::asio::steady_timer stall_timer_;
+  Millis last_data_;
+  bool watched_ = false;
   ExecutionHooks hooks_;
   EventReader events_;
   std::unique_ptr<UpstreamCall> call_;
@@ -211,7 +271,7 @@
                      const wire::Work& work,
                      Tier tier,
                      ExecutionHooks hooks)
-    : impl_(std::make_shared<Impl>(settings, work, std::move(hooks))) {
+    : impl_(std::make_shared<Impl>(io, settings, work, std::move(hooks))) {
   impl_->Start(io, settings, work, tier);
 }
 
--- a/src/sidecar/settings.cc
+++ b/src/sidecar/settings.cc
@@ -81,6 +81,7 @@
   ReadDuration(reader, "status_interval_ms", &settings->status_interval_);
   ReadDuration(reader, "health_interval_ms", &settings->health_interval_);
   ReadDuration(reader, "upstream_timeout_ms", &settings->upstream_timeout_);
+  ReadDuration(reader, "stall_timeout_ms", &settings->stall_timeout_);
   ReadDuration(reader, "log_timeout_ms", &settings->log_timeout_);
   ReadDuration(reader, "list_interval_ms", &settings->list_interval_);
   ReadDuration(reader, "drain_timeout_ms", &settings->drain_timeout_);
--- a/src/sidecar/settings.h
+++ b/src/sidecar/settings.h
@@ -36,6 +36,8 @@
   Millis health_interval_ = Millis(500);
   // An upstream that is silent for this long during a call has failed.
   Millis upstream_timeout_ = Millis(30000);
+  // An engine's stream that stands still for this long has gone silent.
+  Millis stall_timeout_ = Millis(2000);
   Bytes max_answer_ = Bytes(16'777'216);
   Millis log_timeout_ = Millis(2000);
   Millis list_interval_ = Millis(1000);
--- a/tests/caller_guard_test.cc
+++ b/tests/caller_guard_test.cc
@@ -3,7 +3,6 @@
 
 #include <unistd.h>
 
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <fstream>
@@ -15,20 +14,18 @@
 #include <cpprest/producerconsumerstream.h>
 #include <doctest/doctest.h>
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 
 #include "src/http/listener.h"
 #include "src/http/request_bounds.h"
 #include "tests/support/free_port.h"
+#include "tests/support/raw_caller.h"
 
 namespace bergamotscale::http {
 namespace {
 
-using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
+using testing::RawCaller;
 
 template <typename Condition>
 bool WaitFor(const Condition& condition, milliseconds patience) {
@@ -42,39 +39,6 @@
   return true;
 }
 
-// A blocking caller that speaks raw HTTP.
-class RawCaller {
- public:
-  explicit RawCaller(uint16_t port) : socket_(io_) {
-    socket_.connect(
-        tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
-  }
-  // @return whether all was taken.
-  bool Send(const std::string& text) {
-    boost::system::error_code error;
-    boost::asio::write(socket_, boost::asio::buffer(text), error);
-    return !error;
-  }
-  // @return what came until text was among it, or until the end.
-  std::string ReadUntil(const std::string& text) {
-    boost::system::error_code error;
-    std::array<char, 4096> buffer;
-    while (received_.find(text) == std::string::npos && !error) {
-      const size_t count =
-          socket_.read_some(boost::asio::buffer(buffer), error);
-      received_.append(buffer.data(), count);
-    }
-    return received_;
-  }
-  std::string ReadAll() { return ReadUntil("\x01never"); }
-  void Close() { socket_.close(); }
-
- private:
-  boost::asio::io_context io_;
-  tcp::socket socket_;
-  std::string received_;
-};
-
 std::string PostOf(const std::string& path, const std::string& body) {
   return "POST " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
--- /dev/null
+++ b/tests/process/cluster.cc
@@ -0,0 +1,250 @@
+#include "tests/process/cluster.h"
+
+#include <signal.h>
+#include <sys/prctl.h>
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+#include <boost/filesystem/operations.hpp>
+#include <boost/process/args.hpp>
+#include <boost/process/extend.hpp>
+#include <boost/process/io.hpp>
+
+#include "src/http/client.h"
+#include "tests/support/free_port.h"
+
+namespace bergamotscale::testing {
+namespace {
+
+namespace bp = boost::process;
+using nlohmann::json;
+
+constexpr std::chrono::seconds kStartPatience(15);
+constexpr std::chrono::milliseconds kPollInterval(20);
+
+// A test that crashes leaves no process behind.
+struct DieWithParent : bp::extend::handler {
+  template <typename Executor>
+  void on_exec_setup(Executor& /*executor*/) const {  // NOLINT: library's name
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+  }
+};
+
+json EndpointJson(uint16_t port) {
+  return {{"address", "127.0.0.1"}, {"port", port}};
+}
+
+// The example's document with limits that the load of a test doesn't reach.
+std::string DocumentText() {
+  std::ifstream file(std::string(BERGAMOTSCALE_EXAMPLES_DIR) +
+                     "/hanbit_tagworks.json");
+  json document = json::parse(file, nullptr, true, true);
+  for (json& workspace : document["workspaces"]) {
+    workspace["requests_per_second"] = 10000;
+    workspace["burst"] = 10000;
+  }
+  return document.dump();
+}
+
+}  // namespace
+
+Cluster::Cluster(const ClusterOptions& options)
+    : options_(options), work_(io_.get_executor()) {
+  folder_ = (boost::filesystem::temp_directory_path() /
+             boost::filesystem::unique_path("bergamot-%%%%%%%%"))
+                .string();
+  boost::filesystem::create_directories(folder_);
+  const uint16_t log_port = FreePort();
+  Add("log", "fake_log", log_port, {{"port", log_port}});
+  Publish();
+  for (int number = 1; number <= options_.engines_; ++number) {
+    AddEngine(number);
+  }
+  const uint16_t service_port = FreePort();
+  Add("service", "fake_service", service_port,
+      {{"port", service_port}, {"delay_ms", 20}});
+  AddSidecar("sidecar-service", "agency", "service", Url("service"),
+             FreePort());
+  for (int number = 1; number <= options_.entries_; ++number) {
+    AddEntry(number);
+  }
+  relay_thread_ = std::thread([this] { io_.run(); });
+  for (const auto& entry : processes_) {
+    REQUIRE_MESSAGE(WaitFor(entry.first, "/healthz"), entry.first);
+  }
+  for (int number = 1; number <= options_.entries_; ++number) {
+    const std::string name = "entry-" + std::to_string(number);
+    REQUIRE_MESSAGE(WaitFor(name, "/readyz"), name);
+  }
+}
+
+Cluster::~Cluster() {
+  for (auto& [name, process] : processes_) {
+    if (process.child_ != nullptr && process.child_->running()) {
+      kill(process.child_->id(), SIGKILL);
+      process.child_->wait();
+    }
+  }
+  link_relays_.clear();
+  engine_relays_.clear();
+  work_.reset();
+  io_.stop();
+  if (relay_thread_.joinable()) {
+    relay_thread_.join();
+  }
+  boost::system::error_code ignored;
+  boost::filesystem::remove_all(folder_, ignored);
+}
+
+std::string Cluster::Url(const std::string& name) const {
+  return "http://127.0.0.1:" + std::to_string(Port(name));
+}
+
+uint16_t Cluster::Port(const std::string& name) const {
+  return processes_.at(name).port_;
+}
+
+void Cluster::Add(const std::string& name,
+                  const std::string& binary,
+                  uint16_t port,
+                  const json& settings) {
+  std::ofstream(folder_ + "/" + name + ".json") << settings.dump(2);
+  Process& process = processes_[name];
+  process.binary_ = binary;
+  process.port_ = port;
+  Start(name);
+}
+
+void Cluster::AddEngine(int number) {
+  const std::string name = "engine-" + std::to_string(number);
+  const uint16_t port = FreePort();
+  Add(name, "fake_engine", port,
+      {{"port", port},
+       {"models", {kModel}},
+       {"journal_file", folder_ + "/" + name + ".journal"},
+       {"engine",
+        {{"step_base_us", options_.step_base_us_},
+         {"step_per_sequence_us", options_.step_per_sequence_us_}}}});
+  engine_relays_.push_back(
+      std::make_unique<Relay>(io_, link::Endpoint{"127.0.0.1", port}));
+  const uint16_t link_port = FreePort();
+  link_relays_.push_back(
+      std::make_unique<Relay>(io_, link::Endpoint{"127.0.0.1", link_port}));
+  const std::string engine_url =
+      "http://" + engine_relays_.back()->endpoint().ToString();
+  AddSidecar("sidecar-" + std::to_string(number), "keywording", "engine",
+             engine_url, link_port);
+  members_.back()["port"] = link_relays_.back()->endpoint().port_;
+}
+
+void Cluster::AddSidecar(const std::string& name,
+                         const std::string& group,
+                         const std::string& kind,
+                         const std::string& upstream_url,
+                         uint16_t link_port) {
+  const uint16_t port = FreePort();
+  Add(name, "bergamot_sidecar", port,
+      {{"instance", name},
+       {"availability_zone", "zone-a"},
+       {"group", group},
+       {"kind", kind},
+       {"upstream_url", upstream_url},
+       {"link", EndpointJson(link_port)},
+       {"http", EndpointJson(port)},
+       {"log_url", Url("log")}});
+  members_.push_back({{"id", name},
+                      {"group", group},
+                      {"availability_zone", "zone-a"},
+                      {"address", "127.0.0.1"},
+                      {"port", link_port}});
+}
+
+void Cluster::AddEntry(int number) {
+  const std::string name = "entry-" + std::to_string(number);
+  const uint16_t port = FreePort();
+  Add(name, "bergamot_entry", port,
+      {{"instance", name},
+       {"availability_zone", "zone-a"},
+       {"public", EndpointJson(port)},
+       {"listener", EndpointJson(FreePort())},
+       {"log_url", Url("log")},
+       {"sidecars", members_}});
+}
+
+void Cluster::Publish() {
+  REQUIRE(WaitFor("log", "/healthz"));
+  const std::string file = folder_ + "/document.json";
+  std::ofstream(file) << DocumentText();
+  bp::child publish(std::string(BERGAMOTSCALE_BIN_DIR) + "/bergamotctl",
+                    bp::args({"publish", file, "--log=" + Url("log")}),
+                    (bp::std_out & bp::std_err) > folder_ + "/publish.log");
+  publish.wait();
+  REQUIRE(publish.exit_code() == 0);
+}
+
+void Cluster::Signal(const std::string& name, int signal) {
+  kill(processes_.at(name).child_->id(), signal);
+}
+
+void Cluster::Kill(const std::string& name) {
+  Signal(name, SIGKILL);
+  processes_.at(name).child_->wait();
+}
+
+void Cluster::Start(const std::string& name) {
+  Process& process = processes_.at(name);
+  std::FILE* log = std::fopen((folder_ + "/" + name + ".log").c_str(), "a");
+  process.child_ = std::make_unique<bp::child>(
+      std::string(BERGAMOTSCALE_BIN_DIR) + "/" + process.binary_,
+      bp::args("--settings=" + folder_ + "/" + name + ".json"),
+      (bp::std_out & bp::std_err) > log, DieWithParent());
+  std::fclose(log);
+}
+
+int Cluster::WaitForExit(const std::string& name, Millis patience) {
+  bp::child& child = *processes_.at(name).child_;
+  const auto end = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(patience.count());
+  while (child.running()) {
+    if (std::chrono::steady_clock::now() > end) {
+      return -1;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return child.exit_code();
+}
+
+bool Cluster::WaitFor(const std::string& name, const std::string& path) {
+  const auto end = std::chrono::steady_clock::now() + kStartPatience;
+  while (std::chrono::steady_clock::now() < end) {
+    http::Call call;
+    call.url_ = Url(name) + path;
+    call.timeout_ = Millis(2000);
+    const Result<http::Reply> reply = http::CallAndWait(call);
+    if (reply.ok() && reply.value().status_ == 200) {
+      return true;
+    }
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return false;
+}
+
+std::vector<json> Cluster::Journal(const std::string& name) const {
+  http::Call call;
+  call.url_ = Url(name) + "/journal";
+  std::vector<json> records;
+  const Result<http::Reply> reply = http::CallAndWait(call);
+  if (!reply.ok()) {
+    return records;
+  }
+  std::istringstream lines(reply.value().body_);
+  for (std::string line; std::getline(lines, line);) {
+    records.push_back(json::parse(line));
+  }
+  return records;
+}
+
+}  // namespace bergamotscale::testing
--- /dev/null
+++ b/tests/support/raw_caller.h
@@ -0,0 +1,50 @@
+// A caller for tests that can leave at any time.
+#ifndef BERGAMOTSCALE_TESTS_SUPPORT_RAW_CALLER_H_
+#define BERGAMOTSCALE_TESTS_SUPPORT_RAW_CALLER_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+namespace bergamotscale::testing {
+
+// A blocking caller that speaks raw HTTP.
+class RawCaller {
+ public:
+  explicit RawCaller(uint16_t port) : socket_(io_) {
+    socket_.connect(boost::asio::ip::tcp::endpoint(
+        boost::asio::ip::make_address("127.0.0.1"), port));
+  }
+  // @return whether all was taken.
+  bool Send(const std::string& text) {
+    boost::system::error_code error;
+    boost::asio::write(socket_, boost::asio::buffer(text), error);
+    return !error;
+  }
+  // @return what came until text was among it, or until the end.
+  std::string ReadUntil(const std::string& text) {
+    boost::system::error_code error;
+    std::array<char, 4096> buffer;
+    while (received_.find(text) == std::string::npos && !error) {
+      const size_t count =
+          socket_.read_some(boost::asio::buffer(buffer), error);
+      received_.append(buffer.data(), count);
+    }
+    return received_;
+  }
+  std::string ReadAll() { return ReadUntil("\x01never"); }
+  void Close() { socket_.close(); }
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string received_;
+};
+
+}  // namespace bergamotscale::testing
+
+#endif  // BERGAMOTSCALE_TESTS_SUPPORT_RAW_CALLER_H_
