--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -24,6 +24,10 @@
   add_compile_options(-fsanitize=${BERGAMOTSCALE_SANITIZE} -g -O1)
   add_link_options(-fsanitize=${BERGAMOTSCALE_SANITIZE})
 endif()
+if(BERGAMOTSCALE_FUZZ)
+  add_compile_options(-fsanitize=fuzzer-no-link,address -O1)
+  add_link_options(-fsanitize=address)
+endif()
 if(BERGAMOTSCALE_SANITIZE STREQUAL "thread" AND CMAKE_CXX_COMPILER_ID STREQUAL
                                                 "GNU")
   # Asio has fences, which the sanitizer can't follow; its queues lock mutexes.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -274,6 +274,10 @@
   return std::string(buffer.data(), buffer.size());
 }
 
+// @return bounds within which the lengths in a frame can be true; without them
+// a few bytes would claim any amount of memory. Thread safety: safe.
+msgpack::unpack_limit LimitOf(std::string_view frame);
+
 // @return the message in a frame, or kProtocolError. Thread safety: safe.
 template <typename T>
 Result<T> Decode(std::string_view frame) {
@@ -285,8 +289,8 @@
     return Error(ErrorCode::kProtocolError, "unexpected message type");
   }
   try {
-    const msgpack::object_handle handle =
-        msgpack::unpack(frame.data() + 1, frame.size() - 1);
+    const msgpack::object_handle handle = msgpack::unpack(
+        frame.data() + 1, frame.size() - 1, nullptr, nullptr, LimitOf(frame));
     return handle.get().as<T>();
   } catch (const std::exception& failure) {
     return Error(ErrorCode::kProtocolError, failure.what());
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -28,5 +28,15 @@
   CHECK(!PeekType("\x7f").ok());
 }
 
+TEST_CASE("wire: a frame that claims huge lengths is refused unread") {
+  for (const char* claim : {"\xdd\x00\xff\xff\xff", "\xdf\x00\xff\xff\xff"}) {
+    const std::string frame = std::string("\x06", 1) + std::string(claim, 5);
+    const Result<Refused> decoded = Decode<Refused>(frame);
+    REQUIRE(!decoded.ok());
+    // The library's word for a length over its limit.
+    CHECK(decoded.error().detail_.find("overflow") != std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace bergamotscale::wire
