--- a/benchmark/capacity_peers.cc
+++ b/benchmark/capacity_peers.cc
@@ -25,7 +25,7 @@
 DEFINE_int32(interval_ms, 100, "interval of status messages");
 DEFINE_string(group, "keywording", "group of the sidecars");
 DEFINE_string(model, "keywords-8b", "model of the sidecars");
-DEFINE_int64(revision, 1, "revision that the entries have");
+DEFINE_int64(revision, 1, "revision that the peers have");
 
 namespace bergamotscale {
 namespace {
@@ -74,6 +74,8 @@
     servers_.push_back(std::make_unique<link::LinkServer>(
         io_, link::LinkOptions(),
         [this, index](const std::string&, link::Stream stream) {
+          // A peer that is behind would be sent the whole document.
+          Send(stream, GossipOf("sidecar-" + std::to_string(index)));
           sidecar_streams_.push_back({index, std::move(stream)});
           return CountingHooks();
         }));
@@ -110,10 +112,7 @@
     if (!stream.ok()) {
       return;
     }
-    wire::Gossip gossip;
-    gossip.from_ = InstanceId("entry-" + std::to_string(index));
-    gossip.revision_ = Revision(FLAGS_revision);
-    Send(stream.value(), wire::Encode(gossip));
+    Send(stream.value(), GossipOf("entry-" + std::to_string(index)));
     entry_streams_.push_back(stream.value());
   }
 
@@ -143,6 +142,13 @@
     timer_.async_wait([this](const boost::system::error_code&) { Tick(); });
   }
 
+  static std::string GossipOf(const std::string& from) {
+    wire::Gossip gossip;
+    gossip.from_ = InstanceId(from);
+    gossip.revision_ = Revision(FLAGS_revision);
+    return wire::Encode(gossip);
+  }
+
   static std::string StatusOf(int index) {
     wire::SidecarStatus status;
     status.sidecar_ = InstanceId("sidecar-" + std::to_string(index));
