--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -206,6 +206,11 @@
           wire::CrashVerdict{record.digest_, record.crashes_, record.convicted_,
                              record.expires_in_});
     }
+    for (const policy::WorkspaceDemand& demand :
+         admission_.Demands(steady_.Now())) {
+      gossip.demands_.push_back(
+          wire::WorkspaceDemand{demand.workspace_, demand.per_second_});
+    }
     return gossip;
   }
 
@@ -214,6 +219,11 @@
       follower_.Offer(gossip.revision_, gossip.config_offset_,
                       gossip.document_);
     }
+    std::vector<policy::WorkspaceDemand> demands;
+    for (const wire::WorkspaceDemand& demand : gossip.demands_) {
+      demands.push_back({demand.workspace_, demand.per_second_});
+    }
+    admission_.TakeDemands(demands, steady_.Now());
     bool changed = false;
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
       const policy::SuspicionRecord record{verdict.digest_, verdict.crashes_,
--- a/src/sidecar/status_hub.h
+++ b/src/sidecar/status_hub.h
@@ -26,8 +26,7 @@
 
   // Sends to all peers that keep up.
   void Broadcast(const wire::SidecarStatus& status);
-  void Broadcast(const std::vector<wire::CrashVerdict>& verdicts,
-                 const InstanceId& from);
+  void Broadcast(const wire::Gossip& gossip);
   // Sends a gossip whose document goes only to peers with an older revision.
   void BroadcastConfig(const wire::Gossip& gossip);
   // Ends all streams.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -202,6 +202,13 @@
   MSGPACK_DEFINE(digest_, crashes_, convicted_, expires_in_)
 };
 
+// Requests per second of one workspace.
+struct WorkspaceDemand {
+  WorkspaceId workspace_;
+  double per_second_ = 0;
+  MSGPACK_DEFINE(workspace_, per_second_)
+};
+
 // Either way on a status stream: soft state that peers pass on. A peer with an
 // older revision is sent the document.
 struct Gossip {
@@ -210,7 +217,15 @@
   LogOffset config_offset_;
   std::string document_;
   std::vector<CrashVerdict> crash_verdicts_;
-  MSGPACK_DEFINE(from_, revision_, config_offset_, document_, crash_verdicts_)
+  // From an entry, what it sees itself; from a sidecar, the sums of what it was
+  // told. Empty if there is nothing to tell.
+  std::vector<WorkspaceDemand> demands_;
+  MSGPACK_DEFINE(from_,
+                 revision_,
+                 config_offset_,
+                 document_,
+                 crash_verdicts_,
+                 demands_)
 };
 
 // Any message, as one frame: the type's number, then its fields.
