--- a/benchmark/path_benchmark.cc
+++ b/benchmark/path_benchmark.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <iostream>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -49,6 +49,7 @@
   std::vector<double> first_token_;
   std::vector<double> whole_;
   int failed_ = 0;
+  std::map<std::string, int> codes_;  // of those that failed
 };
 
 // Keeps a number of streams in flight against one URL. Each pauses for a
@@ -135,8 +136,8 @@
           static_cast<double>(result.last_token_.count()) / kMicrosPerMilli);
     } else {
       ++samples_->failed_;
-      std::cerr << url_ << ": " << ResultName(result.kind_) << " "
-                << result.status_ << " " << result.code_ << "\n";
+      ++samples_->codes_[std::string(ResultName(result.kind_)) + " " +
+                         result.code_];
     }
     boost::asio::post(io_, [this, number = result.number_] {
       live_.erase(number);
@@ -165,12 +166,19 @@
               a.p99_, b.p50_, b.p99_, b.p50_ - a.p50_, b.p99_ - a.p99_);
 }
 
+void PrintFailures(const char* name, const Samples& samples) {
+  for (const auto& [code, count] : samples.codes_) {
+    std::printf("%s: %d %s\n", name, count, code.c_str());
+  }
+}
+
 int RunOpen() {
   Samples path;
   Round(FLAGS_entry, std::random_device()(), &path).Run();
   const Spread whole = SpreadOf(path.whole_);
   std::printf("%zu by the path, %d failed; whole answers %.2f ms, 99th %.2f\n",
               path.whole_.size(), path.failed_, whole.p50_, whole.p99_);
+  PrintFailures("path", path);
   return path.failed_ == 0 ? 0 : 1;
 }
 
@@ -195,6 +203,9 @@
       static_cast<unsigned long long>(FLAGS_seed));
   std::printf("%-12s %9s %9s %9s %9s %9s %9s\n", "", "direct50", "direct99",
               "path50", "path99", "added50", "added99");
+  PrintFailures("warm-up", warm_up);
+  PrintFailures("direct", direct);
+  PrintFailures("path", path);
   PrintRow("first token", direct.first_token_, path.first_token_);
   PrintRow("whole", direct.whole_, path.whole_);
   return direct.failed_ + path.failed_ == 0 ? 0 : 1;
