--- a/src/console/console.cc
+++ b/src/console/console.cc
@@ -9,6 +9,7 @@
 #include "src/config/config_publisher.h"
 #include "src/config/document_reader.h"
 #include "src/config/key_hash.h"
+#include "src/console/guarded_listener.h"
 #include "src/console/html.h"
 #include "src/console/login.h"
 #include "src/console/pages.h"
@@ -38,6 +39,16 @@
 constexpr int kHttpNotFound = 404;
 constexpr char kCsrf[] = "csrf";
 
+link::Endpoint OuterOf(const ConsoleSettings& settings) {
+  return {settings.address_, static_cast<uint16_t>(settings.port_)};
+}
+
+link::Endpoint InnerOf(const ConsoleSettings& settings) {
+  const int port =
+      settings.listener_port_ > 0 ? settings.listener_port_ : settings.port_;
+  return {settings.listener_address_, static_cast<uint16_t>(port)};
+}
+
 json DocumentOf(const std::shared_ptr<const ConfigSnapshot>& snapshot) {
   return snapshot ? json::parse(snapshot->text_) : json();
 }
@@ -53,21 +64,22 @@
         publisher_(client_, follower_),
         sessions_(Clock::Steady()),
         login_(sessions_, mutex_, [this] { return Operators(); }),
-        listener_(settings.address_, static_cast<uint16_t>(settings.port_)) {
+        server_(OuterOf(settings), InnerOf(settings)),
+        listener_(server_.listener()) {
     AddRoutes();
   }
 
   Status Start() {
     follower_.Start();
-    return listener_.Open();
+    return server_.Open();
   }
 
   void Stop() {
-    listener_.Close();
+    server_.Close();
     follower_.Stop();
   }
 
-  std::string url() const { return listener_.url(); }
+  std::string url() const { return server_.url(); }
 
  private:
   // Handles a request of a session; called with mutex_ held.
@@ -388,7 +400,8 @@
   std::mutex mutex_;
   Sessions sessions_;
   Login login_;
-  http::Listener listener_;
+  GuardedListener server_;
+  http::Listener& listener_;
 };
 
 Console::Console(const ConsoleSettings& settings)
--- a/src/console/console.h
+++ b/src/console/console.h
@@ -16,6 +16,10 @@
 struct ConsoleSettings {
   std::string address_ = "127.0.0.1";
   int port_ = 0;
+  // Where the HTTP library listens behind the guard, on loopback; port zero
+  // stands for port_.
+  std::string listener_address_ = "127.0.0.2";
+  int listener_port_ = 0;
   std::string log_url_;
   // Who may log in while the configuration names no operators.
   std::vector<Operator> bootstrap_operators_;
--- a/src/console/console_settings.cc
+++ b/src/console/console_settings.cc
@@ -11,6 +11,10 @@
 void ReadConsoleSettings(FieldReader& reader, ConsoleSettings* settings) {
   reader.String("address", Need::kOptional, &settings->address_);
   reader.Integer("port", Need::kRequired, 1, 65535, &settings->port_);
+  reader.String("listener_address", Need::kOptional,
+                &settings->listener_address_);
+  reader.Integer("listener_port", Need::kOptional, 1, 65535,
+                 &settings->listener_port_);
   reader.String("log_url", Need::kRequired, &settings->log_url_);
   reader.Objects(
       "bootstrap_operators", Need::kOptional, [&](FieldReader& nested) {
