Config tests: what goes wrong without reading back

Change: a test appends as a simple client would: its answer is lost while the record is accepted, and sent again under a fresh id the operator's own change conflicts with itself.

--- a/tests/config_publish_test.cc
+++ b/tests/config_publish_test.cc
@@ -232,6 +232,32 @@
   }
 }
 
+// What the publisher's reading and its fixed id are for.
+TEST_CASE("publish: an append's answer alone tells the wrong outcome") {
+  const auto server = OpenLog();
+  Recorder recorder;
+  Nodes nodes = StartNodes(1, *server, recorder);
+  Node& node = *nodes[0];
+  LogFaults faults;
+  faults.lose_answers_ = 1;
+  server->SetFaults(faults);
+  PublicationRecord record;
+  record.id_ = PublicationId("first");
+  record.document_ = nlohmann::json::object();
+  CHECK(!testing::AppendAndWait(node.client_, log::kConfigStream,
+                                EncodeRecord(record))
+             .ok());
+  REQUIRE(WaitUntil([&] { return AllAt(nodes, Revision(1)); }));
+  // Sent again under a fresh id, the operator's own change conflicts with it.
+  record.id_ = PublicationId("second");
+  REQUIRE(testing::AppendAndWait(node.client_, log::kConfigStream,
+                                 EncodeRecord(record))
+              .ok());
+  REQUIRE(WaitUntil(
+      [&] { return node.follower_.FindOutcome(record.id_).has_value(); }));
+  CHECK(!node.follower_.FindOutcome(record.id_)->accepted_);
+}
+
 TEST_CASE("publish: a lost answer is settled by reading") {
   const auto server = OpenLog();
   Recorder recorder;
