Orders: resend after retention, a silent log, ports outside the kernel's own

The test took a port from the range of outgoing connections and gave it to a process a second later. That this was the cause is not proved. Change: free ports below that range; a process that isn't ready is named with its log; the log's silence is a fault; a resend after retention to a fresh process is tested.

--- a/tests/process/orders_bench.cc
+++ b/tests/process/orders_bench.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <sstream>
 
+#include <doctest/doctest.h>
 #include <xxhash.h>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,7 @@
 #include "src/config/config_record.h"
 #include "src/config/key_hash.h"
 #include "src/log/log_client.h"
+#include "tests/support/free_port.h"
 
 namespace bergamotscale::tests {
 namespace {
@@ -102,7 +104,7 @@
   constexpr const char* kNames[kFaultCount] = {
       "kill entry",   "kill sidecar", "kill service", "stop entry",
       "stop sidecar", "log down",     "log slow",     "log loses answers",
-      "cut link",     "silent link"};
+      "log silent",   "cut link",     "silent link"};
   return kNames[static_cast<int>(fault)];
 }
 
@@ -140,13 +142,13 @@
 }
 
 void OrdersBench::AddLog() {
-  ports_["log"] = FreePort();
+  ports_["log"] = testing::FreePort();
   Add("fake_log", "log", json{{"port", ports_["log"]}}.dump());
 }
 
 void OrdersBench::AddService(int index) {
   const std::string name = "service-" + std::to_string(index);
-  ports_[name] = FreePort();
+  ports_[name] = testing::FreePort();
   Add("fake_service", name,
       json{{"port", ports_[name]},
            {"delay_ms", 20},
@@ -157,8 +159,8 @@
 void OrdersBench::AddSidecar(int index) {
   const std::string number = std::to_string(index);
   const std::string name = "sidecar-" + number;
-  ports_[name] = FreePort();
-  ports_["link-" + number] = FreePort();
+  ports_[name] = testing::FreePort();
+  ports_["link-" + number] = testing::FreePort();
   Add("bergamot_sidecar", name,
       json{{"instance", name},
            {"availability_zone", "a"},
@@ -177,7 +179,7 @@
 
 void OrdersBench::AddEntry(int index) {
   const std::string name = "entry-" + std::to_string(index);
-  ports_[name] = FreePort();
+  ports_[name] = testing::FreePort();
   json sidecars = json::array();
   for (int sidecar = 1; sidecar <= kPairs; ++sidecar) {
     const std::string number = std::to_string(sidecar);
@@ -193,7 +195,7 @@
       json{{"instance", name},
            {"availability_zone", "a"},
            {"public", EndpointOf(ports_[name])},
-           {"listener", EndpointOf(FreePort())},
+           {"listener", EndpointOf(testing::FreePort())},
            {"log_url", UrlOf(ports_["log"])},
            {"sidecars", sidecars}}
           .dump());
@@ -233,6 +235,8 @@
   for (const auto& [name, node] : nodes_) {
     const bool ready = name == "log" || name.find("service") == 0;
     if (!WaitUntilOk(UrlOf(ports_[name]) + (ready ? "/healthz" : "/readyz"))) {
+      MESSAGE(name << " is not ready: "
+                   << ReadText(folder_.File(name + ".log")));
       return false;
     }
   }
@@ -383,6 +387,9 @@
     case Fault::kLogLosesAnswers:
       PostLogFaults(R"({"lose_answers": -1})");
       return;
+    case Fault::kLogSilent:
+      PostLogFaults(R"({"silent": true})");
+      return;
     case Fault::kCutLink:
       return;
     case Fault::kSilentLink:
@@ -407,7 +414,9 @@
     case Fault::kLogDown:
     case Fault::kLogSlow:
     case Fault::kLogLosesAnswers:
-      PostLogFaults(R"({"down": false, "slow_ms": 0, "lose_answers": 0})");
+    case Fault::kLogSilent:
+      PostLogFaults(R"({"down": false, "slow_ms": 0, "lose_answers": 0,
+                        "silent": false})");
       return;
     case Fault::kCutLink:
     case Fault::kSilentLink:
--- a/tests/process/orders_bench.h
+++ b/tests/process/orders_bench.h
@@ -28,10 +28,11 @@
   kLogDown,
   kLogSlow,
   kLogLosesAnswers,
-  kCutLink,  // one connection after another
+  kLogSilent,  // holds every call without an answer
+  kCutLink,    // one connection after another
   kSilentLink,
 };
-inline constexpr int kFaultCount = 10;
+inline constexpr int kFaultCount = 11;
 
 // @return a name for messages.
 const char* FaultName(Fault fault);
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -72,9 +72,10 @@
 // process.
 class Bench {
  public:
-  explicit Bench(GroupKind kind) : io_(NewContext()) {
+  explicit Bench(GroupKind kind, Millis retention = Millis(3'600'000))
+      : io_(NewContext()) {
     log_port_ = FreePort();
-    OpenLog();
+    OpenLog(retention);
     upstream_port_ = FreePort();
     OpenUpstream(kind);
     settings_.instance_ = InstanceId("sidecar-1");
@@ -106,6 +107,13 @@
     }));
   }
 
+  void Restart() {
+    client_->Close();
+    sidecar_->Stop();
+    sidecar_.reset();
+    Start();
+  }
+
   ~Bench() {
     if (client_ != nullptr) {
       client_->Close();
@@ -203,8 +211,9 @@
   std::unique_ptr<Sidecar> sidecar_;
 
  private:
-  void OpenLog() {
+  void OpenLog(Millis retention) {
     standins::LogServerOptions options;
+    options.store_.retention_ = retention;
     options.port_ = log_port_;
     log_ = std::make_unique<standins::LogServer>(options);
     REQUIRE(log_->Open().ok());
@@ -358,6 +367,24 @@
   CHECK(bench.JournalLines("\"key\":\"k\"") == 1);
 }
 
+TEST_CASE("sidecar: a resend after retention is refused, never run afresh") {
+  Bench bench(GroupKind::kService, Millis(1200));
+  bench.settings_.orders_.fold_.horizon_ = Millis(500);
+  bench.settings_.orders_.fold_.max_clock_difference_ = Millis(100);
+  bench.settings_.orders_.snapshot_interval_ = Millis(200);
+  bench.Start();
+  CHECK(bench.Run(OrderWork("r1", "k"))->finished_);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  // A fresh process knows only what the log still has.
+  bench.Restart();
+  const auto resend = bench.Run(OrderWork("r2", "k"));
+  REQUIRE(resend->refused_);
+  CHECK(resend->refused_->code_ == ErrorCode::kKeyExpired);
+  CHECK(resend->refused_->verdict_ == Verdict::kMayHaveRun);
+  CHECK(bench.JournalLines("\"key\":\"k\"") == 1);
+  CHECK(bench.Run(OrderWork("r3", "fresh"))->finished_);
+}
+
 TEST_CASE("sidecar: a call that is not idempotent needs a key") {
   Bench bench(GroupKind::kService);
   bench.Start();
