--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -17,6 +17,7 @@
 #include "standins/engine/engine_server.h"
 #include "standins/platform/log_server.h"
 #include "standins/service/service_server.h"
+#include "tests/support/free_port.h"
 
 namespace bergamotscale::sidecar {
 namespace {
@@ -24,14 +25,6 @@
 constexpr char kAddress[] = "127.0.0.1";
 const ModelId kModel("keywords");
 
-// A port that was free a moment ago.
-uint16_t FreePort() {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(
-      io, {boost::asio::ip::make_address(kAddress), 0});
-  return acceptor.local_endpoint().port();
-}
-
 std::string UrlOf(int port) {
   return "http://" + std::string(kAddress) + ":" + std::to_string(port);
 }
@@ -74,15 +67,15 @@
  public:
   explicit Bench(GroupKind kind, Millis retention = Millis(3'600'000))
       : io_(NewContext()) {
-    log_port_ = FreePort();
+    log_port_ = testing::FreePort();
     OpenLog(retention);
-    upstream_port_ = FreePort();
+    upstream_port_ = testing::FreePort();
     OpenUpstream(kind);
     settings_.instance_ = InstanceId("sidecar-1");
     settings_.kind_ = kind;
     settings_.upstream_url_ = UrlOf(upstream_port_);
-    settings_.link_ = {kAddress, FreePort()};
-    settings_.http_ = {kAddress, FreePort()};
+    settings_.link_ = {kAddress, testing::FreePort()};
+    settings_.http_ = {kAddress, testing::FreePort()};
     settings_.log_url_ = UrlOf(log_port_);
     settings_.health_interval_ = Millis(50);
     settings_.grant_timeout_ = Millis(150);
