--- a/src/sidecar/status_hub.cc
+++ b/src/sidecar/status_hub.cc
@@ -49,11 +49,7 @@
   }
 }
 
-void StatusHub::Broadcast(const std::vector<wire::CrashVerdict>& verdicts,
-                          const InstanceId& from) {
-  wire::Gossip gossip;
-  gossip.from_ = from;
-  gossip.crash_verdicts_ = verdicts;
+void StatusHub::Broadcast(const wire::Gossip& gossip) {
   const std::string frame = wire::Encode(gossip);
   for (const auto& peer : peers_) {
     Send(*peer, frame);
