--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -17,6 +17,7 @@
 #include "standins/engine/engine_server.h"
 #include "standins/platform/log_server.h"
 #include "standins/service/service_server.h"
+#include "tests/support/free_port.h"
 
 namespace bergamotscale::sidecar {
 namespace {
@@ -24,14 +25,6 @@
 constexpr char kAddress[] = "127.0.0.1";
 const ModelId kModel("keywords");
 
-// A port that was free a moment ago.
-uint16_t FreePort() {
-  boost::asio::io_context io;
-  boost::asio::ip::tcp::acceptor acceptor(
-      io, {boost::asio::ip::make_address(kAddress), 0});
-  return acceptor.local_endpoint().port();
-}
-
 std::string UrlOf(int port) {
   return "http://" + std::string(kAddress) + ":" + std::to_string(port);
 }
@@ -72,16 +65,17 @@
 // process.
 class Bench {
  public:
-  explicit Bench(GroupKind kind) : io_(NewContext()) {
-    log_port_ = FreePort();
-    OpenLog();
-    upstream_port_ = FreePort();
+  explicit Bench(GroupKind kind, Millis retention = Millis(3'600'000))
+      : io_(NewContext()) {
+    log_port_ = testing::FreePort();
+    OpenLog(retention);
+    upstream_port_ = testing::FreePort();
     OpenUpstream(kind);
     settings_.instance_ = InstanceId("sidecar-1");
     settings_.kind_ = kind;
     settings_.upstream_url_ = UrlOf(upstream_port_);
-    settings_.link_ = {kAddress, FreePort()};
-    settings_.http_ = {kAddress, FreePort()};
+    settings_.link_ = {kAddress, testing::FreePort()};
+    settings_.http_ = {kAddress, testing::FreePort()};
     settings_.log_url_ = UrlOf(log_port_);
     settings_.health_interval_ = Millis(50);
     settings_.grant_timeout_ = Millis(150);
@@ -106,6 +100,13 @@
     }));
   }
 
+  void Restart() {
+    client_->Close();
+    sidecar_->Stop();
+    sidecar_.reset();
+    Start();
+  }
+
   ~Bench() {
     if (client_ != nullptr) {
       client_->Close();
@@ -203,8 +204,9 @@
   std::unique_ptr<Sidecar> sidecar_;
 
  private:
-  void OpenLog() {
+  void OpenLog(Millis retention) {
     standins::LogServerOptions options;
+    options.store_.retention_ = retention;
     options.port_ = log_port_;
     log_ = std::make_unique<standins::LogServer>(options);
     REQUIRE(log_->Open().ok());
@@ -358,6 +360,24 @@
   CHECK(bench.JournalLines("\"key\":\"k\"") == 1);
 }
 
+TEST_CASE("sidecar: a resend after retention is refused, never run afresh") {
+  Bench bench(GroupKind::kService, Millis(1200));
+  bench.settings_.orders_.fold_.horizon_ = Millis(500);
+  bench.settings_.orders_.fold_.max_clock_difference_ = Millis(100);
+  bench.settings_.orders_.snapshot_interval_ = Millis(200);
+  bench.Start();
+  CHECK(bench.Run(OrderWork("r1", "k"))->finished_);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  // A fresh process knows only what the log still has.
+  bench.Restart();
+  const auto resend = bench.Run(OrderWork("r2", "k"));
+  REQUIRE(resend->refused_);
+  CHECK(resend->refused_->code_ == ErrorCode::kKeyExpired);
+  CHECK(resend->refused_->verdict_ == Verdict::kMayHaveRun);
+  CHECK(bench.JournalLines("\"key\":\"k\"") == 1);
+  CHECK(bench.Run(OrderWork("r3", "fresh"))->finished_);
+}
+
 TEST_CASE("sidecar: a call that is not idempotent needs a key") {
   Bench bench(GroupKind::kService);
   bench.Start();
