Entry: an answer that is given up ends, so that the entry can stop

Cause: when a caller left a streamed answer, the writer was destroyed but the response kept its buffer open; cpprestsdk's listener waits in close() for every request that has no whole answer, so SIGTERM never ended the entry. A stack dump shows the main thread in Listener::Close. Ruled out: the guard's connections (the stop waits for them first and went past that), flows that stay alive (active() was 0). Change: the writer's end breaks off what has not ended. Conclusion: every request must be answered or broken off.

--- a/src/entry/answer_writer.cc
+++ b/src/entry/answer_writer.cc
@@ -49,6 +49,7 @@
   }
 
   void Send(const web::http::http_response& response) {
+    ended_ = !streaming_;
     request_.reply(response).then(
         [hook = on_caller_left_](const pplx::task<void>& sent) {
           try {
@@ -89,7 +90,23 @@
     return {{"id", id_.value()}, {"object", object}, {"model", model_.value()}};
   }
 
-  void EndStream() { buffer_.close(std::ios_base::out); }
+  void EndStream() {
+    ended_ = true;
+    buffer_.close(std::ios_base::out);
+  }
+
+  // The listener keeps a connection, and can't close, until its request has a
+  // whole answer, even if the caller has left: the response holds the buffer.
+  void Abandon() {
+    if (ended_) {
+      return;
+    }
+    if (streaming_) {
+      EndStream();
+    } else {
+      Send(NewResponse(HttpStatusOf(ErrorCode::kCancelled)));
+    }
+  }
 
   web::http::http_request request_;
   const RequestId id_;
@@ -97,6 +114,7 @@
   const std::function<void()> on_caller_left_;
   Buffer buffer_;
   bool streaming_ = false;
+  bool ended_ = false;
 };
 
 AnswerWriter::AnswerWriter(web::http::http_request request,
@@ -108,7 +126,9 @@
                                    std::move(model),
                                    std::move(on_caller_left))) {}
 
-AnswerWriter::~AnswerWriter() = default;
+AnswerWriter::~AnswerWriter() {
+  impl_->Abandon();
+}
 
 bool AnswerWriter::streaming() const {
   return impl_->streaming_;
--- a/src/entry/answer_writer.h
+++ b/src/entry/answer_writer.h
@@ -33,6 +33,7 @@
                RequestId id,
                ModelId model,
                std::function<void()> on_caller_left);
+  // Breaks off an answer that has not ended.
   ~AnswerWriter();
   AnswerWriter(const AnswerWriter&) = delete;
   AnswerWriter& operator=(const AnswerWriter&) = delete;
