Orders: a replayed chat gives the caller the whole first answer, once

Cause: the sidecar replays a chat's text as a chunk with an empty body, while the entry took the text from the body: a resent chat order was answered with an empty text, and one that was cut in mid-stream got its beginning twice. Ruled out: the fold (the outcome's text was right), the claim (one execution). Change: the sidecar sends the part that the caller lacks, the entry treats a replay like any answer; progress of an answer has a file of its own. Conclusion: outcomes are checked from the caller's side, by text.

--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -9,6 +9,7 @@
 #include <glog/logging.h>
 #include <boost/asio/steady_timer.hpp>
 
+#include "src/entry/answer_progress.h"
 #include "src/entry/attempt.h"
 #include "src/entry/retry_rule.h"
 
@@ -36,7 +37,7 @@
         request_(std::move(request)),
         writer_(std::move(writer)),
         on_end_(std::move(on_end)),
-        arrived_(traffic.steady_.Now()),
+        progress_(traffic.steady_.Now()),
         deadline_timer_(traffic.io_),
         delay_timer_(traffic.io_) {}
 
@@ -59,7 +60,7 @@
     }
     traffic_.timeline_.Add(EventType::kCallerLeft, request_.id_);
     Count("bergamot_callers_left");
-    Count("bergamot_wasted_tokens", tokens_.count());
+    Count("bergamot_wasted_tokens", progress_.tokens().count());
     End();
   }
 
@@ -69,7 +70,8 @@
   }
 
   Millis DeadlineLeft() const {
-    return request_.class_.deadline_ - (traffic_.steady_.Now() - arrived_);
+    return request_.class_.deadline_ -
+           (traffic_.steady_.Now() - progress_.arrived());
   }
 
   // @return false if the request has been refused.
@@ -132,7 +134,7 @@
   void OnDeadline() {
     if (attempt_ != nullptr && attempt_->bound()) {
       may_have_run_ = true;
-      Count("bergamot_wasted_tokens", tokens_.count());
+      Count("bergamot_wasted_tokens", progress_.tokens().count());
     }
     Refuse(Error(ErrorCode::kDeadlineExceeded), Millis(0));
   }
@@ -140,12 +142,12 @@
   AttemptPlan Plan() const {
     AttemptPlan plan;
     plan.number_ = attempts_;
-    plan.waited_ = traffic_.steady_.Now() - arrived_;
+    plan.waited_ = traffic_.steady_.Now() - progress_.arrived();
     plan.deadline_left_ = DeadlineLeft();
     plan.suspect_ = suspect_;
     plan.avoid_ = avoid_;
-    plan.resume_text_ = text_;
-    plan.resume_tokens_ = tokens_;
+    plan.resume_text_ = progress_.text();
+    plan.resume_tokens_ = progress_.tokens();
     return plan;
   }
 
@@ -174,17 +176,14 @@
   }
 
   void OnChunk(const wire::Chunk& chunk) {
-    const Millis now = traffic_.steady_.Now();
-    if (tokens_ == Tokens(0) && chunk.tokens_ > Tokens(0)) {
-      first_token_at_ = now;
-      traffic_.metrics_.Observe("bergamot_first_token_ms",
-                                request_.class_.name_.value(),
-                                (now - arrived_).count());
+    const bool first =
+        progress_.Add(chunk.text_, chunk.tokens_, traffic_.steady_.Now());
+    if (first) {
+      traffic_.metrics_.Observe(
+          "bergamot_first_token_ms", request_.class_.name_.value(),
+          static_cast<double>(progress_.first_token_after().count()));
       traffic_.timeline_.Add(EventType::kFirstToken, request_.id_);
     }
-    last_token_at_ = now;
-    text_ += chunk.text_;
-    tokens_ += chunk.tokens_;
     if (request_.stream_) {
       writer_->WriteChunk(chunk.text_);
     }
@@ -207,43 +206,21 @@
   void FinishChat(const wire::Finished& finished) {
     const Usage usage{finished.prompt_tokens_, finished.output_tokens_,
                       finished.cached_tokens_};
-    if (finished.replayed_) {
-      ReplayChat(finished, usage);
-      return;
+    if (!finished.replayed_) {
+      traffic_.output_.Observe(request_.class_.name_, progress_.tokens());
     }
-    traffic_.output_.Observe(request_.class_.name_, tokens_);
-    if (request_.stream_) {
-      writer_->FinishStream(finished.finish_reason_, usage);
-    } else {
-      writer_->ReplyChat(text_, finished.finish_reason_, usage);
-    }
-  }
-
-  // The recorded outcome carries the whole text in its body.
-  void ReplayChat(const wire::Finished& finished, const Usage& usage) {
     if (request_.stream_) {
-      const bool begun = writer_->streaming();
-      writer_->WriteChunk(begun ? finished.body_.substr(std::min(
-                                      text_.size(), finished.body_.size()))
-                                : finished.body_);
       writer_->FinishStream(finished.finish_reason_, usage);
     } else {
-      writer_->ReplyChat(finished.body_, finished.finish_reason_, usage);
+      writer_->ReplyChat(progress_.text(), finished.finish_reason_, usage);
     }
   }
 
   void CountFinished() {
-    const Millis now = traffic_.steady_.Now();
     Count("bergamot_finished");
-    Count("bergamot_delivered_tokens", tokens_.count());
-    const bool is_service = request_.kind_ == GroupKind::kService;
-    const Millis first = is_service ? now : first_token_at_;
-    const int64_t gaps = std::max<int64_t>(tokens_.count() - 1, 1);
-    const Millis between = (last_token_at_ - first_token_at_) / gaps;
-    const bool attained =
-        first - arrived_ <= request_.class_.first_token_ &&
-        (is_service || between <= request_.class_.between_tokens_);
-    if (attained) {
+    Count("bergamot_delivered_tokens", progress_.tokens().count());
+    if (progress_.MetTargets(request_.class_, request_.kind_,
+                             traffic_.steady_.Now())) {
       Count("bergamot_attained");
     }
   }
@@ -321,7 +298,7 @@
   }
 
   void Retry(const AttemptFailure& failure) {
-    const bool resumes = tokens_ > Tokens(0);
+    const bool resumes = progress_.tokens() > Tokens(0);
     traffic_.timeline_.Add(resumes ? EventType::kResumed : EventType::kRetried,
                            request_.id_, InstanceId(),
                            ErrorName(failure.error_.code_));
@@ -347,7 +324,7 @@
       traffic_.timeline_.Add(EventType::kQuarantined, request_.id_);
       error = Error(ErrorCode::kQuarantined);
     }
-    Count("bergamot_wasted_tokens", tokens_.count());
+    Count("bergamot_wasted_tokens", progress_.tokens().count());
     const bool waiting_helps = HttpStatusOf(error.code_) == 503;
     const Millis retry_after =
         waiting_helps && failure.retry_after_ == Millis(0)
@@ -381,15 +358,11 @@
   const CallerRequest request_;
   const std::unique_ptr<AnswerWriter> writer_;
   const std::function<void()> on_end_;
-  const Millis arrived_;
+  AnswerProgress progress_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer delay_timer_;
   std::unique_ptr<Attempt> attempt_;
   std::vector<InstanceId> avoid_;
-  std::string text_;
-  Tokens tokens_;
-  Millis first_token_at_;
-  Millis last_token_at_;
   Millis no_upstream_since_;
   int attempts_ = 0;
   int work_attempts_ = 0;
--- a/src/sidecar/work_session.cc
+++ b/src/sidecar/work_session.cc
@@ -169,8 +169,16 @@
 void WorkSession::Replay(const orders::Outcome& outcome) {
   context_.timeline_.Add(EventType::kClaimLost, reserve_.request_id_,
                          InstanceId(), "replayed");
-  if (!outcome.text_.empty()) {
-    SendChunk(outcome.text_, outcome.output_tokens_);
+  const std::string& sent = work_.resume_text_;
+  if (outcome.text_.compare(0, sent.size(), sent) != 0) {
+    Refuse(Error(ErrorCode::kProtocolError, "the caller has another answer"),
+           Verdict::kMayHaveRun, Millis(0));
+    return;
+  }
+  // An earlier attempt may have brought the caller a part of it.
+  if (outcome.text_.size() > sent.size()) {
+    SendChunk(outcome.text_.substr(sent.size()),
+              outcome.output_tokens_ - work_.resume_tokens_);
   }
   wire::Finished finished;
   finished.http_status_ = outcome.http_status_;
--- a/tests/process/chat_load.cc
+++ b/tests/process/chat_load.cc
@@ -80,13 +80,17 @@
 
 ChatAnswer Chat(const std::string& entry_url,
                 const std::string& content,
-                bool stream) {
+                bool stream,
+                const std::string& key) {
   http::Call call;
   call.method_ = "POST";
   call.url_ = entry_url + "/v1/chat/completions";
   call.body_ = ChatBody(content, stream);
   call.headers_ = {
       {"Authorization", std::string("Bearer ") + Cluster::kWorkspaceKey}};
+  if (!key.empty()) {
+    call.headers_.push_back({"Idempotency-Key", key});
+  }
   call.timeout_ = Millis(30000);
   ChatAnswer answer;
   const Result<http::Reply> reply = http::CallAndWait(call);
--- a/tests/process/chat_load.h
+++ b/tests/process/chat_load.h
@@ -26,9 +26,11 @@
 // @return what the answer to the content must be.
 std::string ExpectedText(const std::string& content);
 // Sends one request and waits for the answer.
+// @param key makes an order of it, unless empty.
 ChatAnswer Chat(const std::string& entry_url,
                 const std::string& content,
-                bool stream);
+                bool stream,
+                const std::string& key = {});
 // @return whether the answer is whole and right.
 bool IsWhole(const ChatAnswer& answer, const std::string& content);
 
