--- /dev/null
+++ b/src/core/chrono_time.h
@@ -0,0 +1,18 @@
+// Durations for the timers of the standard library and Boost.Asio.
+#ifndef BERGAMOTSCALE_SRC_CORE_CHRONO_TIME_H_
+#define BERGAMOTSCALE_SRC_CORE_CHRONO_TIME_H_
+
+#include <chrono>
+
+#include "bergamotscale/units.h"
+
+namespace bergamotscale {
+
+// @return the same duration. Thread safety: safe.
+inline std::chrono::milliseconds ToChrono(Millis duration) {
+  return std::chrono::milliseconds(duration.count());
+}
+
+}  // namespace bergamotscale
+
+#endif  // BERGAMOTSCALE_SRC_CORE_CHRONO_TIME_H_
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -1,7 +1,6 @@
 #include "src/entry/entry.h"
 
 #include <atomic>
-#include <chrono>
 #include <thread>
 #include <utility>
 
@@ -12,6 +11,7 @@
 
 #include "src/config/config_follower.h"
 #include "src/core/blackboard.h"
+#include "src/core/chrono_time.h"
 #include "src/entry/membership.h"
 #include "src/entry/router.h"
 #include "src/entry/traffic.h"
@@ -30,10 +30,6 @@
 using WorkGuard =
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
-std::chrono::milliseconds ToChrono(Millis duration) {
-  return std::chrono::milliseconds(duration.count());
-}
-
 policy::DispatcherOptions DispatcherOptionsOf(const EntrySettings& settings) {
   policy::DispatcherOptions options;
   options.zone_ = settings.zone_;
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -1,6 +1,5 @@
 #include "src/entry/membership.h"
 
-#include <chrono>
 #include <map>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "src/core/chrono_time.h"
 #include "src/http/client.h"
 
 namespace bergamotscale::entry {
@@ -130,7 +130,7 @@
   }
 
   void SchedulePoll() {
-    timer_.expires_after(std::chrono::milliseconds(kPollInterval.count()));
+    timer_.expires_after(ToChrono(kPollInterval));
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->stopped_) {
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -1,7 +1,6 @@
 #include "src/entry/request_flow.h"
 
 #include <algorithm>
-#include <chrono>
 #include <string>
 #include <utility>
 #include <vector>
@@ -9,6 +8,7 @@
 #include <glog/logging.h>
 #include <boost/asio/steady_timer.hpp>
 
+#include "src/core/chrono_time.h"
 #include "src/entry/answer_progress.h"
 #include "src/entry/attempt.h"
 #include "src/entry/retry_rule.h"
@@ -21,10 +21,6 @@
 constexpr Millis kReserveAgainDelay = Millis(25);
 constexpr Millis kDefaultRetryAfter = Millis(1000);
 
-std::chrono::milliseconds ToChrono(Millis duration) {
-  return std::chrono::milliseconds(duration.count());
-}
-
 }  // namespace
 
 class RequestFlow::Impl : public std::enable_shared_from_this<Impl> {
--- a/src/http/caller_guard.cc
+++ b/src/http/caller_guard.cc
@@ -12,6 +12,7 @@
 
 #include "src/http/caller_connection.h"
 #include "src/http/caller_registry.h"
+#include "src/link/open_acceptor.h"
 
 namespace bergamotscale::http {
 namespace {
@@ -62,27 +63,13 @@
 };
 
 Result<link::Endpoint> CallerGuard::Impl::Listen() {
-  const link::Endpoint& endpoint = options_->public_endpoint_;
-  AsioError error;
-  const auto address = boost::asio::ip::make_address(endpoint.address_, error);
-  const tcp::endpoint local(address, endpoint.port_);
-  if (!error) {
-    acceptor_.open(local.protocol(), error);
-  }
-  if (!error) {
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(local, error);
-  }
-  if (!error) {
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Error(ErrorCode::kInternal,
-                 endpoint.ToString() + ": " + error.message());
+  Result<link::Endpoint> bound =
+      link::OpenAcceptor(acceptor_, options_->public_endpoint_);
+  if (bound.ok()) {
+    AcceptNext();
+    ScheduleSweep();
   }
-  AcceptNext();
-  ScheduleSweep();
-  return link::Endpoint{endpoint.address_, acceptor_.local_endpoint().port()};
+  return bound;
 }
 
 void CallerGuard::Impl::AcceptNext() {
--- a/src/link/server.cc
+++ b/src/link/server.cc
@@ -7,6 +7,7 @@
 
 #include "src/link/connection.h"
 #include "src/link/link.h"
+#include "src/link/open_acceptor.h"
 
 namespace bergamotscale::link {
 namespace {
@@ -43,25 +44,11 @@
 };
 
 Result<Endpoint> LinkServer::Impl::Listen(const Endpoint& endpoint) {
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(endpoint.address_, error);
-  const tcp::endpoint local(address, endpoint.port_);
-  if (!error) {
-    acceptor_.open(local.protocol(), error);
+  Result<Endpoint> bound = OpenAcceptor(acceptor_, endpoint);
+  if (bound.ok()) {
+    AcceptNext();
   }
-  if (!error) {
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor_.bind(local, error);
-  }
-  if (!error) {
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Error(ErrorCode::kInternal,
-                 endpoint.ToString() + ": " + error.message());
-  }
-  AcceptNext();
-  return Endpoint{endpoint.address_, acceptor_.local_endpoint().port()};
+  return bound;
 }
 
 void LinkServer::Impl::AcceptNext() {
