Console: one file for each job; lost changes are told

Ruled out: keeping drafts on disk. It needs a store that moves with the console, for a form that is filled in within minutes. The console's metrics tell the revision that it has in force. Run: unit tests "console*" pass.

--- a/src/console/console.cc
+++ b/src/console/console.cc
@@ -1,5 +1,6 @@
 #include "src/console/console.h"
 
+#include <functional>
 #include <mutex>
 #include <utility>
 
@@ -9,13 +10,16 @@
 #include "src/config/config_publisher.h"
 #include "src/config/document_reader.h"
 #include "src/config/key_hash.h"
+#include "src/console/edit_actions.h"
 #include "src/console/guarded_listener.h"
 #include "src/console/html.h"
 #include "src/console/login.h"
 #include "src/console/pages.h"
+#include "src/console/replies.h"
 #include "src/console/sessions.h"
 #include "src/console/web_request.h"
 #include "src/http/listener.h"
+#include "src/http/metrics.h"
 #include "src/log/log_client.h"
 
 namespace bergamotscale::console {
@@ -28,16 +32,9 @@
 using nlohmann::json;
 using settings::FieldErrors;
 using web::http::http_request;
-using SessionPtr = std::shared_ptr<Session>;
 
 constexpr Millis kLogTimeout = Millis(3000);
-constexpr size_t kKeyBytes = 24;
 constexpr size_t kMaxCommentBytes = 500;
-constexpr int kHttpOk = 200;
-constexpr int kHttpBadRequest = 400;
-constexpr int kHttpForbidden = 403;
-constexpr int kHttpNotFound = 404;
-constexpr char kCsrf[] = "csrf";
 
 link::Endpoint OuterOf(const ConsoleSettings& settings) {
   return {settings.address_, static_cast<uint16_t>(settings.port_)};
@@ -60,7 +57,13 @@
   explicit Impl(const ConsoleSettings& settings)
       : settings_(settings),
         client_(settings.log_url_, kLogTimeout),
-        follower_(client_, {}, {}),
+        follower_(client_,
+                  {},
+                  [this](const ConfigSnapshot& snapshot) {
+                    metrics_.Set(
+                        "bergamot_config_revision", "",
+                        static_cast<double>(snapshot.revision_.value()));
+                  }),
         publisher_(client_, follower_),
         sessions_(Clock::Steady()),
         login_(sessions_, mutex_, [this] { return Operators(); }),
@@ -83,12 +86,16 @@
 
  private:
   // Handles a request of a session; called with mutex_ held.
-  using Page = void (Impl::*)(WebRequest&, const SessionPtr&);
-  using Action = void (Impl::*)(WebRequest&, const SessionPtr&, const Form&);
+  using Page = std::function<void(WebRequest&, const SessionPtr&)>;
+  using Action =
+      std::function<void(WebRequest&, const SessionPtr&, const Form&)>;
+  using OwnPage = void (Impl::*)(WebRequest&, const SessionPtr&);
+  using OwnAction = void (Impl::*)(WebRequest&, const SessionPtr&, const Form&);
 
   void AddRoutes() {
     http::SideHooks side;
     side.ready_ = [this] { return follower_.caught_up(); };
+    side.metrics_ = &metrics_;
     http::AddSideRoutes(listener_, std::move(side));
     listener_.Route("GET", "/style.css", [](http_request request) {
       WebRequest(request).ReplyStyle(StyleSheet());
@@ -102,18 +109,18 @@
             login_.LogIn(web, form);
           });
     });
-    AddPage("/", &Impl::ShowOverview);
-    AddPage("/edit", &Impl::ShowEdit);
-    AddPage("/review", &Impl::ShowReview);
-    AddPage("/history", &Impl::ShowHistory);
-    AddPage("/publication", &Impl::ShowPublication);
-    AddAction("/logout", &Impl::LogOut);
-    AddAction("/save", &Impl::Save);
-    AddAction("/remove", &Impl::Remove);
-    AddAction("/add_key", &Impl::AddKey);
-    AddAction("/remove_key", &Impl::RemoveKey);
-    AddAction("/discard", &Impl::Discard);
-    AddAction("/rebase", &Impl::Rebase);
+    AddPage("/", Own(&Impl::ShowOverview));
+    AddPage("/edit", ShowEdit);
+    AddPage("/review", Own(&Impl::ShowReview));
+    AddPage("/history", Own(&Impl::ShowHistory));
+    AddPage("/publication", Own(&Impl::ShowPublication));
+    AddAction("/logout", Own(&Impl::LogOut));
+    AddAction("/save", SaveEntry);
+    AddAction("/remove", RemoveEntry);
+    AddAction("/add_key", AddKey);
+    AddAction("/remove_key", RemoveKey);
+    AddAction("/discard", Own(&Impl::Discard));
+    AddAction("/rebase", Own(&Impl::Rebase));
     listener_.Route("POST", "/publish", [this](http_request request) {
       WebRequest(request).ReadForm(
           [this](const WebRequest& web, const Form& form) {
@@ -122,28 +129,41 @@
     });
   }
 
-  void AddPage(const std::string& path, Page page) {
+  Page Own(OwnPage page) {
+    return [this, page](WebRequest& web, const SessionPtr& session) {
+      (this->*page)(web, session);
+    };
+  }
+
+  Action Own(OwnAction action) {
+    return [this, action](WebRequest& web, const SessionPtr& session,
+                          const Form& form) {
+      (this->*action)(web, session, form);
+    };
+  }
+
+  void AddPage(const std::string& path, const Page& page) {
     listener_.Route("GET", path, [this, page](http_request request) {
       WebRequest web(request);
       const std::lock_guard<std::mutex> lock(mutex_);
       const SessionPtr session = sessions_.Find(web.Cookie(kSessionCookie));
       if (!session) {
-        web.Redirect("/login");
+        Login::SendToLogin(web);
         return;
       }
       FollowNewest(*session);
-      (this->*page)(web, session);
+      page(web, session);
     });
   }
 
-  void AddAction(const std::string& path, Action action) {
+  void AddAction(const std::string& path, const Action& action) {
     listener_.Route("POST", path, [this, action](http_request request) {
       WebRequest(request).ReadForm(
           [this, action](WebRequest web, const Form& form) {
             const std::lock_guard<std::mutex> lock(mutex_);
             const SessionPtr session = FindPoster(web, form);
             if (session) {
-              (this->*action)(web, session, form);
+              action(web, session, form);
             }
           });
     });
@@ -153,7 +173,7 @@
   SessionPtr FindPoster(WebRequest& web, const Form& form) {
     SessionPtr session = sessions_.Find(web.Cookie(kSessionCookie));
     if (!session) {
-      web.Redirect("/login");
+      Login::SendToLogin(web);
       return nullptr;
     }
     if (!config::EqualInConstantTime(form.Get(kCsrf), session->csrf_token_)) {
@@ -178,31 +198,6 @@
     return {follower_.revision(), follower_.caught_up(), follower_.Staleness()};
   }
 
-  static std::string CsrfInput(const Session& session) {
-    return HiddenInput(kCsrf, session.csrf_token_);
-  }
-
-  static void ReplyPage(WebRequest& web,
-                        const SessionPtr& session,
-                        int status,
-                        const std::string& title,
-                        const std::string& body) {
-    Frame frame;
-    frame.title_ = title;
-    frame.operator_ = session->operator_;
-    frame.csrf_token_ = session->csrf_token_;
-    frame.has_changes_ = session->draft_ && session->draft_->HasChanges();
-    web.ReplyHtml(status, RenderPage(frame, body));
-  }
-
-  static void ReplyMessage(WebRequest& web,
-                           const SessionPtr& session,
-                           int status,
-                           const std::string& title,
-                           const std::string& message) {
-    ReplyPage(web, session, status, title, "<p>" + Escape(message) + "</p>");
-  }
-
   std::vector<Operator> Operators() const {
     const auto current = follower_.Current();
     if (current && !current->document_.operators_.empty()) {
@@ -222,98 +217,6 @@
               OverviewBody(*session->draft_, StateOfLog()));
   }
 
-  void ShowEdit(WebRequest& web, const SessionPtr& session) {
-    const Section* section = FindSection(web.Query("list"));
-    const std::string name = web.Query("entry");
-    if (section == nullptr) {
-      ReplyMessage(web, session, kHttpNotFound, "Not found", "No such list.");
-      return;
-    }
-    const json entry =
-        name.empty() ? json::object() : session->draft_->Find(*section, name);
-    if (entry.is_null()) {
-      ReplyMessage(web, session, kHttpNotFound, "Not found", "No such entry.");
-      return;
-    }
-    ReplyEdit(web, session, *section, name, entry, {});
-  }
-
-  static void ReplyEdit(WebRequest& web,
-                        const SessionPtr& session,
-                        const Section& section,
-                        const std::string& name,
-                        const json& entry,
-                        const FieldErrors& errors) {
-    const std::string title = (name.empty() ? "New " : "Change ") +
-                              std::string(section.entry_title_) + " " + name;
-    ReplyPage(web, session, errors.empty() ? kHttpOk : kHttpBadRequest, title,
-              EditBody(section, name, entry, errors, CsrfInput(*session)));
-  }
-
-  void Save(WebRequest& web, const SessionPtr& session, const Form& form) {
-    const Section* section = FindSection(form.Get("list"));
-    const std::string name = form.Get("entry");
-    if (section == nullptr) {
-      ReplyMessage(web, session, kHttpNotFound, "Not found", "No such list.");
-      return;
-    }
-    json before =
-        name.empty() ? json::object() : session->draft_->Find(*section, name);
-    if (before.is_null()) {
-      before = json::object();
-    }
-    const json entry = TakeFields(*section, std::move(before), form);
-    const FieldErrors errors = session->draft_->Save(*section, name, entry);
-    if (!errors.empty()) {
-      ReplyEdit(web, session, *section, name, entry, errors);
-      return;
-    }
-    web.Redirect("/review");
-  }
-
-  void Remove(WebRequest& web, const SessionPtr& session, const Form& form) {
-    const Section* section = FindSection(form.Get("list"));
-    if (section != nullptr) {
-      session->draft_->Remove(*section, form.Get("entry"));
-    }
-    web.Redirect("/review");
-  }
-
-  void AddKey(WebRequest& web, const SessionPtr& session, const Form& form) {
-    const Section& section = *FindSection("workspaces");
-    const std::string name = form.Get("entry");
-    json entry = session->draft_->Find(section, name);
-    if (entry.is_null()) {
-      ReplyMessage(web, session, kHttpNotFound, "Not found", "No such entry.");
-      return;
-    }
-    const std::string key = "bk-" + config::RandomHex(kKeyBytes);
-    entry["key_hashes"].push_back(config::HashWorkspaceKey(key));
-    const FieldErrors errors = session->draft_->Save(section, name, entry);
-    if (!errors.empty()) {
-      ReplyEdit(web, session, section, name, entry, errors);
-      return;
-    }
-    ReplyPage(web, session, kHttpOk, "New key", NewKeyBody(name, key));
-  }
-
-  void RemoveKey(WebRequest& web, const SessionPtr& session, const Form& form) {
-    const Section& section = *FindSection("workspaces");
-    const std::string name = form.Get("entry");
-    json entry = session->draft_->Find(section, name);
-    if (!entry.is_null()) {
-      json kept = json::array();
-      for (const json& hash : entry.value("key_hashes", json::array())) {
-        if (hash != form.Get("hash")) {
-          kept.push_back(hash);
-        }
-      }
-      entry["key_hashes"] = kept;
-      session->draft_->Save(section, name, entry);
-    }
-    web.Redirect("/edit?list=workspaces&entry=" + QueryEscape(name));
-  }
-
   void ShowReview(WebRequest& web, const SessionPtr& session) {
     ReplyPage(web, session, kHttpOk, "Review",
               ReviewBody(*session->draft_, StateOfLog(), CsrfInput(*session)));
@@ -394,6 +297,7 @@
   }
 
   const ConsoleSettings settings_;
+  http::Metrics metrics_;
   log::LogClient client_;
   config::ConfigFollower follower_;
   config::ConfigPublisher publisher_;
--- a/src/console/login.cc
+++ b/src/console/login.cc
@@ -5,15 +5,17 @@
 #include "src/config/key_hash.h"
 #include "src/console/html.h"
 #include "src/console/pages.h"
+#include "src/console/replies.h"
 
 namespace bergamotscale::console {
 namespace {
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpForbidden = 403;
 constexpr int kHttpTooMany = 429;
 constexpr size_t kTokenBytes = 16;
 constexpr char kLoginCookie[] = "login";
+constexpr char kSessionEnded[] =
+    "Your session has ended, by its time or by a restart of the console. "
+    "Changes that were not published are gone.";
 
 // The form has no session yet: its token is also in a cookie of its own, which
 // another site can neither read nor set.
@@ -31,8 +33,14 @@
 Login::Login(Sessions& sessions, std::mutex& mutex, OperatorsHook operators)
     : sessions_(sessions), mutex_(mutex), operators_(std::move(operators)) {}
 
+void Login::SendToLogin(WebRequest& web) {
+  const bool had_session = !web.Cookie(kSessionCookie).empty();
+  web.Redirect(had_session ? "/login?ended=1" : "/login");
+}
+
 void Login::Show(WebRequest web) {
-  ShowForm(web, kHttpOk, "");
+  const bool ended = !web.Query("ended").empty();
+  ShowForm(web, kHttpOk, ended ? kSessionEnded : "");
 }
 
 void Login::LogIn(WebRequest web, const Form& form) {
--- a/src/console/login.h
+++ b/src/console/login.h
@@ -24,6 +24,9 @@
   // @param mutex guards sessions; both must outlive this.
   Login(Sessions& sessions, std::mutex& mutex, OperatorsHook operators);
 
+  // Sends a browser without a session to the form; one that had a session is
+  // told that its changes are gone.
+  static void SendToLogin(WebRequest& web);
   // Replies with the form.
   static void Show(WebRequest web);
   // Starts a session if the form's name and password are right.
--- a/src/console/pages.cc
+++ b/src/console/pages.cc
@@ -308,6 +308,9 @@
         "<button class=\"main\">Publish</button></form>";
   }
   if (draft.HasChanges()) {
+    html +=
+        "<p>Until they are published your changes are kept by this console "
+        "alone, and lost when it restarts.</p>";
     html += "<p>" + ButtonForm("/discard", "Discard my changes", csrf) + "</p>";
   }
   return html;
