Configuration: a fresh process shows no older revision, and learns from entries

A fresh process put each revision in force on its way through the log, so that one which replaced another showed older revisions than that one had. 2. An entry remembered over the loss of the link which revision the sidecar had, and so never sent the document to the fresh process behind the new link. 3. `bergamotctl status` showed no revision of a sidecar: it had no such metric. Ruled out: the fold, which never goes back within one process; the sidecars' side of gossip, as the fresh entry did learn. Change: nothing is in force until the end of the stream was reached once; a peer's state counts before that only once a read has failed. An entry forgets the peer's revision with the link.

--- a/src/config/config_follower.cc
+++ b/src/config/config_follower.cc
@@ -37,7 +37,8 @@
     log::FollowerHooks hooks;
     hooks.on_record_ = [this](const log::Record& record) { OnRecord(record); };
     hooks.on_expired_ = [this](LogOffset next) { OnLost(next); };
-    hooks.on_caught_up_ = [this] { AppendSnapshotIfDue(); };
+    hooks.on_caught_up_ = [this] { OnCaughtUp(); };
+    hooks.on_failed_ = [this] { OnReadFailed(); };
     follower_ = std::make_unique<log::StreamFollower>(
         client_, log::kConfigStream, options_.reading_, std::move(hooks),
         options_.steady_);
@@ -60,7 +61,10 @@
     }
     const std::lock_guard<std::recursive_mutex> lock(mutex_);
     fold_.Offer(state);
-    PutInForce();
+    offered_ = true;
+    if (reached_end_ || read_failed_) {
+      PutInForce();
+    }
   }
 
   std::shared_ptr<const ConfigSnapshot> Current() const {
@@ -95,7 +99,31 @@
   void OnRecord(const log::Record& record) {
     const std::lock_guard<std::recursive_mutex> lock(mutex_);
     fold_.Apply(record);
-    PutInForce();
+    if (reached_end_) {
+      PutInForce();
+    }
+  }
+
+  // A fresh process passes over the revisions on the way to the newest: the
+  // process that it replaces had a newer one in force.
+  void OnCaughtUp() {
+    {
+      const std::lock_guard<std::recursive_mutex> lock(mutex_);
+      if (!reached_end_) {
+        reached_end_ = true;
+        PutInForce();
+      }
+    }
+    AppendSnapshotIfDue();
+  }
+
+  // Peers may be a moment behind the log; without the log they know best.
+  void OnReadFailed() {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    read_failed_ = true;
+    if (!reached_end_ && offered_) {
+      PutInForce();
+    }
   }
 
   void OnLost(LogOffset resumed) {
@@ -204,6 +232,11 @@
   // When the snapshot that is due is appended.
   std::optional<Millis> append_at_;
   ConfigFold fold_;
+  // Whether the end of the stream was reached once, a read failed once, and a
+  // peer told its state once.
+  bool reached_end_ = false;
+  bool read_failed_ = false;
+  bool offered_ = false;
   Revision seen_;
   std::shared_ptr<const ConfigSnapshot> current_;
 };
--- a/src/config/config_follower.h
+++ b/src/config/config_follower.h
@@ -46,7 +46,9 @@
 };
 
 // Follows the configuration stream. While the log can't be reached the process
-// keeps what it has, and learns newer revisions from peers by Offer().
+// keeps what it has, and learns newer revisions from peers by Offer(). A fresh
+// one has nothing in force until it has read to the end of the stream, or a
+// read has failed and a peer has told its state.
 // Thread safety: safe.
 class ConfigFollower {
  public:
@@ -69,7 +71,8 @@
   // No hook runs after this returns, except in Offer(). Idempotent.
   void Stop();
 
-  // Takes what a peer has in force; an older or broken one is ignored.
+  // Takes what a peer has in force; an older or broken one is ignored. Before
+  // the first read has ended it comes into force only if that read fails.
   void Offer(Revision revision, LogOffset offset, const std::string& text);
 
   // @return what is in force, or null before the first revision. Its offset
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -88,6 +88,8 @@
       return;
     }
     peer.status_stream_ = stream.value();
+    // The process behind the link may be a fresh one that knows nothing.
+    peer.revision_ = Revision(0);
     peer.status_stream_.Send(wire::Encode(gossip_.make_(peer.revision_)));
   }
 
--- a/src/log/stream_follower.cc
+++ b/src/log/stream_follower.cc
@@ -78,6 +78,9 @@
         expired_ = true;
       } else {
         VLOG(1) << stream_ << ": " << page.error().Message();
+        if (hooks_.on_failed_) {
+          hooks_.on_failed_();
+        }
         http::CallAfter(options_.retry_delay_,
                         [self = shared_from_this()] { self->ReadOn(); });
         return;
--- a/src/log/stream_follower.h
+++ b/src/log/stream_follower.h
@@ -28,6 +28,8 @@
   std::function<void(const Record&)> on_record_;
   // After each read that reached the end of the stream.
   std::function<void()> on_caught_up_;
+  // After each read that failed; the next one follows by itself.
+  std::function<void()> on_failed_;
   // Records before this one can't be read any more, also at the start from
   // kFromOldest; it is delivered next.
   std::function<void(LogOffset next)> on_expired_;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -118,6 +118,8 @@
   // On a thread of the HTTP library, or the control thread by a peer's word.
   void OnConfig(const config::ConfigSnapshot& snapshot) {
     blackboard_.config_.Write(snapshot);
+    metrics_.Set("bergamot_config_revision", "",
+                 static_cast<double>(snapshot.revision_.value()));
     boost::asio::post(traffic_thread_.io(), [this] { traffic_.OnConfig(); });
   }
 
--- a/standins/fake_log.cc
+++ b/standins/fake_log.cc
@@ -27,6 +27,7 @@
   reader.Integer("retained_records", Need::kOptional, 1, 100000000,
                  &options->store_.retained_records_);
   reader.String("journal_file", Need::kOptional, &options->journal_file_);
+  reader.Boolean("restore", Need::kOptional, &options->restore_);
 }
 
 int Run(const LogServerOptions& options) {
--- a/standins/platform/log_server.cc
+++ b/standins/platform/log_server.cc
@@ -87,12 +87,32 @@
         clock_(std::move(clock)),
         store_(options_.store_),
         listener_(options_.address_, options_.port_) {
+    if (options_.restore_) {
+      Restore();
+    }
     if (!options_.journal_file_.empty()) {
       journal_stream_.open(options_.journal_file_, std::ios::app);
+      // Ends a line that the end of an earlier process cut short.
+      journal_stream_ << (options_.restore_ ? "\n" : "") << std::flush;
     }
     AddRoutes();
   }
 
+  // A line that the end of the process cut short was never answered.
+  void Restore() {
+    std::ifstream file(options_.journal_file_);
+    const Millis wall = Clock::Wall().Now();
+    const Millis now = clock_.Now();
+    for (std::string line; std::getline(file, line);) {
+      const json record = json::parse(line, nullptr, false);
+      if (record.is_object()) {
+        const Millis age = wall - Millis(record["time_ms"].get<int64_t>());
+        store_.Restore(record["stream"], record["payload"], now - age);
+        journal_ += line + "\n";
+      }
+    }
+  }
+
   void AddRoutes() {
     listener_.Route("GET", "/healthz", [](http_request request) {
       http::ReplyText(request, 200, "ok\n", "text/plain");
--- a/standins/platform/log_server.h
+++ b/standins/platform/log_server.h
@@ -39,6 +39,9 @@
   LogStoreOptions store_;
   // Receives the journal, as lines; empty for none.
   std::string journal_file_;
+  // Starts with the records of the journal file: a platform's log loses no
+  // record that it has accepted when a process of it ends.
+  bool restore_ = false;
 };
 
 // Thread safety: safe.
--- a/standins/platform/log_store.cc
+++ b/standins/platform/log_store.cc
@@ -49,6 +49,12 @@
   return offset;
 }
 
+void LogStore::Restore(const std::string& stream,
+                       std::string payload,
+                       Millis time) {
+  streams_[stream].entries_.push_back({time, std::move(payload)});
+}
+
 Result<log::ReadPage> LogStore::Read(const std::string& stream,
                                      LogOffset from,
                                      size_t max,
--- a/standins/platform/log_store.h
+++ b/standins/platform/log_store.h
@@ -30,6 +30,10 @@
                            std::string payload,
                            Millis now);
 
+  // Takes back a record of an earlier process, in the order of its appends.
+  // @param time of its append, on this process's clock; may be below zero.
+  void Restore(const std::string& stream, std::string payload, Millis time);
+
   // @return at most max records; kRecordsExpired if from isn't kept any more.
   Result<log::ReadPage> Read(const std::string& stream,
                              LogOffset from,
--- /dev/null
+++ b/tests/support/fault_pairs.h
@@ -0,0 +1,53 @@
+// Pairs of faults for runs, drawn so that no pair comes twice before all came.
+#ifndef BERGAMOTSCALE_TESTS_SUPPORT_FAULT_PAIRS_H_
+#define BERGAMOTSCALE_TESTS_SUPPORT_FAULT_PAIRS_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <random>
+#include <vector>
+
+namespace bergamotscale::tests {
+
+struct FaultPair {
+  int first_ = 0;
+  int second_ = 0;
+};
+
+// @return the pair of a seed, counted from one: all pairs of so many faults in
+// an order that is the same in each run.
+inline FaultPair PairOfSeed(int fault_count, int seed) {
+  std::vector<FaultPair> pairs;
+  for (int first = 0; first < fault_count; ++first) {
+    for (int second = first + 1; second < fault_count; ++second) {
+      pairs.push_back({first, second});
+    }
+  }
+  std::mt19937_64 random(1);
+  std::shuffle(pairs.begin(), pairs.end(), random);
+  return pairs[static_cast<size_t>(seed - 1) % pairs.size()];
+}
+
+// BERGAMOTSCALE_SEEDS and BERGAMOTSCALE_FIRST_SEED choose the seeds of a run.
+struct SeedRange {
+  int first_ = 1;
+  int last_ = 0;
+  // Whether more than the short run was asked for.
+  bool long_run_ = false;
+};
+
+inline SeedRange SeedsToRun(int count_in_ci) {
+  const char* count = std::getenv("BERGAMOTSCALE_SEEDS");
+  const char* first = std::getenv("BERGAMOTSCALE_FIRST_SEED");
+  SeedRange range;
+  range.first_ = first == nullptr ? 1 : std::atoi(first);
+  const int seeds = count == nullptr ? count_in_ci : std::atoi(count);
+  range.last_ = range.first_ + seeds - 1;
+  range.long_run_ = seeds > count_in_ci;
+  return range;
+}
+
+}  // namespace bergamotscale::tests
+
+#endif  // BERGAMOTSCALE_TESTS_SUPPORT_FAULT_PAIRS_H_
