Orders: the control without claims meets orders that run

An order ran for 20 ms of a longer cycle, so a stop met one only by chance.

Ruled out: a change in the product (the count varies on one build); the claims being on (no key is sent).

Change: in the control a service takes 400 ms; callers without keys resend what may have run, as callers do who have nothing to tell them that it is unsafe; each of the two faults must execute an order twice, in one of up to four seeds. Stricter than before, where either fault was enough.

--- a/tests/process/orders_bench.cc
+++ b/tests/process/orders_bench.cc
@@ -108,9 +108,10 @@
   return kNames[static_cast<int>(fault)];
 }
 
-OrdersBench::OrdersBench(uint64_t seed, KeyUse keys)
+OrdersBench::OrdersBench(uint64_t seed, KeyUse keys, Millis service_time)
     : random_(seed),
       keys_(keys),
+      service_time_(service_time),
       guard_(boost::asio::make_work_guard(io_)),
       relay_thread_([this] { io_.run(); }) {
   AddLog();
@@ -151,7 +152,7 @@
   ports_[name] = testing::FreePort();
   Add("fake_service", name,
       json{{"port", ports_[name]},
-           {"delay_ms", 20},
+           {"delay_ms", service_time_.count()},
            {"journal_file", folder_.File(name + ".journal")}}
           .dump());
 }
@@ -302,7 +303,9 @@
 }
 
 // Resends to the other entry until there is an answer of any kind. Some
-// callers ask again after the answer, which must be the same.
+// callers ask again after the answer, which must be the same. Callers without
+// keys have nothing that tells them when a resend is safe, and resend what may
+// have run as well.
 void OrdersBench::SendOrder(std::mt19937_64& random, const std::string& key) {
   size_t entry = random() % kPairs;
   for (int sends = 0; sends < kMaxSends; ++sends) {
@@ -313,7 +316,10 @@
     }
     const bool ask_again = keys_ == KeyUse::kKeys && random() % 8 == 0;
     const bool answered = send.result_ == SendResult::kAnswered;
-    if (send.result_ != SendResult::kUnanswered && !(answered && ask_again)) {
+    const bool unsure =
+        send.result_ == SendResult::kMayHaveRun && keys_ == KeyUse::kNoKeys;
+    const bool open = send.result_ == SendResult::kUnanswered || unsure;
+    if (!open && !(answered && ask_again)) {
       return;
     }
     entry = (entry + 1) % kPairs;
--- a/tests/process/orders_bench.h
+++ b/tests/process/orders_bench.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio.hpp>
 
+#include "bergamotscale/units.h"
 #include "tests/support/child_process.h"
 #include "tests/support/history.h"
 #include "tests/support/relay.h"
@@ -43,11 +44,18 @@
   kNoKeys,  // the same resends without claims: shows what the faults do
 };
 
+// How long a service takes for each order.
+inline constexpr Millis kShortService(20);
+// Longer than the rest of an order's way: a fault meets orders that run.
+inline constexpr Millis kLongService(400);
+
 // A log, two services with a sidecar each, two entries behind which callers
 // send. All on loopback; ends all of its processes.
 class OrdersBench {
  public:
-  explicit OrdersBench(uint64_t seed, KeyUse keys = KeyUse::kKeys);
+  explicit OrdersBench(uint64_t seed,
+                       KeyUse keys = KeyUse::kKeys,
+                       Millis service_time = kShortService);
   ~OrdersBench();
   OrdersBench(const OrdersBench&) = delete;
   OrdersBench& operator=(const OrdersBench&) = delete;
@@ -95,6 +103,7 @@
 
   std::mt19937_64 random_;
   KeyUse keys_;
+  Millis service_time_;
   ScratchFolder folder_;
   boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
--- a/tests/process/orders_test.cc
+++ b/tests/process/orders_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kSeedsInCi = 2;
+constexpr uint64_t kControlSeeds = 4;
 
 int SeedCount() {
   const char* text = std::getenv("BERGAMOTSCALE_SEEDS");
@@ -48,6 +49,23 @@
   return count;
 }
 
+// A fault only shows if an order runs on its target at that moment, which
+// depends on the pace of the machine; so several seeds are tried.
+bool ExecutesTwiceWithoutClaims(Fault fault) {
+  for (uint64_t seed = 1; seed <= kControlSeeds; ++seed) {
+    OrdersBench bench(seed, KeyUse::kNoKeys, kLongService);
+    REQUIRE(bench.Start());
+    bench.Run({fault});
+    Tell(seed, {fault}, bench);
+    const int twice = TimesExecutedTwice(bench.Check());
+    MESSAGE(twice << " orders executed twice");
+    if (twice > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 TEST_CASE("orders: no fault") {
@@ -73,15 +91,9 @@
 }
 
 TEST_CASE("orders: without claims the same faults execute twice") {
-  int twice = 0;
   for (const Fault fault : {Fault::kStopEntry, Fault::kStopSidecar}) {
-    OrdersBench bench(7, KeyUse::kNoKeys);
-    REQUIRE(bench.Start());
-    bench.Run({fault});
-    Tell(7, {fault}, bench);
-    twice += TimesExecutedTwice(bench.Check());
+    CHECK(ExecutesTwiceWithoutClaims(fault));
   }
-  CHECK(twice > 0);
 }
 
 }  // namespace bergamotscale::tests
