Binaries: one way to run a server until the stop

Found by reading the mains side by side.

Change: process::ServeUntilStop() and ctl::ReadDocument(). `bergamotctl check` now prints a fault with its error like the other commands.

--- a/src/console/main/main.cc
+++ b/src/console/main/main.cc
@@ -1,6 +1,4 @@
 // bergamot_console: operators' forms, publication of the configuration.
-#include <glog/logging.h>
-
 #include "src/console/console.h"
 #include "src/process/process.h"
 
@@ -16,14 +14,8 @@
       };
   options.run_ = [&settings] {
     console::Console console(settings);
-    const bergamotscale::Status started = console.Start();
-    if (!started.ok()) {
-      LOG(ERROR) << started.error().Message();
-      return 1;
-    }
-    process::WaitForStop();
-    console.Stop();
-    return 0;
+    return process::ServeUntilStop([&console] { return console.Start(); },
+                                   [&console] { console.Stop(); });
   };
   return process::RunProcess(argc, argv, options);
 }
--- a/src/entry/main/main.cc
+++ b/src/entry/main/main.cc
@@ -1,6 +1,4 @@
 // bergamot_entry: takes callers' requests.
-#include <glog/logging.h>
-
 #include "src/entry/entry.h"
 #include "src/entry/settings.h"
 #include "src/process/process.h"
@@ -17,14 +15,8 @@
       };
   options.run_ = [&settings] {
     entry::Entry entry(settings);
-    const bergamotscale::Status started = entry.Start();
-    if (!started.ok()) {
-      LOG(ERROR) << started.error().Message();
-      return 1;
-    }
-    process::WaitForStop();
-    entry.Stop();
-    return 0;
+    return process::ServeUntilStop([&entry] { return entry.Start(); },
+                                   [&entry] { entry.Stop(); });
   };
   return process::RunProcess(argc, argv, options);
 }
--- a/src/process/process.cc
+++ b/src/process/process.cc
@@ -85,6 +85,18 @@
   LOG(INFO) << "stop requested by signal " << received;
 }
 
+int ServeUntilStop(const std::function<Status()>& start,
+                   const std::function<void()>& stop) {
+  const Status started = start();
+  if (!started.ok()) {
+    LOG(ERROR) << started.error().Message();
+    return 1;
+  }
+  WaitForStop();
+  stop();
+  return 0;
+}
+
 void RequestStop() {
   kill(getpid(), SIGTERM);
 }
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -31,6 +31,12 @@
 // Blocks until SIGTERM or SIGINT, or until RequestStop(). Call from run_.
 void WaitForStop();
 
+// Runs the server of a binary: start, WaitForStop(), stop. A failed start is
+// logged. Call from run_.
+// @return the exit code: 0, or 1 if start failed.
+int ServeUntilStop(const std::function<Status()>& start,
+                   const std::function<void()>& stop);
+
 // Makes WaitForStop() return. Thread safety: safe.
 void RequestStop();
 
--- a/src/sidecar/main/main.cc
+++ b/src/sidecar/main/main.cc
@@ -1,6 +1,4 @@
 // bergamot_sidecar: the process beside one upstream.
-#include <glog/logging.h>
-
 #include "src/process/process.h"
 #include "src/sidecar/sidecar.h"
 
@@ -12,14 +10,8 @@
 
 int RunSidecar(const SidecarSettings& settings) {
   Sidecar sidecar(settings, bergamotscale::process::RequestStop);
-  const bergamotscale::Status started = sidecar.Start();
-  if (!started.ok()) {
-    LOG(ERROR) << started.error().Message();
-    return 1;
-  }
-  bergamotscale::process::WaitForStop();
-  sidecar.Stop();
-  return 0;
+  return bergamotscale::process::ServeUntilStop(
+      [&sidecar] { return sidecar.Start(); }, [&sidecar] { sidecar.Stop(); });
 }
 
 }  // namespace
--- a/standins/engine/main/fake_engine.cc
+++ b/standins/engine/main/fake_engine.cc
@@ -1,10 +1,7 @@
-#include <glog/logging.h>
-
 #include "src/process/process.h"
 #include "standins/engine/engine_server.h"
 
 int main(int argc, char** argv) {
-  using bergamotscale::Status;
   using bergamotscale::settings::FieldReader;
   using namespace bergamotscale::standins;  // NOLINT: the stand-in's own names
 
@@ -16,14 +13,8 @@
   };
   options.run_ = [&settings] {
     EngineServer server(settings);
-    const Status opened = server.Open();
-    if (!opened.ok()) {
-      LOG(ERROR) << opened.error().Message();
-      return 1;
-    }
-    bergamotscale::process::WaitForStop();
-    server.Close();
-    return 0;
+    return bergamotscale::process::ServeUntilStop(
+        [&server] { return server.Open(); }, [&server] { server.Close(); });
   };
   return bergamotscale::process::RunProcess(argc, argv, options);
 }
--- a/standins/fake_instance_list.cc
+++ b/standins/fake_instance_list.cc
@@ -3,8 +3,6 @@
 // GET  /instances   the list as it was lag_ms ago
 // POST /instances   registers an instance or changes its state
 // POST /lag         {"lag_ms":N}
-#include <glog/logging.h>
-
 #include "bergamotscale/clock.h"
 #include "src/http/listener.h"
 #include "src/process/process.h"
@@ -99,14 +97,8 @@
 
 int Run(const Options& options) {
   Server server(options);
-  const Status opened = server.Open();
-  if (!opened.ok()) {
-    LOG(ERROR) << opened.error().Message();
-    return 1;
-  }
-  process::WaitForStop();
-  server.Close();
-  return 0;
+  return process::ServeUntilStop([&server] { return server.Open(); },
+                                 [&server] { server.Close(); });
 }
 
 }  // namespace
--- a/standins/fake_log.cc
+++ b/standins/fake_log.cc
@@ -1,13 +1,10 @@
 // The stand-in of the platform's log service.
-#include <glog/logging.h>
-
 #include "src/process/process.h"
 #include "standins/platform/log_server.h"
 
 namespace {
 
 using bergamotscale::Millis;
-using bergamotscale::Status;
 using bergamotscale::settings::FieldReader;
 using bergamotscale::standins::LogServer;
 using bergamotscale::standins::LogServerOptions;
@@ -31,15 +28,8 @@
 
 int Run(const LogServerOptions& options) {
   LogServer server(options);
-  const Status opened = server.Open();
-  if (!opened.ok()) {
-    LOG(ERROR) << opened.error().Message();
-    return 1;
-  }
-  LOG(INFO) << "serving at " << server.url();
-  bergamotscale::process::WaitForStop();
-  server.Close();
-  return 0;
+  return bergamotscale::process::ServeUntilStop(
+      [&server] { return server.Open(); }, [&server] { server.Close(); });
 }
 
 }  // namespace
--- a/standins/fake_weight_store.cc
+++ b/standins/fake_weight_store.cc
@@ -4,7 +4,6 @@
 // GET /journal        one JSON line for each fetch
 #include <deque>
 
-#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 #include "bergamotscale/clock.h"
@@ -97,14 +96,8 @@
 
 int Run(const Options& options) {
   Server server(options);
-  const Status opened = server.Open();
-  if (!opened.ok()) {
-    LOG(ERROR) << opened.error().Message();
-    return 1;
-  }
-  process::WaitForStop();
-  server.Close();
-  return 0;
+  return process::ServeUntilStop([&server] { return server.Open(); },
+                                 [&server] { server.Close(); });
 }
 
 }  // namespace
--- a/tools/ctl/check.cc
+++ b/tools/ctl/check.cc
@@ -11,18 +11,11 @@
   }
   int exit_code = kExitOk;
   for (const std::string& file : arguments) {
-    const Result<std::string> text = ReadText(file);
-    if (!text.ok()) {
-      exit_code = Fail(text.error());
-      continue;
-    }
-    const Result<ConfigDocument> parsed =
-        ParseConfigDocument(text.value(), file);
-    if (parsed.ok()) {
+    const Result<ConfigDocument> document = ReadDocument(file);
+    if (document.ok()) {
       std::cout << file << ": ok\n";
     } else {
-      std::cerr << parsed.error().detail_ << "\n";
-      exit_code = kExitFailed;
+      exit_code = Fail(document.error());
     }
   }
   return exit_code;
--- a/tools/ctl/command.cc
+++ b/tools/ctl/command.cc
@@ -5,6 +5,19 @@
 #include <sstream>
 
 namespace bergamotscale::ctl {
+namespace {
+
+Result<std::string> ReadText(const std::string& file) {
+  std::ifstream stream(file);
+  if (!stream) {
+    return Error(ErrorCode::kNotFound, file);
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+}  // namespace
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
@@ -74,14 +87,12 @@
   return kExitFailed;
 }
 
-Result<std::string> ReadText(const std::string& file) {
-  std::ifstream stream(file);
-  if (!stream) {
-    return Error(ErrorCode::kNotFound, file);
+Result<ConfigDocument> ReadDocument(const std::string& file) {
+  const Result<std::string> text = ReadText(file);
+  if (!text.ok()) {
+    return text.error();
   }
-  std::ostringstream text;
-  text << stream.rdbuf();
-  return text.str();
+  return ParseConfigDocument(text.value(), file);
 }
 
 }  // namespace bergamotscale::ctl
--- a/tools/ctl/command.h
+++ b/tools/ctl/command.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "bergamotscale/config_document.h"
 #include "bergamotscale/result.h"
 
 namespace bergamotscale::ctl {
@@ -38,8 +39,8 @@
 // Prints an error to standard error. @return kExitFailed.
 int Fail(const Error& error);
 
-// @return the text of a file.
-Result<std::string> ReadText(const std::string& file);
+// @return the configuration document of a file, or what is wrong with it.
+Result<ConfigDocument> ReadDocument(const std::string& file);
 
 // The subcommands, one in each file of this directory.
 int RunCheck(const Arguments& arguments);
--- a/tools/ctl/publish.cc
+++ b/tools/ctl/publish.cc
@@ -46,12 +46,7 @@
   if (arguments.size() != 1 || !HasLog()) {
     return FailUsage("publish");
   }
-  const Result<std::string> text = ReadText(arguments.front());
-  if (!text.ok()) {
-    return Fail(text.error());
-  }
-  const Result<ConfigDocument> document =
-      ParseConfigDocument(text.value(), arguments.front());
+  const Result<ConfigDocument> document = ReadDocument(arguments.front());
   if (!document.ok()) {
     return Fail(document.error());
   }
--- a/tools/ctl/restore.cc
+++ b/tools/ctl/restore.cc
@@ -76,12 +76,7 @@
   if (arguments.size() != 1 || !HasLog() || FLAGS_revision < 1) {
     return FailUsage("restore");
   }
-  const Result<std::string> text = ReadText(arguments.front());
-  if (!text.ok()) {
-    return Fail(text.error());
-  }
-  const Result<ConfigDocument> document =
-      ParseConfigDocument(text.value(), arguments.front());
+  const Result<ConfigDocument> document = ReadDocument(arguments.front());
   if (!document.ok()) {
     return Fail(document.error());
   }
