--- a/tests/process/orders_test.cc
+++ b/tests/process/orders_test.cc
@@ -11,9 +11,9 @@
 namespace {
 
 constexpr int kSeedsInCi = 2;
-constexpr uint64_t kMostControlSeeds = 6;
 constexpr std::chrono::milliseconds kFaultTime(3500);
 constexpr std::chrono::milliseconds kLongFaultTime(30000);
+constexpr uint64_t kControlSeeds = 4;
 
 void Tell(uint64_t seed,
           const std::vector<Fault>& faults,
@@ -49,6 +49,23 @@
   return count;
 }
 
+// A fault only shows if an order runs on its target at that moment, which
+// depends on the pace of the machine; so several seeds are tried.
+bool ExecutesTwiceWithoutClaims(Fault fault) {
+  for (uint64_t seed = 1; seed <= kControlSeeds; ++seed) {
+    OrdersBench bench(seed, KeyUse::kNoKeys, kLongService);
+    REQUIRE(bench.Start());
+    bench.Run({fault});
+    Tell(seed, {fault}, bench);
+    const int twice = TimesExecutedTwice(bench.Check());
+    MESSAGE(twice << " orders executed twice");
+    if (twice > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 TEST_CASE("orders: no fault") {
@@ -95,34 +112,18 @@
   CHECK_MESSAGE(violations.empty(), Describe(violations));
 }
 
-// The same callers and resends; each fault alone, until it shows.
 TEST_CASE("orders: without claims each fault of a process executes twice") {
   for (const Fault fault :
        {Fault::kKillEntry, Fault::kKillSidecar, Fault::kKillService,
-        Fault::kStopEntry, Fault::kStopSidecar, Fault::kStopService,
-        Fault::kCutLink, Fault::kSilentLink}) {
-    int twice = 0;
-    for (uint64_t seed = 1; seed <= kMostControlSeeds && twice == 0; ++seed) {
-      OrdersBench bench(seed, KeyUse::kNoKeys);
-      REQUIRE(bench.Start());
-      bench.Run({fault});
-      Tell(seed, {fault}, bench);
-      twice = TimesExecutedTwice(bench.Check());
-    }
-    CHECK_MESSAGE(twice > 0, FaultName(fault));
+        Fault::kStopService, Fault::kCutLink, Fault::kSilentLink}) {
+    CHECK_MESSAGE(ExecutesTwiceWithoutClaims(fault), FaultName(fault));
   }
 }
 
 TEST_CASE("orders: without claims the same faults execute twice") {
-  int twice = 0;
   for (const Fault fault : {Fault::kStopEntry, Fault::kStopSidecar}) {
-    OrdersBench bench(7, KeyUse::kNoKeys);
-    REQUIRE(bench.Start());
-    bench.Run({fault});
-    Tell(7, {fault}, bench);
-    twice += TimesExecutedTwice(bench.Check());
+    CHECK(ExecutesTwiceWithoutClaims(fault));
   }
-  CHECK(twice > 0);
 }
 
 }  // namespace bergamotscale::tests
