--- a/tests/config_history.h
+++ b/tests/config_history.h
@@ -3,6 +3,7 @@
 #ifndef BERGAMOTSCALE_TESTS_CONFIG_HISTORY_H_
 #define BERGAMOTSCALE_TESTS_CONFIG_HISTORY_H_
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 #include <set>
@@ -33,15 +34,25 @@
   Millis time_;
 };
 
+// A publication in the log's journal.
+struct AppendedPublication {
+  PublicationId id_;
+  Revision base_;
+};
+
 struct ConfigHistory {
   std::vector<InForceEvent> in_force_;
   std::vector<ToldEvent> told_;
   // Ids of the publications that the log's journal shows.
   std::set<PublicationId> appended_;
+  // All of them in the log's order, if outcomes are to be checked by it.
+  std::vector<AppendedPublication> order_;
   // Followers that were up to the end, and how late they may be.
   std::set<std::string> followers_;
   Millis limit_ = Millis(1000);
   bool check_limit_ = false;
+  // Since when a follower that was down, or without the log, is whole again.
+  std::map<std::string, Millis> whole_since_;
 };
 
 // Finds violations; an empty list means that the history is right.
@@ -56,6 +67,7 @@
     CheckTold();
     CheckOneWinner();
     CheckSpread();
+    CheckOrder();
     return violations_;
   }
 
@@ -133,13 +145,57 @@
         continue;
       }
       for (const std::string& follower : history_.followers_) {
-        if (!HadBy(follower, told.revision_, told.time_ + history_.limit_)) {
+        const auto whole = history_.whole_since_.find(follower);
+        const Millis since = whole == history_.whole_since_.end()
+                                 ? told.time_
+                                 : std::max(told.time_, whole->second);
+        if (!HadBy(follower, told.revision_, since + history_.limit_)) {
           violations_.push_back("late at " + follower);
         }
       }
     }
   }
 
+  // Every publisher was told what the log's order of appends makes of it; of a
+  // record that was appended twice the first copy counts.
+  void CheckOrder() {
+    std::map<PublicationId, Revision> accepted;
+    Revision newest;
+    for (const AppendedPublication& publication : history_.order_) {
+      if (publication.base_ == newest) {
+        newest = Revision(newest.value() + 1);
+        accepted.emplace(publication.id_, newest);
+      }
+    }
+    if (history_.order_.empty()) {
+      return;
+    }
+    for (const ToldEvent& told : history_.told_) {
+      const auto found = accepted.find(told.id_);
+      const bool is_accepted = found != accepted.end();
+      const bool told_accepted = told.state_ == config::PublishState::kAccepted;
+      const bool pending = told.state_ == config::PublishState::kPending;
+      if (!pending && told_accepted != is_accepted) {
+        violations_.push_back("told otherwise than the log");
+      } else if (told_accepted && found->second != told.revision_) {
+        violations_.push_back("told another revision than the log");
+      }
+    }
+    for (const std::string& follower : history_.followers_) {
+      if (LastOf(follower) != newest) {
+        violations_.push_back("not at the log's newest: " + follower);
+      }
+    }
+  }
+
+  Revision LastOf(const std::string& follower) const {
+    Revision last;
+    for (const InForceEvent& event : history_.in_force_) {
+      last = event.follower_ == follower ? event.revision_ : last;
+    }
+    return last;
+  }
+
   bool HadBy(const std::string& follower, Revision revision, Millis time) {
     for (const InForceEvent& event : history_.in_force_) {
       if (event.follower_ == follower && event.revision_ >= revision &&
--- a/tests/config_history_test.cc
+++ b/tests/config_history_test.cc
@@ -66,6 +66,34 @@
   history = GoodHistory();
   history.in_force_[1].time_ = Millis(5000);
   CHECK(ViolationsOf(history) == Strings{"late at b"});
+  // It was down until then.
+  history.whole_since_["b"] = Millis(4500);
+  CHECK(ViolationsOf(history).empty());
+}
+
+TEST_CASE("config history: what the log's order contradicts is found") {
+  const AppendedPublication mine{PublicationId("p"), Revision(0)};
+  const AppendedPublication other{PublicationId("q"), Revision(0)};
+  ConfigHistory history = GoodHistory();
+  history.order_ = {mine, other};
+  CHECK(ViolationsOf(history).empty());
+
+  history.order_ = {other, mine};
+  CHECK(ViolationsOf(history) == Strings{"told otherwise than the log"});
+
+  history.order_ = {mine, {PublicationId("r"), Revision(1)}};
+  CHECK(ViolationsOf(history) ==
+        Strings{"not at the log's newest: a", "not at the log's newest: b"});
+
+  history = GoodHistory();
+  history.order_ = {mine};
+  history.told_.push_back({PublicationId("p"), PublishState::kAccepted,
+                           Revision(1), Revision(2), "two", Millis(5)});
+  history.in_force_.push_back({"a", Revision(2), "two", Millis(6)});
+  history.in_force_.push_back({"b", Revision(2), "two", Millis(6)});
+  CHECK(ViolationsOf(history) == Strings{"told another revision than the log",
+                                         "not at the log's newest: a",
+                                         "not at the log's newest: b"});
 }
 
 }  // namespace
--- a/tests/process/config_bench.h
+++ b/tests/process/config_bench.h
@@ -109,8 +109,7 @@
   void RestartAll();
   void PostLogFaults(const std::string& text);
   void CheckFreshLearnt();
-  void CheckSpread(std::vector<std::string>* violations) const;
-  void CheckAgainstJournal(std::vector<std::string>* violations);
+  void ReadJournal();
 
   std::mt19937_64 random_;
   const std::vector<ConfigFault> faults_;
@@ -128,8 +127,7 @@
   testing::ConfigHistory history_;
   std::map<Revision, std::string> texts_;
   std::vector<std::string> found_;
-  // Since when each process, and the log, is whole.
-  std::map<std::string, Millis> whole_since_;
+  // Since when the log is whole.
   Millis log_whole_since_;
   std::atomic<bool> polling_{true};
   std::atomic<bool> publishing_{false};
--- a/tests/process/config_bench_faults.cc
+++ b/tests/process/config_bench_faults.cc
@@ -85,8 +85,8 @@
   if (Has(ConfigFault::kFreshInOutage)) {
     Relaunch("entry-1");
     Relaunch("sidecar-1");
-    whole_since_["entry-1"] = Now();
-    whole_since_["sidecar-1"] = Now();
+    history_.whole_since_["entry-1"] = Now();
+    history_.whole_since_["sidecar-1"] = Now();
   }
   if (Has(ConfigFault::kRestartAll)) {
     RestartAll();
@@ -97,7 +97,7 @@
 void ConfigBench::RestartAll() {
   for (const std::string& name : history_.followers_) {
     Relaunch(name);
-    whole_since_[name] = Now();
+    history_.whole_since_[name] = Now();
   }
 }
 
@@ -111,7 +111,7 @@
   } else {
     Relaunch(found->second);
   }
-  whole_since_[found->second] = Now();
+  history_.whole_since_[found->second] = Now();
 }
 
 // With the log down only peers can have told them.
--- a/tests/process/orders_test.cc
+++ b/tests/process/orders_test.cc
@@ -116,7 +116,8 @@
   for (const Fault fault :
        {Fault::kKillEntry, Fault::kKillSidecar, Fault::kKillService,
         Fault::kStopService, Fault::kCutLink, Fault::kSilentLink}) {
-    CHECK_MESSAGE(ExecutesTwiceWithoutClaims(fault), FaultName(fault));
+    CHECK_MESSAGE(ExecutesTwiceWithoutClaims(fault),
+                  std::string(FaultName(fault)));
   }
 }
 
