Tests: a sanitizer run builds only the unit tests

Cause: the thread sanitizer's build took every binary, process tests and benchmarks too, though only the unit tests run in it.

Change: the build of such a run has that one target.

--- a/tools/test.sh
+++ b/tools/test.sh
@@ -10,7 +10,8 @@
 variant="${1:-}"
 folder="build${variant:+-$variant}"
 tools/setup.sh
-tools/build.sh "$variant"
+# A sanitizer run needs no other binary than the unit tests.
+TARGET="${variant:+unit_tests}" tools/build.sh "$variant"
 
 red_tests() {
   if [ -f KNOWN-RED.txt ]; then
