Policy: classes with a tight time between tokens gather on a few engines

Cause: the tightest target among all classes limited the batch of every engine.

Change: each entry keeps the first few upstreams of a group, as many as the running requests of the tight classes need, for those classes, and sends them elsewhere only while the batch there is small, or rather than wait for half of the first-token target. A sidecar limits its batch by the tight target while one of these classes is with it and one second after, and otherwise by the next target. All of it follows from the status that sidecars send already.

The reserve now covers two full engines; the share of one in ten beyond it stays.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -182,6 +182,7 @@
       const std::shared_ptr<const config::ConfigSnapshot> newest =
           config_.Read();
       admission_.Configure(newest->document_.workspaces_);
+      dispatcher_.Configure(newest->document_.classes_);
     });
   }
 
@@ -237,6 +238,7 @@
     gossip_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
         upstreams_.SpreadGossip();
+        dispatcher_.Refresh(upstreams_.Views());
         ScheduleGossip();
       }
     });
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -157,7 +157,8 @@
     view.cached_prefixes_ = peer.status_.cached_prefixes_;
     for (const wire::ClassLoad& load : peer.status_.classes_) {
       view.waiting_ += load.waiting_;
-      view.class_waits_.push_back({load.class_, load.expected_wait_});
+      view.class_waits_.push_back(
+          {load.class_, load.expected_wait_, load.running_});
     }
     return view;
   }
--- a/src/lab/sim_entry.cc
+++ b/src/lab/sim_entry.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kAttemptsPerRequest = 256;
+constexpr Micros kRefreshEvery = Micros(1'000'000);
 constexpr Micros kNoUpstreamDelay = Micros(50'000);
 // Engine blocks to one hash of dispatch.
 constexpr size_t kBlocksPerPrefix = 16;
@@ -61,7 +62,15 @@
       hooks_(std::move(hooks)),
       dispatcher_(DispatchOptions(scenario, index, seed)),
       views_(scenario.engines_),
-      reported_(scenario.engines_) {}
+      reported_(scenario.engines_) {
+  std::vector<ServiceClass> classes;
+  for (const ClassWorkload& workload : scenario.classes_) {
+    classes.push_back(workload.class_);
+  }
+  if (!fifo) {
+    dispatcher_.Configure(classes);
+  }
+}
 
 const ClassWorkload& SimEntry::WorkloadOf(int request) const {
   return scenario_.classes_[arrivals_[request].class_];
@@ -81,6 +90,14 @@
     views_[i].report_age_ = Millis((loop_.now() - reported_[i]).count() /
                                    emulator::kMicrosPerMilli);
   }
+  RefreshDispatcher();
+}
+
+void SimEntry::RefreshDispatcher() {
+  if (loop_.now() - refreshed_ >= kRefreshEvery) {
+    refreshed_ = loop_.now();
+    dispatcher_.Refresh(views_);
+  }
 }
 
 void SimEntry::Arrive(int request) {
--- a/src/lab/sim_entry.h
+++ b/src/lab/sim_entry.h
@@ -77,6 +77,7 @@
   void Refuse(int request);
   void GiveUp(int request);
   void AgeViews();
+  void RefreshDispatcher();
   const ClassWorkload& WorkloadOf(int request) const;
 
   EventLoop& loop_;
@@ -92,6 +93,7 @@
   policy::Quarantine quarantine_;
   std::vector<policy::UpstreamView> views_;
   std::vector<Micros> reported_;
+  Micros refreshed_;
   std::unordered_map<int, Request> requests_;
 };
 
--- a/src/lab/sim_sidecar.h
+++ b/src/lab/sim_sidecar.h
@@ -11,6 +11,7 @@
 #include "src/lab/event_loop.h"
 #include "src/lab/scenario.h"
 #include "src/lab/sim_engine.h"
+#include "src/policy/batch_target.h"
 #include "src/policy/concurrency_limiter.h"
 #include "src/policy/quarantine.h"
 #include "src/policy/types.h"
@@ -84,6 +85,7 @@
   std::unique_ptr<SimEngine> engine_;
   policy::WorkQueue queue_;
   policy::ConcurrencyLimiter limiter_;
+  policy::BatchTarget batch_target_;
   policy::Quarantine quarantine_;
   std::unordered_map<uint64_t, policy::QueueItem> waiting_;
   std::unordered_map<uint64_t, policy::QueueItem> granted_;
--- a/src/policy/concurrency_limiter.cc
+++ b/src/policy/concurrency_limiter.cc
@@ -17,6 +17,8 @@
 // it is if this share of answers are.
 constexpr double kAimStep = 0.02;
 constexpr double kMissedShare = 0.003;
+// Targets whose aims are remembered.
+constexpr size_t kMaxAims = 8;
 // Least and greatest change of the limit in one window.
 constexpr double kMostShrink = 0.75;
 constexpr double kMostGrowth = 1.15;
@@ -32,8 +34,7 @@
 
 ConcurrencyLimiter::ConcurrencyLimiter(ConcurrencyLimiterOptions options)
     : options_(options),
-      limit_(std::clamp(options.initial_, 1, std::max(1, options.max_))),
-      aim_(kStartAim) {}
+      limit_(std::clamp(options.initial_, 1, std::max(1, options.max_))) {}
 
 void ConcurrencyLimiter::SetTarget(Millis between_tokens) {
   target_ = between_tokens;
@@ -70,7 +71,23 @@
   }
   const bool missed = between_tokens > static_cast<double>(target.count());
   const double step = missed ? -kAimStep : kAimStep * kMissedShare;
-  aim_ = std::clamp(aim_ + step, kLeastAim, kMostAim);
+  double& aim = AimOf(target_).aim_;
+  aim = std::clamp(aim + step, kLeastAim, kMostAim);
+}
+
+ConcurrencyLimiter::TargetAim& ConcurrencyLimiter::AimOf(Millis target) {
+  const auto found = std::find_if(
+      aims_.begin(), aims_.end(),
+      [target](const TargetAim& each) { return each.target_ == target; });
+  if (found != aims_.end()) {
+    return *found;
+  }
+  // Few targets are ever configured; the oldest is forgotten.
+  if (aims_.size() >= kMaxAims) {
+    aims_.erase(aims_.begin());
+  }
+  aims_.push_back(TargetAim{target, kStartAim});
+  return aims_.back();
 }
 
 void ConcurrencyLimiter::ObserveRefusal(int running) {
@@ -102,7 +119,7 @@
   if (target_.count() <= 0 || mean_gap_ <= 0) {
     return;
   }
-  const double aim = aim_ * static_cast<double>(target_.count());
+  const double aim = AimOf(target_).aim_ * static_cast<double>(target_.count());
   const double factor = std::clamp(aim / mean_gap_, kMostShrink, kMostGrowth);
   if (factor >= 1 && peak + kUnusedSlots < limit_) {
     return;
--- a/src/policy/concurrency_limiter.h
+++ b/src/policy/concurrency_limiter.h
@@ -2,6 +2,8 @@
 #ifndef BERGAMOTSCALE_SRC_POLICY_CONCURRENCY_LIMITER_H_
 #define BERGAMOTSCALE_SRC_POLICY_CONCURRENCY_LIMITER_H_
 
+#include <vector>
+
 #include "bergamotscale/units.h"
 #include "src/policy/types.h"
 
@@ -23,7 +25,8 @@
   explicit ConcurrencyLimiter(ConcurrencyLimiterOptions options = {});
 
   // @param target the tightest time between tokens among the classes that the
-  // upstream serves; 0 sets no target, and the limit stays.
+  // upstream serves now; 0 sets no target, and the limit stays. What was
+  // learned against another target is kept for when that comes back.
   void SetTarget(Millis between_tokens);
 
   // @param percent sum of the classes' floors, by which their requests may go
@@ -55,6 +58,12 @@
   SlotLimits Limits() const;
 
  private:
+  // The mean time between tokens aimed at, as a part of a target.
+  struct TargetAim {
+    Millis target_;
+    double aim_ = 0;
+  };
+  TargetAim& AimOf(Millis target);
   void CloseWindow(Millis now);
 
   ConcurrencyLimiterOptions options_;
@@ -62,8 +71,7 @@
   int floor_percent_ = 0;
   int limit_;
   double mean_gap_ = 0;  // ms
-  // The mean time between tokens aimed at, as a part of the target.
-  double aim_;
+  std::vector<TargetAim> aims_;
   Millis window_start_;
   bool window_open_ = false;
   int64_t window_tokens_ = 0;
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -5,6 +5,8 @@
 #include <random>
 #include <unordered_map>
 
+#include "src/policy/kept_upstreams.h"
+
 namespace bergamotscale::policy {
 
 namespace {
@@ -74,6 +76,8 @@
     size_t count_ = 0;
   };
 
+  void Gather(const DispatchRequest& request,
+              const std::vector<UpstreamView>& views);
   void Sample(const DispatchRequest& request,
               const std::vector<UpstreamView>& views);
   void Consider(int index,
@@ -83,6 +87,8 @@
   void Measure(const DispatchRequest& request,
                const std::vector<UpstreamView>& views);
   double Wait(const UpstreamView& view, const ClassId& class_id) const;
+  double LeastWait(const ClassId& class_id,
+                   const std::vector<UpstreamView>& views) const;
   double Score(const UpstreamView& view,
                const DispatchRequest& request,
                const Match& match);
@@ -91,6 +97,8 @@
 
   DispatcherOptions options_;
   std::mt19937_64 random_;
+  KeptUpstreams kept_;
+  bool only_kept_ = false;  // what the present sample is limited to
   std::unordered_map<uint64_t, Home> homes_;
   std::unordered_map<uint64_t, Home> older_homes_;
   // Reused between calls.
@@ -105,7 +113,8 @@
                                 const std::vector<UpstreamView>& views) {
   const UpstreamView& view = views[index];
   if (!view.usable_ || view.group_ != request.group_ ||
-      Contains(request.avoid_, view.sidecar_)) {
+      Contains(request.avoid_, view.sidecar_) ||
+      (only_kept_ && !kept_.MayRun(view))) {
     return;
   }
   for (const Candidate& known : candidates_) {
@@ -116,6 +125,23 @@
   candidates_.push_back(Candidate{index, 0});
 }
 
+// Collects and measures candidates; those that aren't kept for a tight class
+// only if it would wait at those that are.
+void Dispatcher::Impl::Gather(const DispatchRequest& request,
+                              const std::vector<UpstreamView>& views) {
+  // Suspects run one at an upstream: few upstreams would keep them waiting.
+  only_kept_ = kept_.Restricts(request.class_) && !request.suspect_;
+  Sample(request, views);
+  Measure(request, views);
+  const auto patience =
+      static_cast<double>(kept_.PatienceOf(request.class_).count());
+  if (only_kept_ && LeastWait(request.class_, views) > patience) {
+    only_kept_ = false;
+    Sample(request, views);
+    Measure(request, views);
+  }
+}
+
 // Collects all usable upstreams if they are few, or else a random sample with
 // those that may hold the prompt's prefix.
 void Dispatcher::Impl::Sample(const DispatchRequest& request,
@@ -138,6 +164,14 @@
     Consider(static_cast<int>(request.prefix_hashes_.front() % count), request,
              views);
   }
+  const std::vector<int>& kept = kept_.IndicesOf(request.group_);
+  const int kept_count = only_kept_ ? static_cast<int>(kept.size()) : 0;
+  for (int i = 0; i < std::min(kept_count, options_.sample_ / 2); ++i) {
+    const int index = kept[random_() % kept.size()];
+    if (index < count) {
+      Consider(index, request, views);
+    }
+  }
   const int most_tries = 4 * options_.sample_;
   for (int i = 0; i < most_tries; ++i) {
     if (static_cast<int>(candidates_.size()) >= options_.sample_) {
@@ -200,6 +234,17 @@
   return wait + slot * std::min(-free + 1, placed);
 }
 
+// @return the least wait among the candidates; infinite if there are none.
+double Dispatcher::Impl::LeastWait(
+    const ClassId& class_id,
+    const std::vector<UpstreamView>& views) const {
+  double least = std::numeric_limits<double>::infinity();
+  for (const Candidate& candidate : candidates_) {
+    least = std::min(least, Wait(views[candidate.index_], class_id));
+  }
+  return least;
+}
+
 double Dispatcher::Impl::Score(const UpstreamView& view,
                                const DispatchRequest& request,
                                const Match& match) {
@@ -252,11 +297,18 @@
 Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
 
+void Dispatcher::Configure(const std::vector<ServiceClass>& classes) {
+  impl_->kept_.Configure(classes);
+}
+
+void Dispatcher::Refresh(const std::vector<UpstreamView>& views) {
+  impl_->kept_.Update(views);
+}
+
 std::vector<int> Dispatcher::Choose(const DispatchRequest& request,
                                     const std::vector<UpstreamView>& views) {
-  impl_->Sample(request, views);
+  impl_->Gather(request, views);
   std::vector<Candidate>& candidates = impl_->candidates_;
-  impl_->Measure(request, views);
   const Impl::Match match = impl_->FindMatch(request.prefix_hashes_);
   const int home = match.home_ == nullptr ? impl_->HomeOf(request, views) : -1;
   for (Candidate& candidate : candidates) {
@@ -295,16 +347,11 @@
 
 Millis Dispatcher::BestWait(const DispatchRequest& request,
                             const std::vector<UpstreamView>& views) {
-  impl_->Sample(request, views);
+  impl_->Gather(request, views);
   if (impl_->candidates_.empty()) {
     return kNoUpstreamWait;
   }
-  impl_->Measure(request, views);
-  double best = std::numeric_limits<double>::infinity();
-  for (const Candidate& candidate : impl_->candidates_) {
-    best = std::min(best, impl_->Wait(views[candidate.index_], request.class_));
-  }
-  return Millis(static_cast<int64_t>(best));
+  return Millis(static_cast<int64_t>(impl_->LeastWait(request.class_, views)));
 }
 
 }  // namespace bergamotscale::policy
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "bergamotscale/config_document.h"
 #include "bergamotscale/ids.h"
 #include "bergamotscale/units.h"
 #include "src/policy/types.h"
@@ -43,7 +44,9 @@
 
 // Chooses upstreams by expected wait: the last report, discounted by its age,
 // plus this entry's own placements since. One place goes to the upstream that
-// holds the prompt's prefix, if its load allows.
+// holds the prompt's prefix, if its load allows. Classes with the tightest time
+// between tokens keep to the upstreams that KeptUpstreams keeps, unless they
+// would wait there.
 // Cost: grows with the smaller of sample_ and the number of views.
 // Thread safety: none.
 class Dispatcher {
@@ -53,6 +56,13 @@
   Dispatcher(Dispatcher&&) noexcept;
   Dispatcher& operator=(Dispatcher&&) noexcept;
 
+  // Takes over the classes, from which it follows what needs a small batch.
+  void Configure(const std::vector<ServiceClass>& classes);
+
+  // Adapts how many upstreams are kept at a small batch. Call about once a
+  // second, with the views of the other calls.
+  void Refresh(const std::vector<UpstreamView>& views);
+
   // @param views upstreams this entry knows, in the order of their ids, so
   // that entries agree on affinity. Those of other groups are passed over.
   // @return up to `reservations_` indices in `views`, best first; empty if no
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -11,7 +11,7 @@
  public:
   // @param requests_per_retry first attempts that earn one retry.
   // @param reserve retries available at the start, and the most saved up.
-  explicit RetryBudget(int requests_per_retry = 10, int reserve = 20);
+  explicit RetryBudget(int requests_per_retry = 10, int reserve = 128);
 
   // Counts a first attempt.
   void OnRequest();
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -40,10 +40,12 @@
   int floor_extra_ = 0;
 };
 
-// Expected wait of a class's next request at one upstream.
+// A class at one upstream: the expected wait of its next request, and how many
+// of its requests run.
 struct ClassWait {
   ClassId class_;
   Millis wait_;
+  int running_ = 0;
 };
 
 // What an entry knows of an upstream, from its last status message.
--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -46,18 +46,13 @@
 void Scheduler::Configure(const ConfigDocument& document) {
   queue_.Configure(document.classes_);
   classes_.clear();
-  Millis tightest;
   int floors = 0;
   for (const ServiceClass& service_class : document.classes_) {
     classes_.push_back(service_class.name_);
     floors += service_class.floor_percent_;
-    const bool first = tightest == Millis(0);
-    if (first || service_class.between_tokens_ < tightest) {
-      tightest = service_class.between_tokens_;
-    }
   }
   if (options_.learns_) {
-    limiter_.SetTarget(tightest);
+    batch_target_.Configure(document.classes_);
     limiter_.SetFloors(floors);
   }
   Pump();
@@ -199,6 +194,9 @@
 }
 
 void Scheduler::Pump() {
+  if (options_.learns_) {
+    limiter_.SetTarget(batch_target_.Follow(queue_, clock_.Now()));
+  }
   while (accepting_ && !leaving_) {
     const std::optional<policy::QueueItem> item =
         queue_.PopNext(clock_.Now(), limiter_.Limits());
--- a/src/sidecar/scheduler.h
+++ b/src/sidecar/scheduler.h
@@ -11,6 +11,7 @@
 #include "bergamotscale/clock.h"
 #include "bergamotscale/config_document.h"
 #include "bergamotscale/error.h"
+#include "src/policy/batch_target.h"
 #include "src/policy/concurrency_limiter.h"
 #include "src/policy/quarantine.h"
 #include "src/policy/work_queue.h"
@@ -116,6 +117,7 @@
   Clock clock_;
   policy::WorkQueue queue_;
   policy::ConcurrencyLimiter limiter_;
+  policy::BatchTarget batch_target_;
   policy::Quarantine quarantine_;
   std::vector<ClassId> classes_;
   std::map<Ticket, Entry> entries_;
--- a/tests/experiment_test.cc
+++ b/tests/experiment_test.cc
@@ -117,6 +117,31 @@
   });
 }
 
+// The baselines' queues fill up for minutes, until they write bulk alone.
+TEST_CASE("experiment: goodput no lower than any baseline in a long burst") {
+  for (const std::string& user : ScenarioUsers()) {
+    const Scenario scenario = MakeScenario(user, "bulk_burst").value();
+    for (const uint64_t seed : kSeeds) {
+      CAPTURE(user);
+      CAPTURE(seed);
+      const std::vector<Arrival> arrivals = GenerateArrivals(scenario, seed);
+      std::vector<std::future<Report>> runs;
+      for (const PolicyKind kind : kCompared) {
+        runs.push_back(std::async(std::launch::async, [&, kind] {
+          return Simulate(scenario, arrivals, kind, seed);
+        }));
+      }
+      const Report report = runs.front().get();
+      CHECK(report.classes_.front().attainment_ >= 99);
+      for (size_t i = 1; i < runs.size(); ++i) {
+        const Report other = runs[i].get();
+        CAPTURE(other.policy_);
+        CHECK(report.goodput_ >= other.goodput_);
+      }
+    }
+  }
+}
+
 TEST_CASE("experiment: a burst of the top tier orders attainment by tier") {
   RunAll("urgent_burst", kCompared);
   ForUsersAndSeeds("urgent_burst", [](const Scenario& scenario, uint64_t seed) {
--- /dev/null
+++ b/tests/kept_upstreams_test.cc
@@ -0,0 +1,177 @@
+// Keeping a few upstreams at a small batch for classes with a tight target.
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "src/policy/batch_target.h"
+#include "src/policy/dispatcher.h"
+#include "src/policy/kept_upstreams.h"
+
+namespace bergamotscale::policy {
+namespace {
+
+std::vector<ServiceClass> Classes() {
+  std::vector<ServiceClass> classes(3);
+  const char* const names[] = {"quote", "order", "plan"};
+  const int64_t targets[] = {28, 40, 60};
+  for (size_t i = 0; i < classes.size(); ++i) {
+    classes[i].name_ = ClassId(names[i]);
+    classes[i].tier_ = Tier(static_cast<int64_t>(i) + 1);
+    classes[i].between_tokens_ = Millis(targets[i]);
+    classes[i].first_token_ = Millis(2000);
+  }
+  return classes;
+}
+
+// Upstreams with full batches, `quotes` of the tight class running at each of
+// the first `with_quotes`.
+std::vector<UpstreamView> Busy(int count, int with_quotes, int quotes) {
+  std::vector<UpstreamView> views(count);
+  for (int i = 0; i < count; ++i) {
+    views[i].sidecar_ = InstanceId("s" + std::to_string(i));
+    views[i].group_ = GroupId("engines");
+    views[i].usable_ = true;
+    views[i].slots_ = i < with_quotes ? 20 : 60;
+    views[i].running_ = views[i].slots_;
+    views[i].between_tokens_ = Millis(i < with_quotes ? 25 : 35);
+    const int running = i < with_quotes ? quotes : 0;
+    views[i].class_waits_ = {{ClassId("quote"), Millis(0), running},
+                             {ClassId("plan"), Millis(0), 0}};
+  }
+  return views;
+}
+
+size_t Settled(KeptUpstreams* kept, const std::vector<UpstreamView>& views) {
+  for (int i = 0; i < 60; ++i) {
+    kept->Update(views);
+  }
+  return kept->IndicesOf(GroupId("engines")).size();
+}
+
+TEST_CASE("kept upstreams: as many as the tight demand needs, and room") {
+  KeptUpstreams kept;
+  kept.Configure(Classes());
+  CHECK(Settled(&kept, Busy(9, 2, 16)) == 2);
+  CHECK(Settled(&kept, Busy(9, 2, 20)) == 3);
+  CHECK(Settled(&kept, Busy(9, 9, 20)) == 9);
+  CHECK(Settled(&kept, Busy(9, 9, 2)) == 2);
+  CHECK(kept.Restricts(ClassId("quote")));
+  CHECK_FALSE(kept.Restricts(ClassId("plan")));
+}
+
+TEST_CASE("kept upstreams: none for services, equal targets or no reports") {
+  KeptUpstreams kept;
+  CHECK_FALSE(kept.Restricts(ClassId("quote")));
+  kept.Configure(Classes());
+  std::vector<UpstreamView> services = Busy(3, 0, 0);
+  for (UpstreamView& view : services) {
+    view.between_tokens_ = Millis(0);
+  }
+  kept.Update(services);
+  CHECK_FALSE(kept.Restricts(ClassId("quote")));
+  CHECK(kept.MayRun(services.back()));
+  std::vector<ServiceClass> equal = Classes();
+  for (ServiceClass& each : equal) {
+    each.between_tokens_ = Millis(28);
+  }
+  kept.Configure(equal);
+  kept.Update(Busy(9, 2, 16));
+  CHECK_FALSE(kept.Restricts(ClassId("quote")));
+}
+
+TEST_CASE("kept upstreams: a straggler or lost one is replaced") {
+  KeptUpstreams kept;
+  kept.Configure(Classes());
+  std::vector<UpstreamView> views = Busy(9, 2, 16);
+  Settled(&kept, views);
+  views[0].usable_ = false;
+  views[1].between_tokens_ = Millis(200);
+  kept.Update(views);
+  const std::vector<int> indices = kept.IndicesOf(GroupId("engines"));
+  REQUIRE_FALSE(indices.empty());
+  CHECK(indices.front() == 2);
+}
+
+std::set<int> Places(Dispatcher* dispatcher,
+                     const DispatchRequest& request,
+                     const std::vector<UpstreamView>& views) {
+  std::set<int> places;
+  for (int i = 0; i < 50; ++i) {
+    for (const int index : dispatcher->Choose(request, views)) {
+      places.insert(index);
+    }
+  }
+  return places;
+}
+
+TEST_CASE("dispatch: a tight class keeps to kept upstreams while it can") {
+  Dispatcher dispatcher{DispatcherOptions()};
+  dispatcher.Configure(Classes());
+  std::vector<UpstreamView> views = Busy(9, 2, 16);
+  for (int i = 0; i < 10; ++i) {
+    dispatcher.Refresh(views);
+  }
+  DispatchRequest quote;
+  quote.class_ = ClassId("quote");
+  quote.group_ = GroupId("engines");
+  CHECK(Places(&dispatcher, quote, views) == std::set<int>{0, 1});
+  SUBCASE("another takes it while its batch is small") {
+    views[5].running_ = 4;
+    CHECK(Places(&dispatcher, quote, views) == std::set<int>{0, 1, 5});
+  }
+  SUBCASE("it goes anywhere rather than wait too long") {
+    views[0].class_waits_[0].wait_ = Millis(1500);
+    views[1].class_waits_[0].wait_ = Millis(1500);
+    CHECK(dispatcher.BestWait(quote, views) < Millis(1000));
+    CHECK(*Places(&dispatcher, quote, views).rbegin() > 1);
+  }
+  SUBCASE("suspects and other classes go anywhere") {
+    quote.suspect_ = true;
+    CHECK(*Places(&dispatcher, quote, views).rbegin() > 1);
+    DispatchRequest plan = quote;
+    plan.suspect_ = false;
+    plan.class_ = ClassId("plan");
+    CHECK(*Places(&dispatcher, plan, views).rbegin() > 1);
+  }
+}
+
+TEST_CASE("dispatch: kept upstreams are found among thousands") {
+  Dispatcher dispatcher{DispatcherOptions()};
+  dispatcher.Configure(Classes());
+  const std::vector<UpstreamView> views = Busy(2000, 2, 16);
+  for (int i = 0; i < 10; ++i) {
+    dispatcher.Refresh(views);
+  }
+  DispatchRequest quote;
+  quote.class_ = ClassId("quote");
+  quote.group_ = GroupId("engines");
+  CHECK(Places(&dispatcher, quote, views) == std::set<int>{0, 1});
+}
+
+TEST_CASE("batch target: follows the classes at an upstream") {
+  BatchTarget target;
+  target.Configure(Classes());
+  WorkQueue queue;
+  queue.Configure(Classes());
+  CHECK(target.Follow(queue, Millis(0)) == Millis(28));
+  CHECK(target.Follow(queue, Millis(10'000)) == Millis(40));
+  QueueItem item;
+  item.handle_ = 1;
+  item.class_ = ClassId("quote");
+  item.first_token_due_ = Millis(20'000);
+  item.deadline_ = Millis(90'000);
+  queue.Push(item, Millis(10'000));
+  CHECK(target.Follow(queue, Millis(10'000)) == Millis(28));
+  const auto started = queue.PopNext(Millis(10'000), {4, 0, 0});
+  REQUIRE(started.has_value());
+  CHECK(target.Follow(queue, Millis(60'000)) == Millis(28));
+  queue.Settle(*started, Tokens(10));
+  CHECK(target.Follow(queue, Millis(60'100)) == Millis(28));
+  CHECK(target.Follow(queue, Millis(70'000)) == Millis(40));
+}
+
+}  // namespace
+}  // namespace bergamotscale::policy
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -231,6 +231,14 @@
   });
 }
 
+TEST_CASE("retry budget: an entry's requests at one full engine are retried") {
+  constexpr int kFullBatch = 64;
+  RetryBudget budget;
+  for (int i = 0; i < kFullBatch; ++i) {
+    CHECK(budget.TryRetry());
+  }
+}
+
 TEST_CASE("estimator: quantiles, and longer than thought once it is long") {
   OutputEstimator estimator;
   const ClassId plan("plan");
