Queue: the expected wait knows departures in bunches from a standstill

Cause: a fresh queue's first departures came at once when the first batch ended; the time since the last departure, or the first interval alone, times the requests ahead gave an expected wait of seconds, and admission refused requests of the top tier that would have been on time. Before any start was seen, 100 ms between starts were assumed.

Ruled out: the slots reported to the entry; the queue's own estimate alone exceeds the patience in the new test.

Change: the mean over the last 16 departures, counted while requests wait, takes the place of a decaying mean and the time since the last departure. Nothing is assumed for the expected wait; the order of tiers keeps its assumption, which holds lower tiers back.

Tests: 64 requests of the top tier at a fresh queue of 16 slots, whose last starts after 900 ms, were expected to wait more than 1,425 ms before and are not now. "a higher tier's expected wait ignores lower tiers" relied on the assumed 100 ms; it now measures them by ten starts and asks for over 4 s where it asked for over 1 s.

Conclusion: the refusals of a fresh queue are gone in the unit test.

--- a/src/policy/work_queue.cc
+++ b/src/policy/work_queue.cc
@@ -45,9 +45,8 @@
   assert(impl_->entries_.count(item.handle_) == 0);
   const int index = impl_->LaneOf(item.class_, item.tier_, item.suspect_);
   QueueLane& lane = *impl_->lanes_[index];
-  if (lane.empty()) {
-    lane.last_departure_ = now;
-  }
+  lane.departures_.Open(now);
+  impl_->starts_.Open(now);
   // A resumed request sorts before all that have no token yet.
   const int64_t due = item.resumed_ ? std::numeric_limits<int64_t>::min() / 2 +
                                           item.first_token_due_.count()
@@ -67,7 +66,7 @@
     return false;
   }
   QueueLane& lane = *impl_->lanes_[found->second.lane_];
-  impl_->Remove(handle);
+  impl_->Remove(handle, now);
   impl_->Depart(lane, now);
   return true;
 }
@@ -89,7 +88,7 @@
   const uint64_t handle = lane->Head().handle_;
   const double work = WorkOf(impl_->entries_.at(handle).item_);
   impl_->Credit(work);
-  QueueItem item = impl_->Remove(handle);
+  QueueItem item = impl_->Remove(handle, now);
   item.by_floor_ = by_floor;
   lane->credit_ =
       by_floor ? lane->credit_ - work
@@ -122,7 +121,7 @@
   std::vector<QueueItem> expired;
   while (!impl_->by_deadline_.empty() &&
          impl_->by_deadline_.begin()->due_ <= now.count()) {
-    expired.push_back(impl_->Remove(impl_->by_deadline_.begin()->handle_));
+    expired.push_back(impl_->Remove(impl_->by_deadline_.begin()->handle_, now));
   }
   return expired;
 }
@@ -143,15 +142,13 @@
     return Millis(0);
   }
   const double floor_wait = impl_->FloorWait(*own);
-  if (own->empty() || own->interval_ == 0) {
-    const double queue = impl_->interval_ * static_cast<double>(ahead + 1);
+  if (own->empty() || !own->departures_.known()) {
+    const double queue =
+        impl_->starts_.Interval(now) * static_cast<double>(ahead + 1);
     return Millis(static_cast<int64_t>(std::min(queue, floor_wait)));
   }
-  const double since =
-      static_cast<double>((now - own->last_departure_).count());
-  const double interval = std::max(own->interval_, since);
-  const double lane_wait =
-      interval * static_cast<double>(own->on_time_.size() + 1);
+  const double lane_wait = own->departures_.Interval(now) *
+                           static_cast<double>(own->on_time_.size() + 1);
   return Millis(static_cast<int64_t>(std::min(lane_wait, floor_wait)));
 }
 
--- a/src/policy/work_queue_impl.cc
+++ b/src/policy/work_queue_impl.cc
@@ -186,7 +186,7 @@
   lane.credit_ = std::max(lane.credit_ + credit_change, least);
 }
 
-QueueItem WorkQueue::Impl::Remove(uint64_t handle) {
+QueueItem WorkQueue::Impl::Remove(uint64_t handle, Millis now) {
   const auto found = entries_.find(handle);
   assert(found != entries_.end());
   QueueEntry entry = std::move(found->second);
@@ -196,17 +196,18 @@
     lane.late_.erase(entry.key_);
   }
   by_deadline_.erase(QueueKey{entry.item_.deadline_.count(), handle});
+  if (lane.empty()) {
+    lane.departures_.Close(now);
+  }
+  if (entries_.empty()) {
+    starts_.Close(now);
+  }
   return std::move(entry.item_);
 }
 
 // Learns how fast requests of a lane leave it.
 void WorkQueue::Impl::Depart(QueueLane& lane, Millis now) {
-  const double since =
-      static_cast<double>((now - lane.last_departure_).count());
-  lane.interval_ = lane.interval_ == 0
-                       ? since
-                       : Average(lane.interval_, since, kIntervalGain);
-  lane.last_departure_ = now;
+  lane.departures_.Depart(now);
 }
 
 // Learns how fast requests and work start.
@@ -218,6 +219,7 @@
                         ? work
                         : Average(lane.mean_work_, work, kIntervalGain);
   last_pop_ = now;
+  starts_.Depart(now);
   Depart(lane, now);
 }
 
--- a/src/policy/work_queue_impl.h
+++ b/src/policy/work_queue_impl.h
@@ -14,11 +14,12 @@
 #include <utility>
 #include <vector>
 
+#include "src/policy/departure_meter.h"
 #include "src/policy/work_queue.h"
 
 namespace bergamotscale::policy {
 
-// Time between starts that is assumed before any is known.
+// Time between starts that the order of tiers assumes before any is known.
 inline constexpr double kDefaultIntervalMillis = 100;
 inline constexpr double kNever = std::numeric_limits<double>::infinity();
 
@@ -69,9 +70,7 @@
   int running_ = 0;
   KeySet on_time_;
   KeySet late_;
-  // Time between departures while requests wait.
-  double interval_ = 0;
-  Millis last_departure_;
+  DepartureMeter departures_;
 };
 
 // A request that waits.
@@ -100,7 +99,7 @@
   void Credit(double work);
   void CountStart(QueueLane& lane, const QueueItem& item);
   void CountEnd(const QueueItem& item, double credit_change);
-  QueueItem Remove(uint64_t handle);
+  QueueItem Remove(uint64_t handle, Millis now);
   void Depart(QueueLane& lane, Millis now);
   void Start(QueueLane& lane, double work, Millis now);
   double FloorWait(const QueueLane& lane) const;
@@ -124,6 +123,7 @@
   double start_ = 0;
   double interval_ = kDefaultIntervalMillis;
   Millis last_pop_;
+  DepartureMeter starts_;
   // Work started, decaying.
   double recent_work_ = 0;
 };
--- a/tests/work_queue_test.cc
+++ b/tests/work_queue_test.cc
@@ -180,16 +180,63 @@
   CHECK(queue.size() == 1);
 }
 
+TEST_CASE("queue: a fresh queue refuses nothing that will be on time") {
+  // 64 requests at once, 18 run at a time for 300 ms: the last starts after
+  // 900 ms.
+  constexpr int64_t kRunMillis = 300;
+  const Millis patience(1425);
+  const SlotLimits limits{16, 2, 0};
+  WorkQueue queue = MakeQueue();
+  std::vector<std::pair<QueueItem, int64_t>> running;
+  const auto start = [&](int64_t now) {
+    while (const auto next = queue.PopNext(Millis(now), limits)) {
+      running.emplace_back(*next, now + kRunMillis);
+    }
+  };
+  for (uint64_t handle = 1; handle <= 64; ++handle) {
+    REQUIRE(queue.ExpectedWait(ClassId("quote"), Millis(0), limits) < patience);
+    queue.Push(Item(handle, 1, 1900), Millis(0));
+    start(0);
+  }
+  Millis longest;
+  for (int64_t now = 0; now < 1000; now += 10) {
+    for (auto it = running.begin(); it != running.end();) {
+      if (it->second <= now) {
+        queue.Settle(it->first, Tokens(100));
+        it = running.erase(it);
+        start(now);
+        it = running.begin();
+      } else {
+        ++it;
+      }
+      longest = std::max(
+          longest, queue.ExpectedWait(ClassId("quote"), Millis(now), limits));
+    }
+  }
+  CHECK(longest < patience);
+  CHECK(queue.size() == 0);
+}
+
 TEST_CASE("queue: a higher tier's expected wait ignores lower tiers") {
   WorkQueue queue = MakeQueue();
-  for (uint64_t handle = 1; handle <= 50; ++handle) {
+  constexpr int64_t kIntervalMillis = 100;
+  for (uint64_t handle = 1; handle <= 60; ++handle) {
     queue.Push(Item(handle, 3, 30'000), Millis(0));
   }
-  REQUIRE(queue.PopNext(Millis(0), {1, 1, 0}).has_value());
-  CHECK(queue.ExpectedWait(ClassId("quote"), Millis(0), {1, 1, 0}) ==
+  int64_t now = 0;
+  for (int starts = 1; starts <= 11; ++starts) {
+    now += kIntervalMillis;
+    const auto next = queue.PopNext(Millis(now), {1, 1, 0});
+    REQUIRE(next.has_value());
+    if (starts <= 10) {
+      queue.Settle(*next, Tokens(100));
+    }
+  }
+  // 49 wait, and a slot comes free every 100 ms.
+  CHECK(queue.ExpectedWait(ClassId("quote"), Millis(now), {1, 1, 0}) ==
         Millis(0));
-  CHECK(queue.ExpectedWait(ClassId("plan"), Millis(0), {1, 1, 0}) >
-        Millis(1000));
+  CHECK(queue.ExpectedWait(ClassId("plan"), Millis(now), {1, 1, 0}) >
+        Millis(4000));
 }
 
 }  // namespace
