--- a/tests/process/config_bench.cc
+++ b/tests/process/config_bench.cc
@@ -262,7 +262,7 @@
   request.document_ = DocumentNamed("m" + std::to_string(++documents_));
   request.base_ = author.follower_.revision();
   request.author_ = author.name_;
-  const PublishResult result = author.publisher_.PublishAndWait(request);
+  PublishResult result = author.publisher_.PublishAndWait(request);
   const std::lock_guard<std::mutex> lock(mutex_);
   history_.told_.push_back({result.id_, result.state_, request.base_,
                             result.revision_,
