Entry, sidecar: traffic runs on the HTTP library's one thread

Cause: a request changed threads about 150 times in the entry and in the sidecar each (18,000 futex calls for 120 requests by a system call count), as the library's pool of four threads hands on each continuation, and the traffic thread each step to and from it.

Ruled out: TCP delays (a direct call has none), waiting for a tick or a slot (the time line shows 0 ms between queued and offered also at 64 streams), and the retry of a reservation.

Change: both processes have one HTTP thread, and traffic runs on it too (http::HttpThread). What takes long went to the control thread: reading the configuration, also by a peer's word, and /timeline. A sidecar in a test keeps a thread of its own.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -16,6 +16,7 @@
 #include "src/entry/router.h"
 #include "src/entry/traffic.h"
 #include "src/http/caller_guard.h"
+#include "src/http/http_thread.h"
 #include "src/http/listener.h"
 #include "src/log/log_client.h"
 
@@ -58,6 +59,7 @@
  public:
   explicit Impl(EntrySettings settings)
       : settings_(std::move(settings)),
+        io_(thread_.io()),
         timeline_(settings_.instance_,
                   Clock::Wall(),
                   static_cast<size_t>(settings_.timeline_events_)),
@@ -76,7 +78,7 @@
                  output_,     quarantine_,
                  retries_,    metrics_,
                  timeline_},
-        log_(settings_.log_url_, kLogTimeout),
+        log_(settings_.log_url_, kLogTimeout, control_io_),
         follower_(log_,
                   config::ConfigFollowerOptions(),
                   [this](const config::ConfigSnapshot& snapshot) {
@@ -95,31 +97,31 @@
                     }),
         gossip_timer_(io_) {}
 
-  ~Impl() { Stop(); }
+  ~Impl() {
+    Stop();
+    listener_.Close();
+    StopTraffic();
+  }
 
   Status Start() {
-    http::AddSideRoutes(
-        listener_, http::SideHooks{[this] { return ready(); }, &metrics_,
-                                   [this] { return timeline_.ToJsonLines(); }});
+    http::AddSideRoutes(listener_, Side());
     router_.Attach(listener_);
     Status opened = listener_.Open();
     if (!opened.ok()) {
       return opened;
     }
-    const Result<link::Endpoint> listening = guard_.Listen();
-    if (!listening.ok()) {
-      return listening.error();
+    opened = OpenTraffic();
+    if (!opened.ok()) {
+      return opened;
     }
     membership_.Start();
-    ScheduleGossip();
-    traffic_thread_ = std::thread([this] { io_.run(); });
     control_thread_ = std::thread([this] { control_io_.run(); });
     follower_.Start();
     return Done{};
   }
 
   void Stop() {
-    if (!traffic_thread_.joinable()) {
+    if (!control_thread_.joinable()) {
       return;
     }
     leaving_ = true;
@@ -136,16 +138,47 @@
       control_work_.reset();
     });
     control_thread_.join();
-    boost::asio::post(io_, [this] {
+    StopTraffic();
+  }
+
+ private:
+  // The guard accepts callers from here on.
+  Status OpenTraffic() {
+    Status opened = Done{};
+    thread_.Run([this, &opened] {
+      const Result<link::Endpoint> listening = guard_.Listen();
+      if (!listening.ok()) {
+        opened = listening.error();
+        return;
+      }
+      ScheduleGossip();
+    });
+    return opened;
+  }
+
+  void StopTraffic() {
+    if (std::exchange(traffic_stopped_, true)) {
+      return;
+    }
+    thread_.Run([this] {
       gossip_timer_.cancel();
       upstreams_.Close();
       guard_.Close();
-      work_.reset();
     });
-    traffic_thread_.join();
+    thread_.Stop();
+  }
+
+  http::SideHooks Side() {
+    http::SideHooks hooks;
+    hooks.ready_ = [this] { return ready(); };
+    hooks.metrics_ = &metrics_;
+    hooks.timeline_ = [this] { return timeline_.ToJsonLines(); };
+    hooks.run_slow_ = [this](std::function<void()> step) {
+      boost::asio::post(control_io_, std::move(step));
+    };
+    return hooks;
   }
 
- private:
   bool ready() const { return !leaving_ && config_.Read() != nullptr; }
 
   http::CallerGuardOptions GuardOptions() {
@@ -212,8 +245,11 @@
 
   void TakeGossip(const wire::Gossip& gossip) {
     if (!gossip.document_.empty()) {
-      follower_.Offer(gossip.revision_, gossip.config_offset_,
-                      gossip.document_);
+      // Parsing a document is no work for the traffic thread.
+      boost::asio::post(control_io_, [this, gossip] {
+        follower_.Offer(gossip.revision_, gossip.config_offset_,
+                        gossip.document_);
+      });
     }
     std::vector<policy::WorkspaceDemand> demands;
     for (const wire::WorkspaceDemand& demand : gossip.demands_) {
@@ -244,9 +280,9 @@
 
   const EntrySettings settings_;
   const Clock steady_ = Clock::Steady();
-  boost::asio::io_context io_;  // the traffic thread's
+  http::HttpThread thread_;      // runs traffic
+  boost::asio::io_context& io_;  // the traffic thread's
   boost::asio::io_context control_io_;
-  WorkGuard work_{io_.get_executor()};
   WorkGuard control_work_{control_io_.get_executor()};
   http::Metrics metrics_;
   timeline::Timeline timeline_;
@@ -266,7 +302,7 @@
   Membership membership_;
   boost::asio::steady_timer gossip_timer_;
   std::atomic<bool> leaving_{false};
-  std::thread traffic_thread_;
+  bool traffic_stopped_ = false;
   std::thread control_thread_;
 };
 
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -9,7 +9,8 @@
 
 namespace bergamotscale::entry {
 
-// Runs one control thread and one traffic thread besides the HTTP library's.
+// Runs traffic on the HTTP library's thread, see http::HttpThread, and one
+// control thread. One instance a process: Stop() ends the library's thread.
 // Thread safety: use from one thread.
 class Entry {
  public:
--- a/src/entry/main/main.cc
+++ b/src/entry/main/main.cc
@@ -11,6 +11,8 @@
   entry::EntrySettings settings;
   process::ProcessOptions options;
   options.summary_ = "routes callers' requests to upstreams";
+  // Traffic runs on this one thread too: see http::HttpThread.
+  options.http_threads_ = 1;
   options.read_settings_ =
       [&settings](bergamotscale::settings::FieldReader& reader) {
         entry::ReadEntrySettings(reader, &settings);
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -168,11 +168,17 @@
                              metrics == nullptr ? "" : metrics->Render(),
                              "text/plain");
                  });
-  listener.Route("GET", "/timeline",
-                 [timeline = hooks.timeline_](web::http::http_request request) {
-                   ReplyText(request, 200, timeline ? timeline() : "",
-                             "application/x-ndjson");
-                 });
+  listener.Route("GET", "/timeline", [hooks](web::http::http_request request) {
+    const auto reply = [request, timeline = hooks.timeline_] {
+      ReplyText(request, 200, timeline ? timeline() : "",
+                "application/x-ndjson");
+    };
+    if (hooks.run_slow_) {
+      hooks.run_slow_(reply);
+    } else {
+      reply();
+    }
+  });
 }
 
 std::string ErrorJson(const Error& error, Verdict verdict) {
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -53,6 +53,9 @@
   const Metrics* metrics_ = nullptr;  // may be null
   // @return the time line as JSON lines; may be empty.
   std::function<std::string()> timeline_;
+  // Runs a step that takes long, off the HTTP library's threads; without it
+  // the step runs on them.
+  std::function<void(std::function<void()>)> run_slow_;
 };
 
 // Adds GET /healthz, /readyz, /metrics and /timeline.
--- a/src/log/log_client.cc
+++ b/src/log/log_client.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include "src/http/client.h"
@@ -77,19 +78,38 @@
   return ParsePage(reply.value().body_);
 }
 
+using ReplyHook = std::function<void(const Result<http::Reply>&)>;
+
 }  // namespace
 
 class LogClient::Impl {
  public:
-  std::string base_url_;
-  Millis timeout_;
+  Impl(std::string base_url, Millis timeout, boost::asio::io_context* io)
+      : base_url_(std::move(base_url)), timeout_(timeout), io_(io) {}
+
+  void Call(const http::Call& call, ReplyHook hook) {
+    if (io_ == nullptr) {
+      http::CallOnce(call, std::move(hook));
+      return;
+    }
+    http::CallOnce(call, [io = io_,
+                          hook = std::move(hook)](Result<http::Reply> reply) {
+      boost::asio::post(*io, [hook, reply = std::move(reply)] { hook(reply); });
+    });
+  }
+
+  const std::string base_url_;
+  const Millis timeout_;
+  boost::asio::io_context* const io_;  // null: the HTTP library's threads
 };
 
 LogClient::LogClient(std::string base_url, Millis timeout)
-    : impl_(std::make_shared<Impl>()) {
-  impl_->base_url_ = std::move(base_url);
-  impl_->timeout_ = timeout;
-}
+    : impl_(std::make_shared<Impl>(std::move(base_url), timeout, nullptr)) {}
+
+LogClient::LogClient(std::string base_url,
+                     Millis timeout,
+                     boost::asio::io_context& io)
+    : impl_(std::make_shared<Impl>(std::move(base_url), timeout, &io)) {}
 
 LogClient::~LogClient() = default;
 
@@ -102,10 +122,9 @@
   call.body_ = std::move(payload);
   call.content_type_ = "application/octet-stream";
   call.timeout_ = impl_->timeout_;
-  http::CallOnce(call,
-                 [hook = std::move(hook)](const Result<http::Reply>& reply) {
-                   hook(OffsetOf(reply));
-                 });
+  impl_->Call(call, [hook = std::move(hook)](const Result<http::Reply>& reply) {
+    hook(OffsetOf(reply));
+  });
 }
 
 void LogClient::Read(const std::string& stream,
@@ -118,10 +137,9 @@
               "&wait_ms=" + std::to_string(wait.count()) +
               "&max=" + std::to_string(kMaxRecordsPerPage);
   call.timeout_ = impl_->timeout_ + wait;
-  http::CallOnce(call,
-                 [hook = std::move(hook)](const Result<http::Reply>& reply) {
-                   hook(PageOf(reply));
-                 });
+  impl_->Call(call, [hook = std::move(hook)](const Result<http::Reply>& reply) {
+    hook(PageOf(reply));
+  });
 }
 
 }  // namespace bergamotscale::log
--- a/src/log/log_client.h
+++ b/src/log/log_client.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+
 #include "bergamotscale/ids.h"
 #include "bergamotscale/result.h"
 #include "bergamotscale/units.h"
@@ -37,8 +39,8 @@
   LogOffset oldest_;
 };
 
-// Thread safety: safe. Hooks are called on threads of the HTTP library, once
-// for each call, never before the call returns.
+// Thread safety: safe. Hooks are called once for each call, never before the
+// call returns: on threads of the HTTP library, or on those of an io_context.
 class LogClient {
  public:
   using AppendHook = std::function<void(Result<LogOffset>)>;
@@ -47,6 +49,9 @@
   // Precondition: base_url is a valid URL.
   // @param base_url such as "http://127.0.0.1:9000".
   LogClient(std::string base_url, Millis timeout);
+  // @param io where answers are parsed and hooks are called; it must outlive
+  // all calls.
+  LogClient(std::string base_url, Millis timeout, boost::asio::io_context& io);
   ~LogClient();
   LogClient(const LogClient&) = delete;
   LogClient& operator=(const LogClient&) = delete;
--- a/src/sidecar/main/main.cc
+++ b/src/sidecar/main/main.cc
@@ -11,7 +11,8 @@
 using bergamotscale::sidecar::SidecarSettings;
 
 int RunSidecar(const SidecarSettings& settings) {
-  Sidecar sidecar(settings, bergamotscale::process::RequestStop);
+  Sidecar sidecar(settings, bergamotscale::process::RequestStop,
+                  bergamotscale::sidecar::TrafficThread::kHttp);
   const bergamotscale::Status started = sidecar.Start();
   if (!started.ok()) {
     LOG(ERROR) << started.error().Message();
@@ -28,6 +29,8 @@
   SidecarSettings settings;
   bergamotscale::process::ProcessOptions options;
   options.summary_ = "process beside one upstream, an engine or plain service";
+  // Traffic runs on this one thread too: see http::HttpThread.
+  options.http_threads_ = 1;
   options.read_settings_ =
       [&settings](bergamotscale::settings::FieldReader& reader) {
         ReadSidecarSettings(reader, &settings);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include "src/config/config_follower.h"
+#include "src/http/http_thread.h"
 #include "src/http/listener.h"
 #include "src/log/log_client.h"
 #include "src/sidecar/engine_orders.h"
@@ -48,20 +49,27 @@
 
 class Sidecar::Impl {
  public:
-  Impl(const SidecarSettings& settings, std::function<void()> on_drained)
-      : settings_(WithOrderNames(settings)),
+  Impl(const SidecarSettings& settings,
+       std::function<void()> on_drained,
+       TrafficThread thread)
+      : own_thread_(thread == TrafficThread::kOwn ? std::make_unique<IoThread>()
+                                                  : nullptr),
+        settings_(WithOrderNames(settings)),
         on_drained_(std::move(on_drained)),
         timeline_(settings_.instance_, Clock::Wall(), kTimelineEvents),
         log_client_(settings_.log_url_, settings_.log_timeout_),
+        config_log_client_(settings_.log_url_,
+                           settings_.log_timeout_,
+                           control_thread_.io()),
         listener_(settings_.http_.address_, settings_.http_.port_),
-        traffic_(traffic_thread_.io(),
+        traffic_(traffic_io(),
                  settings_,
                  log_client_,
                  blackboard_,
                  timeline_,
                  metrics_,
                  TrafficHooksOf()),
-        config_follower_(log_client_,
+        config_follower_(config_log_client_,
                          ConfigOptionsOf(settings_),
                          [this](const config::ConfigSnapshot& snapshot) {
                            OnConfig(snapshot);
@@ -82,9 +90,11 @@
   ~Impl() { StopThreads(); }
 
   Status Start() {
-    traffic_thread_.Start();
     Status started = Done{};
-    traffic_thread_.Run([this, &started] { started = traffic_.Start(); });
+    if (own_thread_ != nullptr) {
+      own_thread_->Start();
+    }
+    RunInTraffic([this, &started] { started = traffic_.Start(); });
     if (!started.ok()) {
       return started;
     }
@@ -100,30 +110,51 @@
   }
 
   void Stop() {
-    traffic_thread_.Run([this] { traffic_.Leave(); });
+    RunInTraffic([this] { traffic_.Leave(); });
     WaitUntilDrained();
     std::this_thread::sleep_for(kFlushTime);
-    traffic_thread_.Run([this] { traffic_.Close(); });
-    StopThreads();
+    RunInTraffic([this] { traffic_.Close(); });
     listener_.Close();
+    StopThreads();
   }
 
  private:
+  boost::asio::io_context& traffic_io() {
+    return own_thread_ != nullptr ? own_thread_->io() : http_thread_.io();
+  }
+
+  // Runs a step on the traffic thread and waits for it.
+  void RunInTraffic(const std::function<void()>& step) {
+    if (own_thread_ != nullptr) {
+      own_thread_->Run(step);
+    } else {
+      http_thread_.Run(step);
+    }
+  }
+
+  void StopTraffic() {
+    if (own_thread_ != nullptr) {
+      own_thread_->Stop();
+    } else {
+      http_thread_.Stop();
+    }
+  }
+
   void StopThreads() {
     config_follower_.Stop();
     control_thread_.Stop();
-    traffic_thread_.Stop();
+    StopTraffic();
   }
 
-  // On a thread of the HTTP library, or the control thread by a peer's word.
+  // On the control thread.
   void OnConfig(const config::ConfigSnapshot& snapshot) {
     blackboard_.config_.Write(snapshot);
-    boost::asio::post(traffic_thread_.io(), [this] { traffic_.OnConfig(); });
+    boost::asio::post(traffic_io(), [this] { traffic_.OnConfig(); });
   }
 
   void LeaveByList() {
     LOG(INFO) << "listed as leaving";
-    boost::asio::post(traffic_thread_.io(), [this] { traffic_.Leave(); });
+    boost::asio::post(traffic_io(), [this] { traffic_.Leave(); });
   }
 
   TrafficHooks TrafficHooksOf() {
@@ -151,6 +182,9 @@
     hooks.ready_ = [this] { return *blackboard_.ready_.Read(); };
     hooks.metrics_ = &metrics_;
     hooks.timeline_ = [this] { return timeline_.ToJsonLines(); };
+    hooks.run_slow_ = [this](std::function<void()> step) {
+      boost::asio::post(control_thread_.io(), std::move(step));
+    };
     http::AddSideRoutes(listener_, hooks);
   }
 
@@ -162,15 +196,17 @@
     }
   }
 
+  const std::unique_ptr<IoThread> own_thread_;  // may be null
+  http::HttpThread http_thread_;  // runs traffic if there is no own thread
   const SidecarSettings settings_;
   std::function<void()> on_drained_;
   Blackboard blackboard_;
   timeline::Timeline timeline_;
   http::Metrics metrics_;
+  IoThread control_thread_;
   log::LogClient log_client_;
+  log::LogClient config_log_client_;  // answers on the control thread
   http::Listener listener_;
-  IoThread traffic_thread_;
-  IoThread control_thread_;
   Traffic traffic_;
   config::ConfigFollower config_follower_;
   OwnListing own_listing_;
@@ -181,8 +217,9 @@
 };
 
 Sidecar::Sidecar(const SidecarSettings& settings,
-                 std::function<void()> on_drained)
-    : impl_(std::make_unique<Impl>(settings, std::move(on_drained))) {}
+                 std::function<void()> on_drained,
+                 TrafficThread thread)
+    : impl_(std::make_unique<Impl>(settings, std::move(on_drained), thread)) {}
 
 Sidecar::~Sidecar() = default;
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -10,12 +10,22 @@
 
 namespace bergamotscale::sidecar {
 
+// Where a sidecar's traffic runs.
+enum class TrafficThread {
+  kOwn,   // on a thread of its own; any number of sidecars in a process
+  kHttp,  // on the HTTP library's single thread, see http::HttpThread, which
+          // the stop ends: one sidecar in a process
+};
+
+// Runs one control thread besides.
 // Thread safety: use from one thread.
 class Sidecar {
  public:
   // @param on_drained called on a thread of the sidecar when it has left by
   // its own decision and all work is done; calls Stop() elsewhere.
-  Sidecar(const SidecarSettings& settings, std::function<void()> on_drained);
+  Sidecar(const SidecarSettings& settings,
+          std::function<void()> on_drained,
+          TrafficThread thread = TrafficThread::kOwn);
   // Stops at once what Stop() has not stopped.
   ~Sidecar();
   Sidecar(const Sidecar&) = delete;
