--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -149,6 +149,8 @@
   // On the control thread.
   void OnConfig(const config::ConfigSnapshot& snapshot) {
     blackboard_.config_.Write(snapshot);
+    metrics_.Set("bergamot_config_revision", "",
+                 static_cast<double>(snapshot.revision_.value()));
     boost::asio::post(traffic_io(), [this] { traffic_.OnConfig(); });
   }
 
