--- a/src/sidecar/execution.cc
+++ b/src/sidecar/execution.cc
@@ -63,6 +63,7 @@
         events_(settings.max_answer_,
                 [this](const std::string& data) { OnEvent(data); }) {
     finished_.request_id_ = work.request_id_;
+    resume_tokens_ = work.resume_tokens_;
   }
 
   void Start(boost::asio::io_context& io,
@@ -194,7 +195,8 @@
     if (!event.finish_reason_.empty()) {
       finished_.finish_reason_ = event.finish_reason_;
       finished_.prompt_tokens_ = event.prompt_tokens_;
-      finished_.output_tokens_ = event.output_tokens_;
+      // The engine counts its own tokens only.
+      finished_.output_tokens_ = resume_tokens_ + event.output_tokens_;
       finished_.cached_tokens_ = event.cached_tokens_;
     }
     done_ = done_ || event.done_;
@@ -262,6 +264,7 @@
   UpstreamHead head_;
   std::string body_;
   wire::Finished finished_;
+  Tokens resume_tokens_;
   bool done_ = false;
   bool ended_ = false;
 };
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -123,6 +123,7 @@
   std::string body_;
   std::string finish_reason_;
   Tokens prompt_tokens_;
+  // Of the whole answer, with what a resumed execution was given.
   Tokens output_tokens_;
   Tokens cached_tokens_;
   // True if this is the recorded outcome of an earlier execution.
--- a/tests/process/chat_order_test.cc
+++ b/tests/process/chat_order_test.cc
@@ -1,11 +1,11 @@
 // Chats that are orders: executed once, and each resend gets the first answer.
-#include <algorithm>
 #include <chrono>
 #include <future>
 #include <string>
 
 #include <doctest/doctest.h>
 
+#include "tests/process/calls.h"
 #include "tests/process/chat_load.h"
 #include "tests/process/cluster.h"
 
@@ -16,17 +16,6 @@
 
 constexpr int kEngines = 3;
 
-int ExecutionsOf(const Cluster& cluster, const std::string& key) {
-  int executions = 0;
-  for (int number = 1; number <= kEngines; ++number) {
-    for (const auto& record :
-         cluster.Journal("engine-" + std::to_string(number))) {
-      executions += record.value("key", std::string()) == key ? 1 : 0;
-    }
-  }
-  return executions;
-}
-
 TEST_CASE("chat order: a resend gets the first answer, streamed or not") {
   Cluster cluster;
   const std::string content = ChatContent(1, 20);
@@ -38,7 +27,7 @@
       const ChatAnswer answer = Chat(cluster.Url(entry), content, stream, key);
       CHECK_MESSAGE(IsWhole(answer, content), answer.body_);
     }
-    CHECK(ExecutionsOf(cluster, key) == 1);
+    CHECK(ExecutionsOf(cluster, kEngines, key) == 1);
   }
 }
 
@@ -56,7 +45,7 @@
   }
   const ChatAnswer whole = answer.get();
   CHECK_MESSAGE(IsWhole(whole, content), whole.body_.substr(0, 400));
-  CHECK(ExecutionsOf(cluster, "chat-order-2") == 1);
+  CHECK(ExecutionsOf(cluster, kEngines, "chat-order-2") == 1);
 }
 
 }  // namespace
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -59,18 +59,23 @@
   boost::filesystem::create_directories(folder_);
   const uint16_t log_port = FreePort();
   Add("log", "fake_log", log_port, {{"port", log_port}});
+  if (options_.instance_list_) {
+    const uint16_t list_port = FreePort();
+    Add("list", "fake_instance_list", list_port,
+        {{"port", list_port}, {"lag_ms", 0}});
+    REQUIRE(WaitFor("list", "/healthz"));
+  }
   Publish();
   for (int number = 1; number <= options_.engines_; ++number) {
     AddEngine(number);
   }
-  const uint16_t service_port = FreePort();
-  Add("service", "fake_service", service_port,
-      {{"port", service_port}, {"delay_ms", 20}});
-  AddSidecar("sidecar-service", "agency", "service", Url("service"),
-             FreePort());
+  for (int number = 1; number <= options_.services_; ++number) {
+    AddService(number);
+  }
   for (int number = 1; number <= options_.entries_; ++number) {
     AddEntry(number);
   }
+  AddConsole();
   relay_thread_ = std::thread([this] { io_.run(); });
   for (const auto& entry : processes_) {
     REQUIRE_MESSAGE(WaitFor(entry.first, "/healthz"), entry.first);
@@ -79,6 +84,18 @@
     const std::string name = "entry-" + std::to_string(number);
     REQUIRE_MESSAGE(WaitFor(name, "/readyz"), name);
   }
+  if (options_.instance_list_) {
+    for (const json& member : members_) {
+      List(member["id"], "live");
+    }
+    // Reading takes the changes over; later ones show after the lag.
+    REQUIRE(WaitFor("list", "/instances"));
+    http::Call call;
+    call.method_ = "POST";
+    call.url_ = Url("list") + "/lag";
+    call.body_ = json{{"lag_ms", options_.list_lag_.count()}}.dump();
+    REQUIRE(http::CallAndWait(call).ok());
+  }
 }
 
 Cluster::~Cluster() {
@@ -107,6 +124,37 @@
   return processes_.at(name).port_;
 }
 
+std::string Cluster::ZoneOfEngine(int number) const {
+  return "zone-" + std::to_string(1 + (number - 1) % options_.zones_);
+}
+
+std::string Cluster::ZoneOfEntry(int number) const {
+  return ZoneOfEngine(number);
+}
+
+std::string Cluster::ListUrl() const {
+  return options_.instance_list_ ? Url("list") : std::string();
+}
+
+void Cluster::List(const std::string& name, const std::string& state) {
+  json change = {{"id", name}, {"state", state}, {"role", "sidecar"}};
+  for (const json& member : members_) {
+    if (member["id"] == name) {
+      change["group"] = member["group"];
+      change["zone"] = member["availability_zone"];
+      change["address"] = member["address"];
+      change["link_port"] = member["port"];
+    }
+  }
+  http::Call call;
+  call.method_ = "POST";
+  call.url_ = Url("list") + "/instances";
+  call.body_ = change.dump();
+  const Result<http::Reply> reply = http::CallAndWait(call);
+  REQUIRE(reply.ok());
+  REQUIRE_MESSAGE(reply.value().status_ == 200, reply.value().body_);
+}
+
 void Cluster::Add(const std::string& name,
                   const std::string& binary,
                   uint16_t port,
@@ -134,30 +182,44 @@
   link_relays_.push_back(
       std::make_unique<Relay>(io_, link::Endpoint{"127.0.0.1", link_port}));
   const std::string engine_url =
-      "http://" + engine_relays_.back()->endpoint().ToString();
+      options_.direct_engines_
+          ? Url(name)
+          : "http://" + engine_relays_.back()->endpoint().ToString();
   AddSidecar("sidecar-" + std::to_string(number), "keywording", "engine",
-             engine_url, link_port);
+             engine_url, link_port, ZoneOfEngine(number));
   members_.back()["port"] = link_relays_.back()->endpoint().port_;
 }
 
+void Cluster::AddService(int number) {
+  const std::string name =
+      number == 1 ? "service" : "service-" + std::to_string(number);
+  const uint16_t port = FreePort();
+  Add(name, "fake_service", port, {{"port", port}, {"delay_ms", 20}});
+  AddSidecar("sidecar-" + name, "agency", "service", Url(name), FreePort(),
+             ZoneOfEngine(number));
+}
+
 void Cluster::AddSidecar(const std::string& name,
                          const std::string& group,
                          const std::string& kind,
                          const std::string& upstream_url,
-                         uint16_t link_port) {
+                         uint16_t link_port,
+                         const std::string& zone) {
   const uint16_t port = FreePort();
-  Add(name, "bergamot_sidecar", port,
-      {{"instance", name},
-       {"availability_zone", "zone-a"},
-       {"group", group},
-       {"kind", kind},
-       {"upstream_url", upstream_url},
-       {"link", EndpointJson(link_port)},
-       {"http", EndpointJson(port)},
-       {"log_url", Url("log")}});
+  json settings = {{"instance", name},
+                   {"availability_zone", zone},
+                   {"group", group},
+                   {"kind", kind},
+                   {"upstream_url", upstream_url},
+                   {"link", EndpointJson(link_port)},
+                   {"http", EndpointJson(port)},
+                   {"log_url", Url("log")},
+                   {"instance_list_url", ListUrl()}};
+  settings.update(options_.sidecar_settings_);
+  Add(name, "bergamot_sidecar", port, settings);
   members_.push_back({{"id", name},
                       {"group", group},
-                      {"availability_zone", "zone-a"},
+                      {"availability_zone", zone},
                       {"address", "127.0.0.1"},
                       {"port", link_port}});
 }
@@ -167,11 +229,18 @@
   const uint16_t port = FreePort();
   Add(name, "bergamot_entry", port,
       {{"instance", name},
-       {"availability_zone", "zone-a"},
+       {"availability_zone", ZoneOfEntry(number)},
        {"public", EndpointJson(port)},
        {"listener", EndpointJson(FreePort())},
        {"log_url", Url("log")},
-       {"sidecars", members_}});
+       {"instance_list_url", ListUrl()},
+       {"sidecars", options_.instance_list_ ? json::array() : members_}});
+}
+
+void Cluster::AddConsole() {
+  const uint16_t port = FreePort();
+  Add("console", "bergamot_console", port,
+      {{"port", port}, {"log_url", Url("log")}});
 }
 
 void Cluster::Publish() {
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -24,16 +24,28 @@
 struct ClusterOptions {
   int engines_ = 3;
   int entries_ = 2;
+  int services_ = 1;
   // Time of an engine's step in microseconds.
   int64_t step_base_us_ = 500;
   int64_t step_per_sequence_us_ = 10;
+  // Whether sidecars reach engines without the relay.
+  bool direct_engines_ = false;
+  // Engines and entries are spread evenly over zones: "zone-1"....
+  int zones_ = 1;
+  // Whether sidecars are known by the instance list only.
+  bool instance_list_ = false;
+  Millis list_lag_;
+  // Members that replace the settings of every sidecar.
+  nlohmann::json sidecar_settings_ = nlohmann::json::object();
 };
 
 // Starts the log, engines, one plain service, a sidecar beside each, and
-// entries, with free ports and settings in a temporary folder; kills all at
-// the end. Entries reach sidecars, and sidecars reach engines, through relays.
-// Names: "log", "engine-1"..., "service", "sidecar-1"... (of the engines),
-// "sidecar-service", "entry-1"....
+// entries, and a console, with free ports and settings in a temporary folder;
+// kills all at the end. Entries reach sidecars, and sidecars reach engines,
+// through relays.
+// Names: "log", "engine-1"..., "service", "service-2"..., "sidecar-1"... (of
+// the engines), "sidecar-service", "sidecar-service-2"..., "entry-1"...,
+// "console", and "list" if there is one.
 // Thread safety: use on the test's main thread, but for the relays.
 class Cluster {
  public:
@@ -49,6 +61,12 @@
   std::string Url(const std::string& name) const;
   uint16_t Port(const std::string& name) const;
   int entries() const { return options_.entries_; }
+  // @return the availability zone of an engine and its sidecar.
+  std::string ZoneOfEngine(int number) const;
+  std::string ZoneOfEntry(int number) const;
+
+  // Tells the instance list of a sidecar's state: "live", "leaving", "gone".
+  void List(const std::string& name, const std::string& state);
 
   void Signal(const std::string& name, int signal);
   // Kills with SIGKILL and waits.
@@ -80,13 +98,17 @@
            uint16_t port,
            const nlohmann::json& settings);
   void AddEngine(int number);
+  void AddService(int number);
   void AddSidecar(const std::string& name,
                   const std::string& group,
                   const std::string& kind,
                   const std::string& upstream_url,
-                  uint16_t link_port);
+                  uint16_t link_port,
+                  const std::string& zone);
   void AddEntry(int number);
+  void AddConsole();
   void Publish();
+  std::string ListUrl() const;
 
   const ClusterOptions options_;
   std::string folder_;
--- a/tests/process/faults_test.cc
+++ b/tests/process/faults_test.cc
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include "tests/process/calls.h"
 #include "tests/process/chat_load.h"
 #include "tests/process/cluster.h"
 #include "tests/support/raw_caller.h"
@@ -21,38 +22,6 @@
 
 constexpr uint32_t kSeed = 20261204;
 
-template <typename Condition>
-bool WaitUntil(const Condition& condition, milliseconds patience) {
-  const auto end = steady_clock::now() + patience;
-  while (!condition()) {
-    if (steady_clock::now() > end) {
-      return false;
-    }
-    std::this_thread::sleep_for(milliseconds(10));
-  }
-  return true;
-}
-
-// @return the number of the engine that runs a request, or zero.
-int RunningEngine(const Cluster& cluster, int engines) {
-  for (int number = 1; number <= engines; ++number) {
-    for (const auto& record :
-         cluster.Journal("engine-" + std::to_string(number))) {
-      if (record["outcome"] == "running") {
-        return number;
-      }
-    }
-  }
-  return 0;
-}
-
-int WaitForRunningEngine(const Cluster& cluster, int engines) {
-  int number = 0;
-  WaitUntil([&] { return (number = RunningEngine(cluster, engines)) != 0; },
-            milliseconds(5000));
-  return number;
-}
-
 void Fault(Cluster& cluster, int kind, int number) {
   const std::string suffix = std::to_string(number);
   switch (kind) {
@@ -173,14 +142,8 @@
   ClusterOptions options;
   options.step_base_us_ = 5000;
   Cluster cluster(options);
-  const std::string body = ChatBody(ChatContent(1, 4000), /*stream=*/true);
   RawCaller caller(cluster.Port("entry-1"));
-  caller.Send(
-      "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
-      "Authorization: Bearer " +
-      std::string(Cluster::kWorkspaceKey) +
-      "\r\nContent-Type: application/json\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body);
+  caller.Send(RawChat(ChatContent(1, 4000)));
   caller.ReadUntil("data: ");
   const int engine = WaitForRunningEngine(cluster, options.engines_);
   REQUIRE(engine != 0);
@@ -202,14 +165,8 @@
   // One step takes so long that no token comes meanwhile.
   options.step_base_us_ = 3000000;
   Cluster cluster(options);
-  const std::string body = ChatBody(ChatContent(1, 10), /*stream=*/true);
   RawCaller caller(cluster.Port("entry-1"));
-  caller.Send(
-      "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
-      "Authorization: Bearer " +
-      std::string(Cluster::kWorkspaceKey) +
-      "\r\nContent-Type: application/json\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body);
+  caller.Send(RawChat(ChatContent(1, 10)));
   const int engine = WaitForRunningEngine(cluster, options.engines_);
   REQUIRE(engine != 0);
   caller.Close();
