Sidecar: an upstream that goes silent ends the work it holds within 3 s

Cause: a call to an upstream was watched only while an idempotent answer streamed. Before the first byte, and with work that may not be repeated, only the call's timeout of 30 s ended it, although probes on new connections had failed long before: they only stopped new work. Ruled out: a timeout before the first byte (a long prefill looks the same); TCP keepalive (the kernel of a stopped process answers it). Change: when two probes in a row have had no answer, over 800 ms at least, work that got nothing for 1.5 s fails with link_silent and may_have_run. A probe that is not answered is repeated after 100 ms, with 900 ms to answer, so that two fit into 3 s. Not covered: a single connection that goes silent before its first byte while the upstream goes on answering probes.

--- a/src/sidecar/execution.cc
+++ b/src/sidecar/execution.cc
@@ -82,9 +82,19 @@
       return;
     }
     call.value().timeout_ = settings.upstream_timeout_;
+    last_data_ = clock_.Now();
     call_ = std::make_unique<UpstreamCall>(io, call.value(), CallHooks());
   }
 
+  void FailIfSilent(Millis silence) {
+    if (ended_ || clock_.Now() - last_data_ < silence) {
+      return;
+    }
+    CancelAtEngine();
+    Fail(Error(ErrorCode::kLinkSilent, "the upstream doesn't answer"),
+         Verdict::kMayHaveRun);
+  }
+
   void Cancel() {
     // The hooks stay, as one of them may be what cancels.
     if (!ended_) {
@@ -130,9 +140,9 @@
   }
 
   // A stream that has begun and stands still is taken for a connection that
-  // went silent. Work that may not run again is left to its deadline.
+  // went silent. Work that may not run again goes on as long as the upstream
+  // answers probes.
   void NoteProgress() {
-    last_data_ = clock_.Now();
     if (may_run_again_ && !std::exchange(watched_, true)) {
       WatchForStall(stall_timeout_);
     }
@@ -164,6 +174,7 @@
     if (ended_) {
       return;
     }
+    last_data_ = clock_.Now();
     if (Streams()) {
       NoteProgress();
       const Status status = events_.Feed(data);
@@ -282,4 +293,8 @@
   impl_->Cancel();
 }
 
+void Execution::FailIfSilent(Millis silence) {
+  impl_->FailIfSilent(silence);
+}
+
 }  // namespace bergamotscale::sidecar
--- a/src/sidecar/execution.h
+++ b/src/sidecar/execution.h
@@ -38,6 +38,10 @@
   Execution(const Execution&) = delete;
   Execution& operator=(const Execution&) = delete;
 
+  // Fails with kLinkSilent if nothing has come for that long: the upstream
+  // doesn't answer on other connections either.
+  void FailIfSilent(Millis silence);
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -27,6 +27,12 @@
 // Silent probes in a row after which the upstream counts as down.
 constexpr int kMaxSilentProbes = 2;
 
+// Work that got nothing for this long from an upstream that answers no probe
+// either has lost it.
+constexpr Millis kSilentWork = Millis(1500);
+// Probes must have failed for this long, lest two quick failures decide.
+constexpr Millis kSilentProbing = Millis(800);
+
 SchedulerOptions SchedulerOptionsOf(const SidecarSettings& settings) {
   SchedulerOptions options;
   options.initial_slots_ = settings.initial_slots_;
@@ -161,6 +167,9 @@
 
   void OnReport(const UpstreamReport& report) {
     const bool silent = report.state_ == UpstreamState::kSilent;
+    if (silent && silent_probes_ == 0) {
+      silent_since_ = clock_.Now();
+    }
     silent_probes_ = silent ? silent_probes_ + 1 : 0;
     const bool down = report.state_ == UpstreamState::kUnreachable ||
                       report.state_ == UpstreamState::kLeaving ||
@@ -171,6 +180,18 @@
     if (down || report.state_ == UpstreamState::kUp) {
       SetUpstreamUp(!down);
     }
+    if (silent_probes_ >= kMaxSilentProbes &&
+        clock_.Now() - silent_since_ >= kSilentProbing) {
+      EndSilentWork();
+    }
+  }
+
+  // A copy, as ended work makes room for other sessions.
+  void EndSilentWork() {
+    const std::set<std::shared_ptr<WorkSession>> sessions = sessions_;
+    for (const std::shared_ptr<WorkSession>& session : sessions) {
+      session->OnUpstreamSilent(kSilentWork);
+    }
   }
 
   void SetUpstreamUp(bool up) {
@@ -305,6 +326,7 @@
   bool told_drained_ = false;
   bool probing_crash_ = false;
   int silent_probes_ = 0;
+  Millis silent_since_;
 };
 
 Traffic::Traffic(boost::asio::io_context& io,
--- a/src/sidecar/upstream_monitor.cc
+++ b/src/sidecar/upstream_monitor.cc
@@ -1,5 +1,6 @@
 #include "src/sidecar/upstream_monitor.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -16,7 +17,9 @@
 
 constexpr int kHttpOk = 200;
 constexpr int kHttpServiceUnavailable = 503;
-const Millis kProbeTimeout(1000);
+// Two probes in a row fit into the 3 s in which silence must be noticed.
+const Millis kProbeTimeout(900);
+const Millis kProbeAgain(100);
 
 std::vector<ModelId> ModelsOf(const std::string& body) {
   std::vector<ModelId> models;
@@ -87,7 +90,8 @@
   void ProbePeriodically() {
     Probe([this](const UpstreamReport& report) {
       on_report_(report);
-      Wait();
+      const bool silent = report.state_ == UpstreamState::kSilent;
+      Wait(silent ? std::min(kProbeAgain, interval_) : interval_);
     });
   }
 
@@ -97,9 +101,9 @@
   }
 
  private:
-  void Wait() {
+  void Wait(Millis delay) {
     auto self = shared_from_this();
-    timer_.expires_after(std::chrono::milliseconds(interval_.count()));
+    timer_.expires_after(std::chrono::milliseconds(delay.count()));
     timer_.async_wait([self](const boost::system::error_code& error) {
       if (!error && !self->stopped_) {
         self->ProbePeriodically();
--- a/src/sidecar/work_session.cc
+++ b/src/sidecar/work_session.cc
@@ -39,6 +39,12 @@
   return hooks;
 }
 
+void WorkSession::OnUpstreamSilent(Millis silence) {
+  if (state_ == State::kRunning) {
+    execution_->FailIfSilent(silence);
+  }
+}
+
 void WorkSession::OnMessage(std::string_view frame) {
   const Result<wire::MessageType> type = wire::PeekType(frame);
   if (type.ok() && type.value() == wire::MessageType::kReserve &&
--- a/src/sidecar/work_session.h
+++ b/src/sidecar/work_session.h
@@ -45,6 +45,9 @@
   // @return the hooks of the stream; they don't keep the session.
   link::StreamHooks Hooks();
 
+  // The upstream answers no probe: ends what has been silent for that long.
+  void OnUpstreamSilent(Millis silence);
+
  private:
   enum class State {
     kNew,
