--- a/tests/process/chat_load.cc
+++ b/tests/process/chat_load.cc
@@ -192,6 +192,9 @@
 }
 
 std::string ChatLoad::PickEntry(int number) {
+  if (options_.only_entry_ != 0) {
+    return cluster_.Url("entry-" + std::to_string(options_.only_entry_));
+  }
   const size_t count = ready_.size();
   for (size_t i = 0; i < count; ++i) {
     const size_t index = (static_cast<size_t>(number) + i) % count;
--- a/tests/process/chat_load.h
+++ b/tests/process/chat_load.h
@@ -40,6 +40,8 @@
   int tokens_ = 20;
   // Times that a caller sends a request again that was refused or broken.
   int resends_ = 0;
+  // The number of the only entry that is used; zero for all.
+  int only_entry_ = 0;
 };
 
 // Callers in threads of their own, each with one request at a time, half of
