--- a/tests/process/session_record.cc
+++ b/tests/process/session_record.cc
@@ -136,11 +136,12 @@
     }
   }
   const std::string& instance = events.front().instance_.value();
-  std::string text = "  " + instance + ":" + own + "\n";
+  std::ostringstream text;
+  text << "  " << instance << ":" << own << "\n";
   for (const auto& [peer, line] : by_peer) {
-    text += "  " + instance + " of " + peer + ":" + line + "\n";
+    text << "  " << instance << " of " << peer << ":" << line << "\n";
   }
-  return text;
+  return text.str();
 }
 
 std::string SessionRecord::Text() const {
