--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -20,10 +20,6 @@
 constexpr double kJitterMillis = 3;
 constexpr double kStragglerMillis = 20'000;
 constexpr size_t kMaxPrefixes = 20'000;
-// The own zone is kept to though an upstream elsewhere scores this much better.
-constexpr double kOwnZoneMillis = 10;
-// Fewer upstreams than this are no choice.
-constexpr size_t kMinOwnZone = 2;
 // A wait under this is no reason to look beyond an upstream.
 constexpr double kMinSlotMillis = 5;
 
@@ -92,9 +88,6 @@
                const Match& match);
   int HomeOf(const DispatchRequest& request,
              const std::vector<UpstreamView>& views) const;
-  // Drops the candidates of other zones while one of the own has a free slot:
-  // of several reservations the first grant wins, wherever it is.
-  void KeepOwnZone(const std::vector<UpstreamView>& views);
 
   DispatcherOptions options_;
   std::mt19937_64 random_;
@@ -207,28 +200,6 @@
   return wait + slot * std::min(-free + 1, placed);
 }
 
-void Dispatcher::Impl::KeepOwnZone(const std::vector<UpstreamView>& views) {
-  const auto away = [this, &views](const Candidate& candidate) {
-    return views[candidate.index_].zone_ != options_.zone_;
-  };
-  double best = std::numeric_limits<double>::infinity();
-  double best_free = best;
-  size_t own = 0;
-  for (const Candidate& candidate : candidates_) {
-    const UpstreamView& view = views[candidate.index_];
-    best = std::min(best, candidate.score_);
-    own += away(candidate) ? 0 : 1;
-    if (!away(candidate) && view.running_ + view.placed_since_ < view.slots_) {
-      best_free = std::min(best_free, candidate.score_);
-    }
-  }
-  if (own >= kMinOwnZone && best_free <= best + kOwnZoneMillis) {
-    candidates_.erase(
-        std::remove_if(candidates_.begin(), candidates_.end(), away),
-        candidates_.end());
-  }
-}
-
 double Dispatcher::Impl::Score(const UpstreamView& view,
                                const DispatchRequest& request,
                                const Match& match) {
@@ -292,7 +263,6 @@
     candidate.score_ = impl_->Score(views[candidate.index_], request, match) -
                        (candidate.index_ == home ? kHomeMillis : 0);
   }
-  impl_->KeepOwnZone(views);
   const size_t wanted =
       static_cast<size_t>(std::max(impl_->options_.reservations_, 1));
   const size_t count = std::min(wanted, candidates.size());
