--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -269,21 +269,24 @@
   }
 }
 
-// Takes zone 2 away under load and back.
-void CheckZoneLoss(const std::function<void(Cluster&, const char*)>& lose,
-                   const std::function<void(Cluster&, const char*)>& bring) {
+TEST_CASE("fleet: an entry prefers its own zone while it has free slots") {
   Cluster cluster(TwoZones());
   Pause(1000);
-  {
-    ChatLoad light(cluster, LoadAt(1, 2));
-    Pause(1500);
-    CheckNothingLost(light);
-  }
-  // With free slots in its own zone an entry uses the other's rarely.
+  ChatLoad light(cluster, LoadAt(1, 2));
+  Pause(1500);
+  CheckNothingLost(light);
   const int at_home = ExecutionsInZone(cluster, 1);
   const int abroad = ExecutionsInZone(cluster, 2);
   MESSAGE(at_home << " in the own zone, " << abroad << " in the other");
   CHECK(at_home > 2 * abroad);
+}
+
+// Takes zone 2 away under load and back.
+void CheckZoneLoss(const std::function<void(Cluster&, const char*)>& lose,
+                   const std::function<void(Cluster&, const char*)>& bring) {
+  Cluster cluster(TwoZones());
+  Pause(1000);
+  const int abroad = ExecutionsInZone(cluster, 2);
   // More than the own zone's slots: it spills over.
   ChatLoad load(cluster, LoadAt(1, 24));
   Pause(1500);
