--- a/src/sidecar/execution.cc
+++ b/src/sidecar/execution.cc
@@ -63,6 +63,7 @@
         events_(settings.max_answer_,
                 [this](const std::string& data) { OnEvent(data); }) {
     finished_.request_id_ = work.request_id_;
+    resume_tokens_ = work.resume_tokens_;
   }
 
   void Start(boost::asio::io_context& io,
@@ -81,9 +82,19 @@
       return;
     }
     call.value().timeout_ = settings.upstream_timeout_;
+    last_data_ = clock_.Now();
     call_ = std::make_unique<UpstreamCall>(io, call.value(), CallHooks());
   }
 
+  void FailIfSilent(Millis silence) {
+    if (ended_ || clock_.Now() - last_data_ < silence) {
+      return;
+    }
+    CancelAtEngine();
+    Fail(Error(ErrorCode::kLinkSilent, "the upstream doesn't answer"),
+         Verdict::kMayHaveRun);
+  }
+
   void Cancel() {
     // The hooks stay, as one of them may be what cancels.
     if (!ended_) {
@@ -129,9 +140,9 @@
   }
 
   // A stream that has begun and stands still is taken for a connection that
-  // went silent. Work that may not run again is left to its deadline.
+  // went silent. Work that may not run again goes on as long as the upstream
+  // answers probes.
   void NoteProgress() {
-    last_data_ = clock_.Now();
     if (may_run_again_ && !std::exchange(watched_, true)) {
       WatchForStall(stall_timeout_);
     }
@@ -163,6 +174,7 @@
     if (ended_) {
       return;
     }
+    last_data_ = clock_.Now();
     if (Streams()) {
       NoteProgress();
       const Status status = events_.Feed(data);
@@ -194,7 +206,8 @@
     if (!event.finish_reason_.empty()) {
       finished_.finish_reason_ = event.finish_reason_;
       finished_.prompt_tokens_ = event.prompt_tokens_;
-      finished_.output_tokens_ = event.output_tokens_;
+      // The engine counts its own tokens only.
+      finished_.output_tokens_ = resume_tokens_ + event.output_tokens_;
       finished_.cached_tokens_ = event.cached_tokens_;
     }
     done_ = done_ || event.done_;
@@ -262,6 +275,7 @@
   UpstreamHead head_;
   std::string body_;
   wire::Finished finished_;
+  Tokens resume_tokens_;
   bool done_ = false;
   bool ended_ = false;
 };
@@ -279,4 +293,8 @@
   impl_->Cancel();
 }
 
+void Execution::FailIfSilent(Millis silence) {
+  impl_->FailIfSilent(silence);
+}
+
 }  // namespace bergamotscale::sidecar
