Placement: entries hold the lease and give orders to engines

Cause: the lease, the fold, the gate and the plan were built, but no process held the lease, so that a model named in the configuration was never loaded, and the weight store's limit was shared out by nobody.

Weighed for the holder: entries (always there, hold the document and the sidecars' reports), a process of its own (one more to run and to lose), the console (may be away). Taken: each entry runs a controller on its control thread; the order of the log decides.

A load expires, so that one that is carried out late can't break the limit. Sidecars tell of orders applied and refused. Dispatch chooses only upstreams that have the model: before, a model on some engines only was refused with unknown_model elsewhere.

--- a/src/config/document_check.cc
+++ b/src/config/document_check.cc
@@ -12,8 +12,12 @@
 using settings::FieldErrors;
 
 // Paths that an entry answers itself.
-constexpr const char* kReservedPaths[] = {"/v1/chat/completions", "/healthz",
-                                          "/readyz", "/metrics", "/timeline"};
+constexpr const char* kReservedPaths[] = {"/v1/chat/completions",
+                                          "/healthz",
+                                          "/readyz",
+                                          "/metrics",
+                                          "/timeline",
+                                          "/placement"};
 
 // Collects faults of one document.
 class Checker {
--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -65,6 +65,7 @@
     wanted.class_ = request_.class_.name_;
     wanted.tier_ = request_.class_.tier_;
     wanted.group_ = request_.group_;
+    wanted.model_ = request_.model_;
     wanted.prefix_hashes_ = policy::HashPrefixes(request_.prompt_);
     wanted.avoid_ = plan_.avoid_;
     wanted.suspect_ = plan_.suspect_;
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -13,6 +13,7 @@
 #include "src/core/blackboard.h"
 #include "src/core/chrono_time.h"
 #include "src/entry/membership.h"
+#include "src/entry/placement_controller.h"
 #include "src/entry/router.h"
 #include "src/entry/traffic.h"
 #include "src/http/caller_guard.h"
@@ -93,6 +94,12 @@
                         upstreams_.SetMembers(members);
                       });
                     }),
+        placement_(control_io_,
+                   log_,
+                   settings_,
+                   timeline_,
+                   metrics_,
+                   PlacementHooksOf()),
         gossip_timer_(io_) {}
 
   ~Impl() { Stop(); }
@@ -101,6 +108,10 @@
     http::AddSideRoutes(
         listener_, http::SideHooks{[this] { return ready(); }, &metrics_,
                                    [this] { return timeline_.ToJsonLines(); }});
+    listener_.Route("GET", "/placement", [this](auto request) {
+      http::ReplyText(request, web::http::status_codes::OK,
+                      placement_.StateJson(), "application/json");
+    });
     router_.Attach(listener_);
     Status opened = listener_.Open();
     if (!opened.ok()) {
@@ -111,6 +122,7 @@
       return listening.error();
     }
     membership_.Start();
+    placement_.Start();
     ScheduleGossip();
     traffic_thread_ = std::thread([this] { io_.run(); });
     control_thread_ = std::thread([this] { control_io_.run(); });
@@ -124,6 +136,7 @@
     }
     leaving_ = true;
     timeline_.Add(timeline::EventType::kLeaving, RequestId());
+    boost::asio::post(control_io_, [this] { placement_.Leave(); });
     std::this_thread::sleep_for(ToChrono(settings_.leave_grace_));
     guard_.StopAccepting();
     while (router_.active() > 0 || guard_.open_connections() > 0) {
@@ -133,6 +146,7 @@
     follower_.Stop();
     boost::asio::post(control_io_, [this] {
       membership_.Stop();
+      placement_.Stop();
       control_work_.reset();
     });
     control_thread_.join();
@@ -172,6 +186,20 @@
     return hooks;
   }
 
+  PlacementHooks PlacementHooksOf() {
+    PlacementHooks hooks;
+    hooks.read_engines_ = [this](auto done) {
+      boost::asio::post(io_, [this, done] { done(upstreams_.EngineViews()); });
+    };
+    hooks.config_ = [this]() -> std::shared_ptr<const ConfigDocument> {
+      const auto config = config_.Read();
+      return config == nullptr ? nullptr
+                               : std::shared_ptr<const ConfigDocument>(
+                                     config, &config->document_);
+    };
+    return hooks;
+  }
+
   void OnConfig(const config::ConfigSnapshot& snapshot) {
     config_.Write(snapshot);
     timeline_.Add(timeline::EventType::kConfigInForce, RequestId(),
@@ -264,6 +292,7 @@
   Router router_;
   http::Listener listener_;
   Membership membership_;
+  PlacementController placement_;
   boost::asio::steady_timer gossip_timer_;
   std::atomic<bool> leaving_{false};
   std::thread traffic_thread_;
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -89,6 +89,7 @@
     wanted.class_ = request_.class_.name_;
     wanted.tier_ = request_.class_.tier_;
     wanted.group_ = request_.group_;
+    wanted.model_ = request_.model_;
     const Millis wait =
         traffic_.dispatcher_.BestWait(wanted, traffic_.upstreams_.Views());
     policy::AdmissionRequest admission;
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "src/link/link_settings.h"
+#include "src/placement/placement_fold.h"
 #include "src/settings/id_field.h"
 
 namespace bergamotscale::entry {
@@ -12,6 +13,8 @@
 using Need = FieldReader::Need;
 
 constexpr Millis kMaxTimeout = Millis(600000);
+// With two lifetimes of an order, loads are still remembered.
+constexpr Millis kMaxWeightWindow = Millis(480000);
 
 void ReadSidecars(FieldReader& reader, std::vector<SidecarMember>* sidecars) {
   reader.Objects("sidecars", Need::kOptional, [&](FieldReader& item) {
@@ -48,6 +51,24 @@
   });
 }
 
+void ReadPlacement(FieldReader& reader, PlacementSettings* placement) {
+  constexpr int kMaxFetches = 100000;
+  reader.Object("placement", Need::kOptional, [&](FieldReader& item) {
+    item.Duration("lease_ms", Need::kOptional, Millis(500),
+                  placement::kMaxLeaseTtl, &placement->lease_);
+    item.Duration("plan_interval_ms", Need::kOptional, Millis(50),
+                  Millis(60000), &placement->plan_interval_);
+    item.Integer("weight_fetches", Need::kOptional, 1, kMaxFetches,
+                 &placement->weight_fetches_);
+    item.Duration("weight_window_ms", Need::kOptional, Millis(100),
+                  kMaxWeightWindow, &placement->weight_window_);
+    item.Duration("order_lifetime_ms", Need::kOptional, Millis(100),
+                  Millis(60000), &placement->order_lifetime_);
+    item.Duration("load_timeout_ms", Need::kOptional, Millis(100),
+                  placement::kLoadMemory, &placement->load_timeout_);
+  });
+}
+
 }  // namespace
 
 void ReadEntrySettings(FieldReader& reader, EntrySettings* settings) {
@@ -63,6 +84,7 @@
   ReadSidecars(reader, &settings->sidecars_);
   ReadLimits(reader, &settings->limits_);
   link::ReadLinkOptions(reader, &settings->link_);
+  ReadPlacement(reader, &settings->placement_);
   reader.Integer("reservations", Need::kOptional, 1, kMaxReservations,
                  &settings->reservations_);
   reader.Integer("timeline_events", Need::kOptional, 1, kMaxEvents,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -30,6 +30,19 @@
   Millis idle_timeout_ = Millis(60000);
 };
 
+// How orders to engines are given by the entry that holds the lease.
+struct PlacementSettings {
+  Millis lease_ = Millis(15000);
+  Millis plan_interval_ = Millis(1000);
+  // The weight store allows so many fetches in any such time.
+  int weight_fetches_ = 30;
+  Millis weight_window_ = Millis(60000);
+  // A load that has not begun by then is not begun any more.
+  Millis order_lifetime_ = Millis(10000);
+  // A load that has not ended by then is ordered again.
+  Millis load_timeout_ = Millis(60000);
+};
+
 struct EntrySettings {
   InstanceId instance_;
   ZoneId zone_;
@@ -42,6 +55,7 @@
   std::vector<SidecarMember> sidecars_;
   CallerLimits limits_;
   link::LinkOptions link_;
+  PlacementSettings placement_;
   int reservations_ = 3;
   int timeline_events_ = 20000;
   // Time between failing readiness and refusing new connections on a stop.
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -155,6 +155,7 @@
     view.between_tokens_ = peer.status_.between_tokens_;
     view.expected_wait_ = peer.status_.expected_wait_;
     view.cached_prefixes_ = peer.status_.cached_prefixes_;
+    view.models_ = peer.status_.models_;
     for (const wire::ClassLoad& load : peer.status_.classes_) {
       view.waiting_ += load.waiting_;
       view.class_waits_.push_back({load.class_, load.expected_wait_});
@@ -242,6 +243,17 @@
   return impl_->views_;
 }
 
+std::vector<placement::EngineView> UpstreamTable::EngineViews() const {
+  std::vector<placement::EngineView> views;
+  views.reserve(impl_->peers_.size());
+  const Millis now = impl_->steady_.Now();
+  for (const auto& [id, peer] : impl_->peers_) {
+    const policy::UpstreamView view = impl_->ViewOf(*peer, now);
+    views.push_back({id, view.group_, view.usable_, peer->status_.models_, {}});
+  }
+  return views;
+}
+
 Result<link::Stream> UpstreamTable::OpenWork(const InstanceId& sidecar,
                                              link::StreamHooks hooks) {
   const auto found = impl_->peers_.find(sidecar);
--- a/src/entry/upstream_table.h
+++ b/src/entry/upstream_table.h
@@ -12,6 +12,7 @@
 #include "bergamotscale/result.h"
 #include "src/entry/settings.h"
 #include "src/link/link.h"
+#include "src/placement/placement_plan.h"
 #include "src/policy/types.h"
 #include "src/timeline/timeline.h"
 #include "src/wire/messages.h"
@@ -47,6 +48,9 @@
   // call of another method.
   const std::vector<policy::UpstreamView>& Views();
 
+  // @return what placement weighs: models of the last reports.
+  std::vector<placement::EngineView> EngineViews() const;
+
   // Opens a work stream to a member of Views(), and counts the placement.
   // @return kUpstreamUnreachable if its link is down.
   Result<link::Stream> OpenWork(const InstanceId& sidecar,
--- a/src/placement/lease_keeper.cc
+++ b/src/placement/lease_keeper.cc
@@ -42,9 +42,14 @@
 }
 
 void LeaseKeeper::Ask(const PlacementFold& fold, Millis now) {
+  if (!fold.IsFree(wall_.Now())) {
+    free_since_.reset();
+    return;
+  }
+  free_since_ = free_since_.value_or(now);
   const bool waiting =
       !asked_.empty() && now < asked_at_ + options_.ttl_ / kStepsPerTtl;
-  if (waiting || !fold.IsFree(wall_.Now())) {
+  if (waiting || now < *free_since_ + options_.ask_delay_) {
     return;
   }
   asked_ = LeaseId(options_.boot_id_ + "/" + std::to_string(++last_request_));
--- a/src/placement/lease_keeper.h
+++ b/src/placement/lease_keeper.h
@@ -17,6 +17,9 @@
   // Unique for each start of a process.
   std::string boot_id_;
   Millis ttl_ = Millis(10'000);
+  // How long the lease is seen free before it is asked for. Processes with
+  // different values don't all ask at once.
+  Millis ask_delay_ = Millis(0);
 };
 
 // Decides when to ask, renew and stop believing; the log decides who holds.
@@ -53,6 +56,7 @@
   int64_t last_request_ = 0;
   LeaseId asked_;
   Millis asked_at_;
+  std::optional<Millis> free_since_;
   std::optional<Fence> held_;
   // Start of the last request or renewal that the log has shown; the lease is
   // believed for its time to live from there.
--- a/src/placement/placement_fold.cc
+++ b/src/placement/placement_fold.cc
@@ -8,11 +8,6 @@
 
 constexpr size_t kMaxLoads = 10000;
 
-bool FetchesWeights(const EngineOrder& order) {
-  return order.action_ == EngineAction::kLoadModel ||
-         order.action_ == EngineAction::kLoadAdapter;
-}
-
 Millis WallOf(const PlacementRecord& record) {
   return std::visit([](const auto& known) { return known.wall_; }, record);
 }
@@ -20,6 +15,7 @@
 }  // namespace
 
 std::optional<EngineOrder> PlacementFold::Apply(const log::Record& record) {
+  refused_.reset();
   const Result<PlacementRecord> decoded = DecodeRecord(record.payload_);
   if (!decoded.ok()) {
     return std::nullopt;
@@ -29,17 +25,7 @@
   knows_lease_ = knows_lease_ || record.offset_ == LogOffset(0) ||
                  now_ > *first_wall_ + kMaxLeaseTtl;
   if (const auto* order = std::get_if<EngineOrder>(&decoded.value())) {
-    const bool stands = lease_.has_value() && lease_->fence_ == order->fence_;
-    if (!stands) {
-      return std::nullopt;
-    }
-    if (FetchesWeights(*order)) {
-      loads_.push_back(order->wall_);
-    }
-    if (loads_.size() > kMaxLoads) {
-      loads_.pop_front();
-    }
-    return *order;
+    return Take(*order);
   }
   if (const auto* request = std::get_if<LeaseRequest>(&decoded.value())) {
     Take(*request, record.offset_);
@@ -53,6 +39,22 @@
   return std::nullopt;
 }
 
+std::optional<EngineOrder> PlacementFold::Take(const EngineOrder& order) {
+  const bool stands = lease_.has_value() && lease_->fence_ == order.fence_;
+  if (!stands) {
+    refused_ = order;
+    return std::nullopt;
+  }
+  if (FetchesWeights(order)) {
+    loads_.push_back(order);
+  }
+  while (!loads_.empty() && (loads_.size() > kMaxLoads ||
+                             loads_.front().wall_ + kLoadMemory < now_)) {
+    loads_.pop_front();
+  }
+  return order;
+}
+
 void PlacementFold::Take(const LeaseRequest& request, LogOffset offset) {
   if (!knows_lease_ || !IsFree(now_)) {
     return;
@@ -83,9 +85,9 @@
 }
 
 int PlacementFold::LoadsSince(Millis wall) const {
-  return static_cast<int>(
-      std::count_if(loads_.begin(), loads_.end(),
-                    [wall](Millis load) { return load >= wall; }));
+  return static_cast<int>(std::count_if(
+      loads_.begin(), loads_.end(),
+      [wall](const EngineOrder& load) { return load.wall_ >= wall; }));
 }
 
 }  // namespace bergamotscale::placement
--- a/src/placement/placement_fold.h
+++ b/src/placement/placement_fold.h
@@ -14,6 +14,9 @@
 // No lease is asked for longer.
 inline constexpr Millis kMaxLeaseTtl = Millis(60'000);
 
+// How long orders that fetch weights are remembered.
+inline constexpr Millis kLoadMemory = Millis(600'000);
+
 struct Lease {
   Fence fence_;
   LeaseId lease_;
@@ -33,6 +36,9 @@
   // force at its place in the log.
   std::optional<EngineOrder> Apply(const log::Record& record);
 
+  // @return the order in the last record, if it did not stand.
+  const std::optional<EngineOrder>& refused() const { return refused_; }
+
   // @return the lease in force; an expired one stays in force until another
   // is granted, since its holder's orders harm nobody until then.
   const std::optional<Lease>& lease() const { return lease_; }
@@ -43,18 +49,23 @@
   // @return standing orders since a wall time that fetch weights, whoever held
   // the lease: what the weight store's limit is shared by.
   int LoadsSince(Millis wall) const;
+  // @return those orders, oldest first; of the last kLoadMemory. Valid until
+  // the next Apply().
+  const std::deque<EngineOrder>& loads() const { return loads_; }
 
  private:
   void Take(const LeaseRequest& request, LogOffset offset);
   void Take(const LeaseRenewal& renewal);
   void Take(const LeaseRelease& release);
+  std::optional<EngineOrder> Take(const EngineOrder& order);
 
   std::optional<Lease> lease_;
   // Whether a request can be judged.
   bool knows_lease_ = false;
   std::optional<Millis> first_wall_;
   Millis now_;
-  std::deque<Millis> loads_;
+  std::deque<EngineOrder> loads_;
+  std::optional<EngineOrder> refused_;
 };
 
 }  // namespace bergamotscale::placement
--- a/src/placement/records.cc
+++ b/src/placement/records.cc
@@ -64,6 +64,7 @@
   fields["type"] = kOrder;
   fields["sidecar"] = record.sidecar_.value();
   fields["wall_ms"] = record.wall_.count();
+  fields["expires_ms"] = record.expires_.count();
   return fields;
 }
 
@@ -86,6 +87,7 @@
   order.version_ = record.at("version").get<std::string>();
   order.role_ = record.at("role").get<std::string>();
   order.wall_ = MillisOf(record, "wall_ms");
+  order.expires_ = Millis(record.value("expires_ms", int64_t{0}));
   return order;
 }
 
@@ -117,6 +119,11 @@
   return kActionNames.at(static_cast<size_t>(action));
 }
 
+bool FetchesWeights(const EngineOrder& order) {
+  return order.action_ == EngineAction::kLoadModel ||
+         order.action_ == EngineAction::kLoadAdapter;
+}
+
 std::string EncodeRecord(const PlacementRecord& record) {
   return std::visit([](const auto& known) { return ToJson(known).dump(); },
                     record);
--- a/src/placement/records.h
+++ b/src/placement/records.h
@@ -61,8 +61,14 @@
   std::string version_;
   std::string role_;
   Millis wall_;
+  // Wall time from which on it must not be begun; zero for never. Orders that
+  // fetch weights have one, so that the weight store's limit can be shared out.
+  Millis expires_;
 };
 
+// @return whether the order makes the engine fetch from the weight store.
+bool FetchesWeights(const EngineOrder& order);
+
 using PlacementRecord =
     std::variant<LeaseRequest, LeaseRenewal, LeaseRelease, EngineOrder>;
 
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -35,7 +35,8 @@
   return value;
 }
 
-bool Contains(const std::vector<InstanceId>& ids, const InstanceId& id) {
+template <typename Id>
+bool Contains(const std::vector<Id>& ids, const Id& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
@@ -104,7 +105,9 @@
                                 const DispatchRequest& request,
                                 const std::vector<UpstreamView>& views) {
   const UpstreamView& view = views[index];
-  if (!view.usable_ || view.group_ != request.group_ ||
+  const bool has_model =
+      request.model_.empty() || Contains(view.models_, request.model_);
+  if (!view.usable_ || view.group_ != request.group_ || !has_model ||
       Contains(request.avoid_, view.sidecar_)) {
     return;
   }
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -17,6 +17,8 @@
   ClassId class_;
   Tier tier_ = Tier(1);
   GroupId group_;
+  // Only upstreams that have it loaded; empty for a plain service.
+  ModelId model_;
   // Hashes of the prompt's prefixes, longest last. See PrefixHasher.
   std::vector<uint64_t> prefix_hashes_;
   // Sidecars that have failed this request already.
--- a/src/policy/types.h
+++ b/src/policy/types.h
@@ -61,6 +61,7 @@
   Millis expected_wait_;
   Millis report_age_;
   std::vector<uint64_t> cached_prefixes_;  // ascending
+  std::vector<ModelId> models_;            // loaded
   // Waits by class where known; expected_wait_ stands in for the others.
   std::vector<ClassWait> class_waits_;
 };
--- a/src/sidecar/engine_orders.cc
+++ b/src/sidecar/engine_orders.cc
@@ -17,10 +17,18 @@
 namespace {
 
 using placement::EngineOrder;
+using timeline::EventType;
 
 constexpr int kHttpFirstError = 400;
 constexpr int kHttpFirstServerError = 500;
 constexpr std::chrono::milliseconds kRetryDelay(500);
+constexpr Millis kCallTimeout(5000);
+
+std::string Describe(const EngineOrder& order) {
+  return std::string(placement::ActionName(order.action_)) + " " +
+         order.model_.value() + ", fence " +
+         std::to_string(order.fence_.value());
+}
 
 }  // namespace
 
@@ -28,10 +36,14 @@
  public:
   Impl(boost::asio::io_context& io,
        log::LogClient& client,
+       timeline::Timeline& timeline,
+       http::Metrics& metrics,
        InstanceId sidecar,
        std::string engine_url)
       : io_(io),
         client_(client),
+        timeline_(timeline),
+        metrics_(metrics),
         timer_(io),
         sidecar_(std::move(sidecar)),
         engine_url_(std::move(engine_url)) {}
@@ -80,19 +92,53 @@
 
   void OnRecord(const log::Record& record) {
     const std::optional<EngineOrder> order = fold_.Apply(record);
+    const std::optional<EngineOrder>& refused = fold_.refused();
+    if (refused.has_value() && refused->sidecar_ == sidecar_) {
+      NoteRefused(*refused, "its fence is not that of the lease");
+    }
     if (!order.has_value() || order->sidecar_ != sidecar_) {
       return;
     }
     if (!gate_.Add(*order)) {
-      LOG(WARNING) << "order with an old fencing number "
-                   << order->fence_.value() << " is not given";
+      NoteRefused(*order, "a newer fence was seen");
     }
     CarryOutNext();
   }
 
+  void NoteRefused(const EngineOrder& order, const std::string& why) {
+    LOG(WARNING) << Describe(order) << " is not carried out: " << why;
+    timeline_.Add(EventType::kOrderRefused, RequestId(), InstanceId(),
+                  Describe(order) + ": " + why);
+    metrics_.Add("bergamot_engine_orders_refused");
+  }
+
+  void NoteApplied(const EngineOrder& order) {
+    LOG(INFO) << Describe(order) << " was taken by the engine";
+    timeline_.Add(EventType::kOrderApplied, RequestId(), InstanceId(),
+                  Describe(order));
+    metrics_.Add("bergamot_engine_orders_applied");
+  }
+
+  bool IsExpired(const EngineOrder& order) const {
+    return order.expires_ > Millis(0) && wall_.Now() >= order.expires_;
+  }
+
+  void DropExpired() {
+    const EngineOrder* next = gate_.Next();
+    while (next != nullptr && IsExpired(*next)) {
+      NoteRefused(*next, "it has expired");
+      gate_.Done();
+      next = gate_.Next();
+    }
+  }
+
   void CarryOutNext() {
+    if (!caught_up_ || busy_) {
+      return;
+    }
+    DropExpired();
     const EngineOrder* next = gate_.Next();
-    if (!caught_up_ || busy_ || next == nullptr) {
+    if (next == nullptr) {
       return;
     }
     busy_ = true;
@@ -100,6 +146,7 @@
     call.method_ = "POST";
     call.url_ = engine_url_ + "/orders";
     call.body_ = placement::EngineOrderBody(*next);
+    call.timeout_ = kCallTimeout;
     std::weak_ptr<Impl> weak = weak_from_this();
     http::CallOnce(call, [weak,
                           order = *next](const Result<http::Reply>& reply) {
@@ -112,9 +159,11 @@
     const bool carried_out = status > 0 && status < kHttpFirstError;
     const bool refused =
         status >= kHttpFirstError && status < kHttpFirstServerError;
-    LOG(INFO) << "order " << placement::ActionName(order.action_) << " "
-              << order.model_.value() << " under fence " << order.fence_.value()
-              << ": status " << status;
+    if (carried_out) {
+      NoteApplied(order);
+    } else if (refused) {
+      NoteRefused(order, "the engine answered " + std::to_string(status));
+    }
     if (gate_.IsStale(order)) {
       TryAgain();
     } else if (carried_out || refused) {
@@ -144,6 +193,9 @@
 
   boost::asio::io_context& io_;
   log::LogClient& client_;
+  timeline::Timeline& timeline_;
+  http::Metrics& metrics_;
+  const Clock wall_ = Clock::Wall();
   boost::asio::steady_timer timer_;
   InstanceId sidecar_;
   std::string engine_url_;
@@ -157,10 +209,14 @@
 
 EngineOrders::EngineOrders(boost::asio::io_context& io,
                            log::LogClient& client,
+                           timeline::Timeline& timeline,
+                           http::Metrics& metrics,
                            InstanceId sidecar,
                            std::string engine_url)
     : impl_(std::make_shared<Impl>(io,
                                    client,
+                                   timeline,
+                                   metrics,
                                    std::move(sidecar),
                                    std::move(engine_url))) {}
 
--- a/src/sidecar/engine_orders.h
+++ b/src/sidecar/engine_orders.h
@@ -8,7 +8,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include "bergamotscale/ids.h"
+#include "src/http/metrics.h"
 #include "src/log/log_client.h"
+#include "src/timeline/timeline.h"
 
 namespace bergamotscale::sidecar {
 
@@ -17,9 +19,11 @@
 // Thread safety: use on the io_context's thread.
 class EngineOrders {
  public:
-  // @param client must outlive this, the context all calls.
+  // @param client, timeline, metrics must outlive this, the context all calls.
   EngineOrders(boost::asio::io_context& io,
                log::LogClient& client,
+               timeline::Timeline& timeline,
+               http::Metrics& metrics,
                InstanceId sidecar,
                std::string engine_url);
   // Stops.
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -73,6 +73,8 @@
                      [this] { LeaveByList(); }),
         engine_orders_(control_thread_.io(),
                        log_client_,
+                       timeline_,
+                       metrics_,
                        settings_.instance_,
                        settings_.upstream_url_) {
     blackboard_.ready_.Write(false);
--- a/src/timeline/event_json.cc
+++ b/src/timeline/event_json.cc
@@ -38,6 +38,11 @@
     {EventType::kUpstreamCrashed, "upstream_crashed"},
     {EventType::kQuarantined, "quarantined"},
     {EventType::kDropped, "dropped"},
+    {EventType::kLeaseWon, "lease_won"},
+    {EventType::kLeaseLost, "lease_lost"},
+    {EventType::kOrderGiven, "order_given"},
+    {EventType::kOrderApplied, "order_applied"},
+    {EventType::kOrderRefused, "order_refused"},
 };
 
 std::optional<EventType> TypeOfName(const std::string& name) {
--- a/src/timeline/report.cc
+++ b/src/timeline/report.cc
@@ -149,11 +149,34 @@
       return "it was quarantined: " + detail;
     case EventType::kDropped:
       return "a late or foreign chunk was dropped";
+    case EventType::kLeaseWon:
+      return "the lease on placement was granted (" + detail + ")";
+    case EventType::kLeaseLost:
+      return "the lease on placement is held no longer (" + detail + ")";
+    case EventType::kOrderGiven:
+      return "an order was given to " + peer + " (" + detail + ")";
+    case EventType::kOrderApplied:
+      return "the engine took an order (" + detail + ")";
+    case EventType::kOrderRefused:
+      return "an order was not carried out (" + detail + ")";
     default:
       return std::string(EventName(event.type_)) + " " + detail;
   }
 }
 
+bool IsOfPlacement(const Event& event) {
+  switch (event.type_) {
+    case EventType::kLeaseWon:
+    case EventType::kLeaseLost:
+    case EventType::kOrderGiven:
+    case EventType::kOrderApplied:
+    case EventType::kOrderRefused:
+      return true;
+    default:
+      return false;
+  }
+}
+
 }  // namespace
 
 std::vector<Event> Merge(const std::vector<std::vector<Event>>& timelines) {
@@ -198,4 +221,18 @@
   return text.str();
 }
 
+std::string ExplainPlacement(const std::vector<Event>& merged) {
+  std::ostringstream text;
+  int64_t first = -1;
+  for (const Event& event : merged) {
+    if (!IsOfPlacement(event)) {
+      continue;
+    }
+    first = first < 0 ? event.time_.wall_ms_ : first;
+    text << "+" << event.time_.wall_ms_ - first << " ms "
+         << event.instance_.value() << ": " << Sentence(event) << "\n";
+  }
+  return first < 0 ? "nothing is known of placement\n" : text.str();
+}
+
 }  // namespace bergamotscale::timeline
--- a/src/timeline/report.h
+++ b/src/timeline/report.h
@@ -26,6 +26,10 @@
 std::string Explain(const std::vector<Event>& merged,
                     const RequestId& request_id);
 
+// Tells in words who held the lease on placement and what became of orders to
+// engines, as Explain() does.
+std::string ExplainPlacement(const std::vector<Event>& merged);
+
 }  // namespace bergamotscale::timeline
 
 #endif  // BERGAMOTSCALE_SRC_TIMELINE_REPORT_H_
--- a/src/timeline/timeline.h
+++ b/src/timeline/timeline.h
@@ -40,7 +40,12 @@
   kLeaving,
   kUpstreamCrashed,
   kQuarantined,
-  kDropped,  // a late or foreign chunk was dropped
+  kDropped,       // a late or foreign chunk was dropped
+  kLeaseWon,      // the lease on placement was granted; detail is the fence
+  kLeaseLost,     // it is no longer believed held; detail is the fence
+  kOrderGiven,    // an order to an engine was appended; peer is the sidecar
+  kOrderApplied,  // the engine took an order
+  kOrderRefused,  // an order was not carried out; detail says why
 };
 
 struct Event {
--- a/standins/engine/engine_orders.cc
+++ b/standins/engine/engine_orders.cc
@@ -1,6 +1,7 @@
 #include "standins/engine/engine_orders.h"
 
 #include <algorithm>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <set>
@@ -8,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "standins/engine/weight_fetch.h"
+
 namespace bergamotscale::standins {
 namespace {
 
@@ -24,6 +27,7 @@
 
 struct LoadedModel {
   std::string version_;
+  bool fetched_ = false;
   Millis ready_at_;
   std::set<std::string> adapters_;
 };
@@ -52,18 +56,19 @@
 
 }  // namespace
 
-class EngineOrders::Impl {
+class EngineOrders::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(const std::vector<std::string>& models,
-       bool checks_fence,
-       Millis load_time,
-       Clock clock)
-      : any_model_(models.empty()),
-        checks_fence_(checks_fence),
-        load_time_(load_time),
+  Impl(const EngineSettings& settings, Clock clock)
+      : any_model_(settings.models_.empty()),
+        checks_fence_(settings.checks_fence_),
+        load_time_(settings.load_time_),
+        weight_store_url_(settings.weight_store_url_),
         clock_(std::move(clock)) {
-    for (const std::string& model : models) {
-      models_[model] = LoadedModel{};
+    for (const std::string& model : settings.models_) {
+      models_[model] = LoadedModel{"", true, Millis(0), {}};
+    }
+    if (!settings.order_journal_file_.empty()) {
+      journal_.open(settings.order_journal_file_, std::ios::app);
     }
   }
 
@@ -72,7 +77,7 @@
     if (!order.ok()) {
       return order.error();
     }
-    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
     if (checks_fence_ && order.value().fence_ < highest_fence_) {
       return Error(ErrorCode::kStaleFence,
                    "newest fence is " + std::to_string(highest_fence_));
@@ -80,41 +85,43 @@
     Status executed = Execute(order.value());
     if (executed.ok()) {
       highest_fence_ = std::max(highest_fence_, order.value().fence_);
-      accepted_.push_back(json::parse(body, nullptr, false));
+      WriteJournal(json::parse(body, nullptr, false));
     }
     return executed;
   }
 
   bool Serves(const ModelId& model) const {
-    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
     if (any_model_) {
       return true;
     }
     const auto found = models_.find(model.value());
-    return found != models_.end() && found->second.ready_at_ <= clock_.Now();
+    return found != models_.end() && IsReady(found->second);
   }
 
   std::vector<ModelId> Models() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
     std::vector<ModelId> names;
     for (const auto& [name, model] : models_) {
-      names.emplace_back(name);
+      if (IsReady(model)) {
+        names.emplace_back(name);
+      }
     }
     return names;
   }
 
   bool leaving() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
     return leaving_;
   }
 
   std::string Describe() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
     json models = json::array();
     for (const auto& [name, model] : models_) {
       models.push_back({{"model", name},
                         {"version", model.version_},
-                        {"ready", model.ready_at_ <= clock_.Now()},
+                        {"ready", IsReady(model)},
                         {"adapters", model.adapters_}});
     }
     const json state = {{"models", models},
@@ -126,6 +133,48 @@
   }
 
  private:
+  bool IsReady(const LoadedModel& model) const {
+    return model.fetched_ && model.ready_at_ <= clock_.Now();
+  }
+
+  void WriteJournal(json order) {
+    order["time_ms"] = Clock::Wall().Now().count();
+    if (journal_.is_open()) {
+      journal_ << order.dump() << "\n" << std::flush;
+    }
+    accepted_.push_back(std::move(order));
+  }
+
+  // Precondition: the caller holds mutex_. The store may answer at once.
+  void Load(const Order& order) {
+    any_model_ = false;
+    const auto known = models_.find(order.model_);
+    if (known != models_.end() && known->second.version_ == order.version_) {
+      return;
+    }
+    models_[order.model_] = LoadedModel{order.version_, false, Millis(0), {}};
+    std::weak_ptr<Impl> weak = weak_from_this();
+    FetchWeights(weight_store_url_, order.model_, [weak, order](bool sent) {
+      if (const auto self = weak.lock()) {
+        self->OnFetched(order, sent);
+      }
+    });
+  }
+
+  void OnFetched(const Order& order, bool sent) {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    const auto model = models_.find(order.model_);
+    if (model == models_.end() || model->second.version_ != order.version_) {
+      return;
+    }
+    if (!sent) {
+      models_.erase(model);
+      return;
+    }
+    model->second.fetched_ = true;
+    model->second.ready_at_ = clock_.Now() + load_time_;
+  }
+
   Status Execute(const Order& order) {
     if (order.kind_ == "leave") {
       leaving_ = true;
@@ -143,9 +192,7 @@
 
   Status ExecuteOnModel(const Order& order) {
     if (order.kind_ == "load_model") {
-      any_model_ = false;
-      models_[order.model_] =
-          LoadedModel{order.version_, clock_.Now() + load_time_, {}};
+      Load(order);
       return Done{};
     }
     if (order.kind_ == "unload_model") {
@@ -167,26 +214,22 @@
     return Done{};
   }
 
-  mutable std::mutex mutex_;
+  mutable std::recursive_mutex mutex_;
   bool any_model_;
   const bool checks_fence_;
   const Millis load_time_;
+  const std::string weight_store_url_;
   Clock clock_;
   std::map<std::string, LoadedModel> models_;
   std::string role_ = "serve";
   bool leaving_ = false;
   int64_t highest_fence_ = 0;
   std::vector<json> accepted_;
+  std::ofstream journal_;
 };
 
-EngineOrders::EngineOrders(const std::vector<std::string>& models,
-                           bool checks_fence,
-                           Millis load_time,
-                           Clock clock)
-    : impl_(std::make_unique<Impl>(models,
-                                   checks_fence,
-                                   load_time,
-                                   std::move(clock))) {}
+EngineOrders::EngineOrders(const EngineSettings& settings, Clock clock)
+    : impl_(std::make_shared<Impl>(settings, std::move(clock))) {}
 
 EngineOrders::~EngineOrders() = default;
 
--- a/standins/engine/engine_orders.h
+++ b/standins/engine/engine_orders.h
@@ -10,6 +10,7 @@
 #include "bergamotscale/clock.h"
 #include "bergamotscale/ids.h"
 #include "bergamotscale/result.h"
+#include "standins/engine/engine_settings.h"
 
 namespace bergamotscale::standins {
 
@@ -17,11 +18,7 @@
 // Thread safety: safe.
 class EngineOrders {
  public:
-  // @param models loaded at the start; empty accepts any model.
-  EngineOrders(const std::vector<std::string>& models,
-               bool checks_fence,
-               Millis load_time,
-               Clock clock);
+  EngineOrders(const EngineSettings& settings, Clock clock);
   ~EngineOrders();
   EngineOrders(const EngineOrders&) = delete;
   EngineOrders& operator=(const EngineOrders&) = delete;
@@ -29,6 +26,8 @@
   // Applies one order: {"fence", "order", "model", "adapter", "version",
   // "role"}, where order is load_model, unload_model, load_adapter,
   // unload_adapter, set_role or leave.
+  // A load that is under way or done already is taken and changes nothing; one
+  // whose weights can't be fetched is given up.
   // @return kStaleFence if the fence is older than one seen before and fences
   // are checked, kMalformedBody, or kUnknownModel for an adapter of a model
   // that isn't there.
@@ -36,7 +35,7 @@
 
   // @return whether the model is loaded and ready by now.
   bool Serves(const ModelId& model) const;
-  // @return the loaded models.
+  // @return the models that are ready.
   std::vector<ModelId> Models() const;
   // @return whether the engine was ordered to leave.
   bool leaving() const;
@@ -46,7 +45,7 @@
 
  private:
   class Impl;
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace bergamotscale::standins
--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -87,10 +87,7 @@
  public:
   explicit Impl(const EngineSettings& settings)
       : journal_(settings.journal_file_, Clock::Wall()),
-        orders_(settings.models_,
-                settings.checks_fence_,
-                settings.load_time_,
-                Clock::Steady()),
+        orders_(settings, Clock::Steady()),
         runner_(settings.engine_, [this] { Crash(); }),
         listener_(settings.address_, static_cast<uint16_t>(settings.port_)) {
     AddRoutes();
--- a/standins/engine/engine_settings.cc
+++ b/standins/engine/engine_settings.cc
@@ -60,6 +60,10 @@
   reader.Boolean("checks_fence", Need::kOptional, &settings->checks_fence_);
   reader.Duration("load_time_ms", Need::kOptional, Millis(0), Millis(600000),
                   &settings->load_time_);
+  reader.String("weight_store_url", Need::kOptional,
+                &settings->weight_store_url_);
+  reader.String("order_journal_file", Need::kOptional,
+                &settings->order_journal_file_);
   reader.String("journal_file", Need::kOptional, &settings->journal_file_);
   reader.Object("engine", Need::kOptional,
                 [settings](settings::FieldReader& engine) {
--- a/standins/engine/engine_settings.h
+++ b/standins/engine/engine_settings.h
@@ -19,7 +19,11 @@
   bool checks_fence_ = true;
   // Time that loading a model or an adapter takes.
   Millis load_time_ = Millis(0);
+  // Where a load fetches its weights; empty if it needs none.
+  std::string weight_store_url_;
   std::string journal_file_;
+  // Appended to, a line for each order that was carried out.
+  std::string order_journal_file_;
   emulator::EngineParameters engine_;
 };
 
--- /dev/null
+++ b/standins/engine/weight_fetch.h
@@ -0,0 +1,18 @@
+// Fetches from the platform's weight store.
+#ifndef BERGAMOTSCALE_STANDINS_ENGINE_WEIGHT_FETCH_H_
+#define BERGAMOTSCALE_STANDINS_ENGINE_WEIGHT_FETCH_H_
+
+#include <functional>
+#include <string>
+
+namespace bergamotscale::standins {
+
+// Calls done with whether the store sent the weights, on a thread of the HTTP
+// library; at once and with true if there is no store. Thread safety: safe.
+void FetchWeights(const std::string& store_url,
+                  const std::string& name,
+                  std::function<void(bool sent)> done);
+
+}  // namespace bergamotscale::standins
+
+#endif  // BERGAMOTSCALE_STANDINS_ENGINE_WEIGHT_FETCH_H_
--- a/standins/fake_weight_store.cc
+++ b/standins/fake_weight_store.cc
@@ -1,6 +1,7 @@
 // The stand-in of the platform's weight store.
 //
-// GET /weights/NAME   {"name","bytes"} after fetch_ms; 429 over the limit
+// GET /weights/NAME   {"name","bytes"} after fetch_ms; 429 over the limit of
+//                     fetches_per_window in any time of window_ms
 // GET /journal        one JSON line for each fetch
 #include <deque>
 
@@ -20,7 +21,6 @@
 using web::http::http_request;
 using Need = FieldReader::Need;
 
-constexpr Millis kMinute = Millis(60000);
 constexpr Millis kMaxFetch = Millis(600000);
 constexpr int64_t kWeightBytes = int64_t{16} * 1024 * 1024 * 1024;
 constexpr char kWeightsPrefix[] = "/weights/";
@@ -28,7 +28,8 @@
 struct Options {
   std::string address_ = "127.0.0.1";
   int port_ = 0;
-  int fetches_per_minute_ = 30;
+  int fetches_per_window_ = 30;
+  Millis window_ = Millis(60000);
   Millis fetch_ = Millis(500);
 };
 
@@ -61,16 +62,16 @@
       return;
     }
     const Millis now = clock_.Now();
-    while (!fetches_.empty() && now - fetches_.front() >= kMinute) {
+    while (!fetches_.empty() && now - fetches_.front() >= options_.window_) {
       fetches_.pop_front();
     }
     const std::string name = path.substr(sizeof(kWeightsPrefix) - 1);
     const bool over =
-        fetches_.size() >= static_cast<size_t>(options_.fetches_per_minute_);
+        fetches_.size() >= static_cast<size_t>(options_.fetches_per_window_);
     WriteJournal(name, over);
     if (over) {
       http::ReplyError(request, ErrorCode::kRateLimited, Verdict::kNotRun,
-                       kMinute - (now - fetches_.front()));
+                       options_.window_ - (now - fetches_.front()));
       return;
     }
     fetches_.push_back(now);
@@ -118,8 +119,10 @@
   process.read_settings_ = [&](FieldReader& reader) {
     reader.String("address", Need::kOptional, &options.address_);
     reader.Integer("port", Need::kRequired, 1, 65535, &options.port_);
-    reader.Integer("fetches_per_minute", Need::kOptional, 1, 1000000,
-                   &options.fetches_per_minute_);
+    reader.Integer("fetches_per_window", Need::kOptional, 1, 1000000,
+                   &options.fetches_per_window_);
+    reader.Duration("window_ms", Need::kOptional, bergamotscale::Millis(1),
+                    kMaxFetch, &options.window_);
     reader.Duration("fetch_ms", Need::kOptional, bergamotscale::Millis(0),
                     kMaxFetch, &options.fetch_);
   };
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -37,8 +37,10 @@
   return {{"address", "127.0.0.1"}, {"port", port}};
 }
 
+}  // namespace
+
 // The example's document with limits that the load of a test doesn't reach.
-std::string DocumentText() {
+nlohmann::json Cluster::StartDocument() {
   std::ifstream file(std::string(BERGAMOTSCALE_EXAMPLES_DIR) +
                      "/hanbit_tagworks.json");
   json document = json::parse(file, nullptr, true, true);
@@ -46,11 +48,9 @@
     workspace["requests_per_second"] = 10000;
     workspace["burst"] = 10000;
   }
-  return document.dump();
+  return document;
 }
 
-}  // namespace
-
 Cluster::Cluster(const ClusterOptions& options)
     : options_(options), work_(io_.get_executor()) {
   folder_ = (boost::filesystem::temp_directory_path() /
@@ -59,7 +59,13 @@
   boost::filesystem::create_directories(folder_);
   const uint16_t log_port = FreePort();
   Add("log", "fake_log", log_port, {{"port", log_port}});
-  Publish();
+  Publish(StartDocument());
+  if (!options_.weight_store_.is_null()) {
+    json store = options_.weight_store_;
+    const uint16_t port = FreePort();
+    store["port"] = port;
+    Add("weights", "fake_weight_store", port, store);
+  }
   for (int number = 1; number <= options_.engines_; ++number) {
     AddEngine(number);
   }
@@ -121,13 +127,21 @@
 void Cluster::AddEngine(int number) {
   const std::string name = "engine-" + std::to_string(number);
   const uint16_t port = FreePort();
-  Add(name, "fake_engine", port,
-      {{"port", port},
-       {"models", {kModel}},
-       {"journal_file", folder_ + "/" + name + ".journal"},
-       {"engine",
-        {{"step_base_us", options_.step_base_us_},
-         {"step_per_sequence_us", options_.step_per_sequence_us_}}}});
+  json settings = {
+      {"port", port},
+      {"models", {kModel}},
+      {"journal_file", folder_ + "/" + name + ".journal"},
+      {"order_journal_file", folder_ + "/" + name + ".orders"},
+      {"engine",
+       {{"step_base_us", options_.step_base_us_},
+        {"step_per_sequence_us", options_.step_per_sequence_us_}}}};
+  if (!options_.weight_store_.is_null()) {
+    settings["weight_store_url"] = Url("weights");
+  }
+  if (options_.engine_settings_) {
+    settings.update(options_.engine_settings_(number));
+  }
+  Add(name, "fake_engine", port, settings);
   engine_relays_.push_back(
       std::make_unique<Relay>(io_, link::Endpoint{"127.0.0.1", port}));
   const uint16_t link_port = FreePort();
@@ -165,19 +179,20 @@
 void Cluster::AddEntry(int number) {
   const std::string name = "entry-" + std::to_string(number);
   const uint16_t port = FreePort();
-  Add(name, "bergamot_entry", port,
-      {{"instance", name},
-       {"availability_zone", "zone-a"},
-       {"public", EndpointJson(port)},
-       {"listener", EndpointJson(FreePort())},
-       {"log_url", Url("log")},
-       {"sidecars", members_}});
+  json settings = {{"instance", name},
+                   {"availability_zone", "zone-a"},
+                   {"public", EndpointJson(port)},
+                   {"listener", EndpointJson(FreePort())},
+                   {"log_url", Url("log")},
+                   {"sidecars", members_}};
+  settings.update(options_.entry_settings_);
+  Add(name, "bergamot_entry", port, settings);
 }
 
-void Cluster::Publish() {
+void Cluster::Publish(const json& document) {
   REQUIRE(WaitFor("log", "/healthz"));
   const std::string file = folder_ + "/document.json";
-  std::ofstream(file) << DocumentText();
+  std::ofstream(file) << document.dump();
   bp::child publish(std::string(BERGAMOTSCALE_BIN_DIR) + "/bergamotctl",
                     bp::args({"publish", file, "--log=" + Url("log")}),
                     (bp::std_out & bp::std_err) > folder_ + "/publish.log");
@@ -247,4 +262,14 @@
   return records;
 }
 
+std::vector<json> Cluster::OrderJournal(int number) const {
+  std::ifstream lines(folder_ + "/engine-" + std::to_string(number) +
+                      ".orders");
+  std::vector<json> records;
+  for (std::string line; std::getline(lines, line);) {
+    records.push_back(json::parse(line));
+  }
+  return records;
+}
+
 }  // namespace bergamotscale::testing
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -5,6 +5,7 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,6 +28,11 @@
   // Time of an engine's step in microseconds.
   int64_t step_base_us_ = 500;
   int64_t step_per_sequence_us_ = 10;
+  // Settings that are added to those of each entry, and of an engine.
+  nlohmann::json entry_settings_ = nlohmann::json::object();
+  std::function<nlohmann::json(int number)> engine_settings_;
+  // Settings of the weight store "weights" without its port; none if null.
+  nlohmann::json weight_store_;
 };
 
 // Starts the log, engines, one plain service, a sidecar beside each, and
@@ -67,6 +73,13 @@
 
   // @return the lines of a stand-in's journal; empty if it is down.
   std::vector<nlohmann::json> Journal(const std::string& name) const;
+  // @return the lines of the file of orders that an engine carried out.
+  std::vector<nlohmann::json> OrderJournal(int number) const;
+
+  // Publishes a document; the test fails if it isn't accepted.
+  void Publish(const nlohmann::json& document);
+  // @return the document that the system starts with.
+  static nlohmann::json StartDocument();
 
  private:
   struct Process {
@@ -86,7 +99,6 @@
                   const std::string& upstream_url,
                   uint16_t link_port);
   void AddEntry(int number);
-  void Publish();
 
   const ClusterOptions options_;
   std::string folder_;
--- a/tools/ctl/status.cc
+++ b/tools/ctl/status.cc
@@ -1,6 +1,8 @@
 #include <iostream>
 #include <sstream>
 
+#include <nlohmann/json.hpp>
+
 #include "src/http/client.h"
 #include "tools/ctl/command.h"
 
@@ -30,6 +32,26 @@
   return "-";
 }
 
+// @return such as " lease entry-1 fence 12 (held)", or nothing for a process
+// that has no part in it.
+std::string LeaseOf(const std::string& url) {
+  const Result<http::Reply> reply = Get(url + "/placement");
+  if (!reply.ok() || reply.value().status_ != kHttpOk) {
+    return "";
+  }
+  const auto state = nlohmann::json::parse(reply.value().body_, nullptr, false);
+  if (!state.is_object()) {
+    return "";
+  }
+  const std::string holder = state.value("holder", std::string());
+  if (holder.empty()) {
+    return " lease free";
+  }
+  return " lease " + holder + " fence " +
+         std::to_string(state.value("fence", int64_t{0})) +
+         (state.value("held", false) ? " (held)" : "");
+}
+
 bool PrintStatus(const std::string& url) {
   const Result<http::Reply> health = Get(url + "/healthz");
   if (!health.ok() || health.value().status_ != kHttpOk) {
@@ -40,7 +62,8 @@
   const bool is_ready = ready.ok() && ready.value().status_ == kHttpOk;
   const Result<http::Reply> metrics = Get(url + "/metrics");
   std::cout << url << (is_ready ? " ready" : " not ready") << " revision "
-            << (metrics.ok() ? RevisionIn(metrics.value().body_) : "-") << "\n";
+            << (metrics.ok() ? RevisionIn(metrics.value().body_) : "-")
+            << LeaseOf(url) << "\n";
   return is_ready;
 }
 
--- a/tools/ctl/timeline.cc
+++ b/tools/ctl/timeline.cc
@@ -18,6 +18,8 @@
 
 constexpr Millis kTimeout = Millis(5000);
 constexpr int kHttpOk = 200;
+// In place of a request's id.
+constexpr char kPlacement[] = "placement";
 
 Result<std::vector<Event>> FetchEvents(const std::string& url) {
   http::Call call;
@@ -68,7 +70,10 @@
     return FailUsage("explain");
   }
   const Arguments urls(arguments.begin() + 1, arguments.end());
-  std::cout << timeline::Explain(FetchMerged(urls), RequestId(arguments[0]));
+  const std::vector<Event> merged = FetchMerged(urls);
+  std::cout << (arguments[0] == kPlacement
+                    ? timeline::ExplainPlacement(merged)
+                    : timeline::Explain(merged, RequestId(arguments[0])));
   return kExitOk;
 }
 
