Placement: versions and adapters of models are configured and loaded

Cause: a model's entry named only its group, so that the plan could order no version and no adapter. With a version replaced, the process test "a version is replaced and adapters come in service" first failed: 5 of 48 checks got 404 unknown_model, from an engine that had let the old version go since its last report. Ruled out: the plan (one copy was always ready).

The plan replaces a version at one engine at a time. unknown_model of an upstream is no final answer any more: another one is asked, up to 4 times, since entries choose by reports that may be older.

--- a/include/bergamotscale/config_document.h
+++ b/include/bergamotscale/config_document.h
@@ -52,6 +52,10 @@
 struct Model {
   ModelId name_;
   GroupId group_;
+  // What the engines must have loaded; empty for any version.
+  std::string version_ = {};
+  // Adapters that each of these engines has beside the model.
+  std::vector<std::string> adapters_ = {};
 };
 
 // A path of a plain service behind the router.
--- a/src/config/document_reader.cc
+++ b/src/config/document_reader.cc
@@ -120,6 +120,15 @@
 void ReadModel(FieldReader& reader, Model* target) {
   ReadName(reader, "name", &target->name_);
   ReadName(reader, "group", &target->group_);
+  reader.String("version", Need::kOptional, &target->version_);
+  if (!target->version_.empty() && !IsName(target->version_)) {
+    reader.AddError("version", kNameForm);
+  }
+  reader.Strings("adapters", Need::kOptional, &target->adapters_);
+  if (!std::all_of(target->adapters_.begin(), target->adapters_.end(),
+                   &IsName)) {
+    reader.AddError("adapters", kNameForm);
+  }
 }
 
 void ReadService(FieldReader& reader, ServiceRoute* target) {
--- a/src/config/document_writer.cc
+++ b/src/config/document_writer.cc
@@ -44,7 +44,14 @@
 }
 
 json ToJson(const Model& entry) {
-  return {{"name", entry.name_.value()}, {"group", entry.group_.value()}};
+  json model = {{"name", entry.name_.value()}, {"group", entry.group_.value()}};
+  if (!entry.version_.empty()) {
+    model["version"] = entry.version_;
+  }
+  if (!entry.adapters_.empty()) {
+    model["adapters"] = entry.adapters_;
+  }
+  return model;
 }
 
 json ToJson(const ServiceRoute& entry) {
--- a/src/entry/load_budget.cc
+++ b/src/entry/load_budget.cc
@@ -11,8 +11,8 @@
 using placement::EngineView;
 
 bool Same(const EngineOrder& a, const EngineOrder& b) {
-  return std::tie(a.fence_, a.sidecar_, a.model_, a.wall_) ==
-         std::tie(b.fence_, b.sidecar_, b.model_, b.wall_);
+  return std::tie(a.fence_, a.sidecar_, a.model_, a.adapter_, a.wall_) ==
+         std::tie(b.fence_, b.sidecar_, b.model_, b.adapter_, b.wall_);
 }
 
 template <typename Predicate>
@@ -60,8 +60,7 @@
         order.wall_ + settings_.load_timeout_ < now) {
       return;
     }
-    const std::vector<ModelId>& models = found->second->models_;
-    if (std::find(models.begin(), models.end(), order.model_) == models.end()) {
+    if (!Shows(*found->second, order)) {
       found->second->ordered_.push_back(order.model_);
     }
   };
--- a/src/entry/placement_controller.cc
+++ b/src/entry/placement_controller.cc
@@ -56,12 +56,6 @@
   return options;
 }
 
-std::string Describe(const EngineOrder& order) {
-  return std::string(placement::ActionName(order.action_)) + " " +
-         order.model_.value() + ", fence " +
-         std::to_string(order.fence_.value());
-}
-
 }  // namespace
 
 class PlacementController::Impl : public std::enable_shared_from_this<Impl> {
@@ -209,9 +203,9 @@
   void Give(const EngineOrder& order) {
     budget_.OnGiven(order);
     LOG(INFO) << "order to " << order.sidecar_.value() << ": "
-              << Describe(order);
+              << placement::DescribeOrder(order);
     timeline_.Add(EventType::kOrderGiven, RequestId(), order.sidecar_,
-                  Describe(order));
+                  placement::DescribeOrder(order));
     metrics_.Add("bergamot_engine_orders_given");
     std::weak_ptr<Impl> weak = weak_from_this();
     client_.Append(
--- a/src/entry/retry_rule.cc
+++ b/src/entry/retry_rule.cc
@@ -12,7 +12,6 @@
   switch (code) {
     case ErrorCode::kMalformedBody:
     case ErrorCode::kMissingIdempotencyKey:
-    case ErrorCode::kUnknownModel:
     case ErrorCode::kKeyReusedForOtherBody:
     case ErrorCode::kKeyExpired:
     case ErrorCode::kQuarantined:
@@ -34,6 +33,11 @@
   if (IsFinal(failed.code_) || failed.crashes_ >= kMaxCrashes) {
     return RetryChoice::kGiveUp;
   }
+  // An upstream's last report may be older than a change of its models.
+  const bool lacks_model = failed.code_ == ErrorCode::kUnknownModel;
+  if (lacks_model && failed.work_attempts_ >= kMaxWorkAttempts) {
+    return RetryChoice::kGiveUp;
+  }
   const bool nothing_ran =
       !failed.work_sent_ || failed.verdict_ == Verdict::kNotRun;
   if (nothing_ran) {
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -249,7 +249,12 @@
   const Millis now = impl_->steady_.Now();
   for (const auto& [id, peer] : impl_->peers_) {
     const policy::UpstreamView view = impl_->ViewOf(*peer, now);
-    views.push_back({id, view.group_, view.usable_, peer->status_.models_, {}});
+    views.push_back({id,
+                     view.group_,
+                     view.usable_,
+                     peer->status_.models_,
+                     peer->status_.loaded_,
+                     {}});
   }
   return views;
 }
--- a/src/placement/records.cc
+++ b/src/placement/records.cc
@@ -124,6 +124,15 @@
          order.action_ == EngineAction::kLoadAdapter;
 }
 
+std::string DescribeOrder(const EngineOrder& order) {
+  std::string text = ActionName(order.action_);
+  for (const std::string& part :
+       {order.model_.value(), order.adapter_, order.version_, order.role_}) {
+    text += part.empty() ? "" : " " + part;
+  }
+  return text + ", fence " + std::to_string(order.fence_.value());
+}
+
 std::string EncodeRecord(const PlacementRecord& record) {
   return std::visit([](const auto& known) { return ToJson(known).dump(); },
                     record);
--- a/src/placement/records.h
+++ b/src/placement/records.h
@@ -72,6 +72,9 @@
 using PlacementRecord =
     std::variant<LeaseRequest, LeaseRenewal, LeaseRelease, EngineOrder>;
 
+// @return the order in words, for logs and time lines. Thread safety: safe.
+std::string DescribeOrder(const EngineOrder& order);
+
 // @return the payload for the log. Thread safety: safe.
 std::string EncodeRecord(const PlacementRecord& record);
 // @return the record, or kProtocolError. Thread safety: safe.
--- a/src/sidecar/engine_orders.cc
+++ b/src/sidecar/engine_orders.cc
@@ -24,12 +24,6 @@
 constexpr std::chrono::milliseconds kRetryDelay(500);
 constexpr Millis kCallTimeout(5000);
 
-std::string Describe(const EngineOrder& order) {
-  return std::string(placement::ActionName(order.action_)) + " " +
-         order.model_.value() + ", fence " +
-         std::to_string(order.fence_.value());
-}
-
 }  // namespace
 
 class EngineOrders::Impl : public std::enable_shared_from_this<Impl> {
@@ -106,16 +100,17 @@
   }
 
   void NoteRefused(const EngineOrder& order, const std::string& why) {
-    LOG(WARNING) << Describe(order) << " is not carried out: " << why;
+    LOG(WARNING) << placement::DescribeOrder(order)
+                 << " is not carried out: " << why;
     timeline_.Add(EventType::kOrderRefused, RequestId(), InstanceId(),
-                  Describe(order) + ": " + why);
+                  placement::DescribeOrder(order) + ": " + why);
     metrics_.Add("bergamot_engine_orders_refused");
   }
 
   void NoteApplied(const EngineOrder& order) {
-    LOG(INFO) << Describe(order) << " was taken by the engine";
+    LOG(INFO) << placement::DescribeOrder(order) << " was taken by the engine";
     timeline_.Add(EventType::kOrderApplied, RequestId(), InstanceId(),
-                  Describe(order));
+                  placement::DescribeOrder(order));
     metrics_.Add("bergamot_engine_orders_applied");
   }
 
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -167,6 +167,7 @@
                       silent_probes_ >= kMaxSilentProbes;
     if (report.state_ == UpstreamState::kUp) {
       models_ = report.models_;
+      loaded_ = report.loaded_;
     }
     if (down || report.state_ == UpstreamState::kUp) {
       SetUpstreamUp(!down);
@@ -250,6 +251,7 @@
     status.group_ = settings_.group_;
     status.zone_ = settings_.zone_;
     status.models_ = models_;
+    status.loaded_ = loaded_;
     scheduler_.Describe(&status);
     hub_.Broadcast(status);
   }
@@ -300,6 +302,7 @@
   policy::DemandTable demands_;
   const Clock clock_ = Clock::Steady();
   std::vector<ModelId> models_;
+  std::vector<wire::LoadedModel> loaded_;
   bool upstream_up_ = false;
   bool leaving_ = false;
   bool told_drained_ = false;
--- a/src/sidecar/upstream_monitor.cc
+++ b/src/sidecar/upstream_monitor.cc
@@ -18,18 +18,38 @@
 constexpr int kHttpServiceUnavailable = 503;
 const Millis kProbeTimeout(1000);
 
-std::vector<ModelId> ModelsOf(const std::string& body) {
-  std::vector<ModelId> models;
+wire::LoadedModel LoadedOf(const json& listed) {
+  wire::LoadedModel loaded;
+  loaded.model_ = ModelId(listed["id"].get<std::string>());
+  const json version = listed.value("version", json());
+  if (version.is_string()) {
+    loaded.version_ = version.get<std::string>();
+  }
+  for (const json& adapter : listed.value("adapters", json::array())) {
+    if (adapter.is_string()) {
+      loaded.adapters_.push_back(adapter.get<std::string>());
+    }
+  }
+  return loaded;
+}
+
+void ReadModels(const std::string& body, UpstreamReport* report) {
   const json parsed = json::parse(body, nullptr, /*allow_exceptions=*/false);
   if (!parsed.is_object() || !parsed.contains("data")) {
-    return models;
+    return;
   }
-  for (const json& model : parsed["data"]) {
-    if (model.is_object() && model.contains("id") && model["id"].is_string()) {
-      models.emplace_back(model["id"].get<std::string>());
+  for (const json& listed : parsed["data"]) {
+    const bool named =
+        listed.is_object() && listed.contains("id") && listed["id"].is_string();
+    if (!named) {
+      continue;
+    }
+    wire::LoadedModel loaded = LoadedOf(listed);
+    report->models_.push_back(loaded.model_);
+    if (!loaded.version_.empty() || !loaded.adapters_.empty()) {
+      report->loaded_.push_back(std::move(loaded));
     }
   }
-  return models;
 }
 
 UpstreamState StateOfStatus(int status) {
@@ -49,7 +69,7 @@
     return report;
   }
   report.state_ = StateOfStatus(reply.value().status_);
-  report.models_ = ModelsOf(reply.value().body_);
+  ReadModels(reply.value().body_, &report);
   return report;
 }
 
--- a/src/sidecar/upstream_monitor.h
+++ b/src/sidecar/upstream_monitor.h
@@ -12,6 +12,7 @@
 #include "bergamotscale/config_document.h"
 #include "bergamotscale/ids.h"
 #include "bergamotscale/units.h"
+#include "src/wire/messages.h"
 
 namespace bergamotscale::sidecar {
 
@@ -26,6 +27,8 @@
 struct UpstreamReport {
   UpstreamState state_ = UpstreamState::kUnreachable;
   std::vector<ModelId> models_;  // of an engine
+  // Those of models_ that have a version or adapters.
+  std::vector<wire::LoadedModel> loaded_;
 };
 
 // Thread safety: use on the io_context's thread, on which hooks are called.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -164,6 +164,14 @@
   MSGPACK_DEFINE(class_, waiting_, running_, expected_wait_)
 };
 
+// What an engine has of a model beside its name.
+struct LoadedModel {
+  ModelId model_;
+  std::string version_;
+  std::vector<std::string> adapters_;
+  MSGPACK_DEFINE(model_, version_, adapters_)
+};
+
 // Sidecar to entry, sent on every status stream several times a second.
 struct SidecarStatus {
   InstanceId sidecar_;
@@ -179,6 +187,8 @@
   Millis expected_wait_;
   std::vector<ModelId> models_;
   std::vector<uint64_t> cached_prefixes_;
+  // Those of models_ that have a version or adapters.
+  std::vector<LoadedModel> loaded_;
   MSGPACK_DEFINE(sidecar_,
                  group_,
                  zone_,
@@ -190,7 +200,8 @@
                  between_tokens_,
                  expected_wait_,
                  models_,
-                 cached_prefixes_)
+                 cached_prefixes_,
+                 loaded_)
 };
 
 // A verdict on a request that crashes upstreams.
--- a/standins/engine/engine_orders.cc
+++ b/standins/engine/engine_orders.cc
@@ -99,15 +99,18 @@
     return found != models_.end() && IsReady(found->second);
   }
 
-  std::vector<ModelId> Models() const {
+  std::string ListModels() const {
     const std::lock_guard<std::recursive_mutex> lock(mutex_);
-    std::vector<ModelId> names;
+    json list = json::array();
     for (const auto& [name, model] : models_) {
       if (IsReady(model)) {
-        names.emplace_back(name);
+        list.push_back({{"id", name},
+                        {"object", "model"},
+                        {"version", model.version_},
+                        {"adapters", model.adapters_}});
       }
     }
-    return names;
+    return json{{"object", "list"}, {"data", list}}.dump() + "\n";
   }
 
   bool leaving() const {
@@ -175,6 +178,26 @@
     model->second.ready_at_ = clock_.Now() + load_time_;
   }
 
+  // Precondition: the caller holds mutex_.
+  void LoadAdapter(const Order& order) {
+    std::weak_ptr<Impl> weak = weak_from_this();
+    FetchWeights(weight_store_url_, order.model_ + "." + order.adapter_,
+                 [weak, order](bool sent) {
+                   const auto self = weak.lock();
+                   if (self != nullptr && sent) {
+                     self->OnAdapterFetched(order);
+                   }
+                 });
+  }
+
+  void OnAdapterFetched(const Order& order) {
+    const std::lock_guard<std::recursive_mutex> lock(mutex_);
+    const auto model = models_.find(order.model_);
+    if (model != models_.end()) {
+      model->second.adapters_.insert(order.adapter_);
+    }
+  }
+
   Status Execute(const Order& order) {
     if (order.kind_ == "leave") {
       leaving_ = true;
@@ -205,7 +228,7 @@
       return Error(ErrorCode::kUnknownModel, order.model_);
     }
     if (order.kind_ == "load_adapter") {
-      model->second.adapters_.insert(order.adapter_);
+      LoadAdapter(order);
     } else if (order.kind_ == "unload_adapter") {
       model->second.adapters_.erase(order.adapter_);
     } else {
@@ -241,8 +264,8 @@
   return impl_->Serves(model);
 }
 
-std::vector<ModelId> EngineOrders::Models() const {
-  return impl_->Models();
+std::string EngineOrders::ListModels() const {
+  return impl_->ListModels();
 }
 
 bool EngineOrders::leaving() const {
--- a/standins/engine/engine_orders.h
+++ b/standins/engine/engine_orders.h
@@ -35,8 +35,8 @@
 
   // @return whether the model is loaded and ready by now.
   bool Serves(const ModelId& model) const;
-  // @return the models that are ready.
-  std::vector<ModelId> Models() const;
+  // @return the models that are ready, as the body of GET /v1/models.
+  std::string ListModels() const;
   // @return whether the engine was ordered to leave.
   bool leaving() const;
 
--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -216,11 +216,7 @@
       http::ReplyError(request, ErrorCode::kLeaving, Verdict::kNotRun);
       return;
     }
-    json list = json::array();
-    for (const ModelId& model : orders_.Models()) {
-      list.push_back({{"id", model.value()}, {"object", "model"}});
-    }
-    ReplyJson(request, json{{"object", "list"}, {"data", list}}.dump() + "\n");
+    ReplyJson(request, orders_.ListModels());
   }
 
   void ShowJournal(const http_request& request) {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -248,4 +248,58 @@
   CHECK(PlanLoads(config, engines, 5).empty());
 }
 
+TEST_CASE("placement plan: one version at a time is replaced, then adapters") {
+  ConfigDocument config;
+  config.models_ = {{ModelId("a"), GroupId("g"), "v2", {"x"}}};
+  std::vector<EngineView> engines(2);
+  for (int index = 0; index < 2; ++index) {
+    engines[index].sidecar_ = InstanceId(std::to_string(index));
+    engines[index].group_ = GroupId("g");
+    engines[index].accepting_ = true;
+    engines[index].models_ = {ModelId("a")};
+    engines[index].loaded_ = {{ModelId("a"), "v1", {}}};
+  }
+  auto orders = PlanLoads(config, engines, 5);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].version_ == "v2");
+  CHECK(!Shows(engines[0], orders[0]));
+  engines[0].ordered_ = {ModelId("a")};
+  CHECK(PlanLoads(config, engines, 5).empty());
+  engines[0].ordered_.clear();
+  engines[0].loaded_[0].version_ = "v2";
+  CHECK(Shows(engines[0], orders[0]));
+  orders = PlanLoads(config, engines, 5);
+  REQUIRE(orders.size() == 2);
+  CHECK(orders[0].adapter_ == "x");
+  CHECK(orders[1].version_ == "v2");
+}
+
+TEST_CASE("placement plan: time at the target size") {
+  constexpr int kEngines = 7000;
+  constexpr int kModels = 40;
+  ConfigDocument config;
+  for (int index = 0; index < kModels; ++index) {
+    config.models_.push_back({ModelId("model-" + std::to_string(index)),
+                              GroupId("g" + std::to_string(index % 8))});
+  }
+  std::vector<EngineView> engines(kEngines);
+  for (int index = 0; index < kEngines; ++index) {
+    engines[index].sidecar_ = InstanceId(std::to_string(index));
+    engines[index].group_ = GroupId("g" + std::to_string(index % 8));
+    engines[index].accepting_ = true;
+  }
+  const Clock clock = Clock::Steady();
+  Millis start = clock.Now();
+  CHECK(PlanLoads(config, engines, 20).size() == 20);
+  MESSAGE("nothing loaded: " << (clock.Now() - start).count() << " ms");
+  for (EngineView& engine : engines) {
+    for (const Model& model : config.models_) {
+      engine.models_.push_back(model.name_);
+    }
+  }
+  start = clock.Now();
+  CHECK(PlanLoads(config, engines, 20).empty());
+  MESSAGE("all loaded: " << (clock.Now() - start).count() << " ms");
+}
+
 }  // namespace bergamotscale::placement
--- a/tests/process/placement_test.cc
+++ b/tests/process/placement_test.cc
@@ -120,17 +120,31 @@
     cluster_.Publish(document_);
   }
 
-  // @return the number of engines that have the model ready.
-  int EnginesWith(const std::string& model) const {
+  void ChangeModel(const std::string& model, const json& change) {
+    for (json& known : document_["models"]) {
+      if (known["name"] == model) {
+        known.update(change);
+      }
+    }
+    cluster_.Publish(document_);
+  }
+
+  // @return the number of engines whose list of models has the text.
+  int EnginesShowing(const std::string& text) const {
     int count = 0;
     for (int number = 1; number <= options_.engines_; ++number) {
       const std::string url = cluster_.Url("engine-" + std::to_string(number));
       const http::Reply reply = Request("GET", url + "/v1/models");
-      count += reply.body_.find('"' + model + '"') != std::string::npos ? 1 : 0;
+      count += reply.body_.find(text) != std::string::npos ? 1 : 0;
     }
     return count;
   }
 
+  // @return the number of engines that have the model ready.
+  int EnginesWith(const std::string& model) const {
+    return EnginesShowing('"' + model + '"');
+  }
+
   bool WaitForModel(const std::string& model) const {
     return WaitUntil([&] { return EnginesWith(model) == options_.engines_; });
   }
@@ -266,6 +280,30 @@
   fleet.CheckHistory();
 }
 
+TEST_CASE("placement: a version is replaced and adapters come in service") {
+  Fleet fleet(Options(2, kManyFetches));
+  fleet.AddModel("headlines-8b");
+  REQUIRE(fleet.WaitForModel("headlines-8b"));
+  // Entries have seen it too.
+  REQUIRE(WaitUntil(
+      [&] { return fleet.ChatStatus(1, "headlines-8b") == kHttpOk; }));
+  fleet.ChangeModel("headlines-8b",
+                    {{"version", "v2"}, {"adapters", {"stock", "sport"}}});
+  const auto done = [&fleet] {
+    return fleet.EnginesShowing("\"v2\"") == 2 &&
+           fleet.EnginesShowing("\"stock\"") == 2 &&
+           fleet.EnginesShowing("\"sport\"") == 2;
+  };
+  // Requests are answered all the while.
+  CHECK(WaitUntil([&] {
+    CHECK(fleet.ChatStatus(1, "headlines-8b") == kHttpOk);
+    return done();
+  }));
+  // Per engine: the model, its version, two adapters.
+  CHECK(fleet.CountOrders() == 8);
+  fleet.CheckHistory();
+}
+
 TEST_CASE("placement: past the sidecar an older order reaches an engine") {
   Fleet fleet(Options(2, kManyFetches));
   const int older = fleet.WaitForHolder();
--- a/tests/retry_rule_test.cc
+++ b/tests/retry_rule_test.cc
@@ -50,6 +50,15 @@
   CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
 }
 
+TEST_CASE("retry rule: an upstream that lacks the model is passed over") {
+  FailedAttempt failed = SentAndLost();
+  failed.code_ = ErrorCode::kUnknownModel;
+  failed.verdict_ = Verdict::kNotRun;
+  CHECK(ChooseRetry(failed) == RetryChoice::kReserveAgain);
+  failed.work_attempts_ = 4;
+  CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
+}
+
 TEST_CASE("retry rule: without any upstream the patience is bounded") {
   FailedAttempt failed;
   failed.code_ = ErrorCode::kNoUpstream;
