--- a/tools/local_settings.sh
+++ b/tools/local_settings.sh
@@ -87,7 +87,8 @@
   echo "{\"port\": $(port_of service-1), \"delay_ms\": 50}" \
     >"$folder/service-1.json"
   for i in $(seq "$ENGINES"); do
-    echo "{\"port\": $(port_of "engine-$i"), \"models\": [\"keywords-8b\"]}" \
+    echo "{\"port\": $(port_of "engine-$i"), \"models\": [\"keywords-8b\"]," \
+      "\"weight_store_url\": \"$(url_of weights-1)\"}" \
       >"$folder/engine-$i.json"
     write_sidecar "$folder" "sidecar-e$i" "link-e$i" keywording engine \
       "engine-$i" "$(zone_of "$i")"
