--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -88,6 +88,8 @@
       return;
     }
     peer.status_stream_ = stream.value();
+    // The process behind the link may be a fresh one that knows nothing.
+    peer.revision_ = Revision(0);
     peer.status_stream_.Send(wire::Encode(gossip_.make_(peer.revision_)));
   }
 
@@ -158,7 +160,8 @@
     view.models_ = peer.status_.models_;
     for (const wire::ClassLoad& load : peer.status_.classes_) {
       view.waiting_ += load.waiting_;
-      view.class_waits_.push_back({load.class_, load.expected_wait_});
+      view.class_waits_.push_back(
+          {load.class_, load.expected_wait_, load.running_});
     }
     return view;
   }
