--- a/standins/engine/engine_server.cc
+++ b/standins/engine/engine_server.cc
@@ -87,10 +87,7 @@
  public:
   explicit Impl(const EngineSettings& settings)
       : journal_(settings.journal_file_, Clock::Wall()),
-        orders_(settings.models_,
-                settings.checks_fence_,
-                settings.load_time_,
-                Clock::Steady()),
+        orders_(settings, Clock::Steady()),
         runner_(settings.engine_, [this] { Crash(); }),
         listener_(settings.address_, static_cast<uint16_t>(settings.port_)) {
     AddRoutes();
@@ -219,11 +216,7 @@
       http::ReplyError(request, ErrorCode::kLeaving, Verdict::kNotRun);
       return;
     }
-    json list = json::array();
-    for (const ModelId& model : orders_.Models()) {
-      list.push_back({{"id", model.value()}, {"object", "model"}});
-    }
-    ReplyJson(request, json{{"object", "list"}, {"data", list}}.dump() + "\n");
+    ReplyJson(request, orders_.ListModels());
   }
 
   void ShowJournal(const http_request& request) {
