Quarantine: copies of a crashing request at once take two engines at most

Cause: a quarantine knew of a copy only after its crash. Copies that came at once ran at an engine each; two crashes of one digest, told by two sidecars, merged into one; a request that waited or ran when its suspicion became known went on as if clear; and suspects that ran beside such a copy were convicted with it.

Change: an entry runs one copy of a digest until one has ended well; records name the upstream of the crash, and crashes at two upstreams convict; a sidecar judges waiting requests again when it grants, and counts running ones as suspects once told; suspects of one digest go to the same upstream from every entry, 250 ms after the crash, so that verdicts have spread; a request that waited is checked again before each attempt.

Copies that reach more than two entries within the time that a crash takes to be told may still run at one engine for each entry.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -68,6 +68,7 @@
     wanted.prefix_hashes_ = policy::HashPrefixes(request_.prompt_);
     wanted.avoid_ = plan_.avoid_;
     wanted.suspect_ = plan_.suspect_;
+    wanted.digest_ = request_.digest_;
     return wanted;
   }
 
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -74,8 +74,8 @@
                  steady_,     upstreams_,
                  dispatcher_, admission_,
                  output_,     quarantine_,
-                 retries_,    metrics_,
-                 timeline_},
+                 retries_,    copies_,
+                 metrics_,    timeline_},
         log_(settings_.log_url_, kLogTimeout),
         follower_(log_,
                   config::ConfigFollowerOptions(),
@@ -201,7 +201,7 @@
          quarantine_.Records(steady_.Now(), kGossipVerdicts)) {
       gossip.crash_verdicts_.push_back(
           wire::CrashVerdict{record.digest_, record.crashes_, record.convicted_,
-                             record.expires_in_});
+                             record.expires_in_, record.source_});
     }
     for (const policy::WorkspaceDemand& demand :
          admission_.Demands(steady_.Now())) {
@@ -223,9 +223,9 @@
     admission_.TakeDemands(demands, steady_.Now());
     bool changed = false;
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
-      const policy::SuspicionRecord record{verdict.digest_, verdict.crashes_,
-                                           verdict.convicted_,
-                                           verdict.expires_in_};
+      const policy::SuspicionRecord record{
+          verdict.digest_, verdict.crashes_, verdict.convicted_,
+          verdict.expires_in_, verdict.source_};
       changed |= quarantine_.Merge(record, steady_.Now());
     }
     if (changed) {
@@ -259,6 +259,7 @@
   policy::OutputEstimator output_;
   policy::Quarantine quarantine_;
   policy::RetryBudget retries_;
+  policy::CopyGate copies_;
   Traffic traffic_;
   log::LogClient log_;
   config::ConfigFollower follower_;
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -19,6 +19,8 @@
 using timeline::EventType;
 
 constexpr Millis kReserveAgainDelay = Millis(25);
+// A suspect waits until verdicts on what ran with it have spread.
+constexpr Millis kSuspectDelay = Millis(250);
 constexpr Millis kDefaultRetryAfter = Millis(1000);
 
 }  // namespace
@@ -47,7 +49,16 @@
     }
     traffic_.retries_.OnRequest();
     StartDeadline();
-    StartAttempt();
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    const auto go = [weak] {
+      if (const auto self = weak.lock()) {
+        self->StartAttemptSoon(Millis(0));
+      }
+    };
+    entered_ = true;
+    if (traffic_.copies_.Enter(request_.digest_, request_.id_, go)) {
+      StartAttempt();
+    }
   }
 
   void CallerLeft() {
@@ -74,7 +85,7 @@
   bool CheckQuarantine() {
     const policy::Suspicion suspicion =
         traffic_.quarantine_.Check(request_.digest_, traffic_.steady_.Now());
-    suspect_ = suspicion == policy::Suspicion::kSuspect;
+    suspect_ = suspect_ || suspicion == policy::Suspicion::kSuspect;
     if (suspicion != policy::Suspicion::kConvicted) {
       return true;
     }
@@ -196,6 +207,7 @@
       FinishChat(finished);
     }
     CountFinished();
+    completed_ = true;
     End();
   }
 
@@ -266,25 +278,31 @@
     if (failure.error_.code_ == ErrorCode::kUpstreamFailed) {
       ++crashes_;
       suspect_ = true;
-      TellOfCrash();
+      TellOfCrash(failure.sidecars_);
     }
   }
 
   // Told at once: the caller may send the request again to another entry
   // before the next round of gossip. Peers take the worse of two records, so
   // that the sidecar telling of the same crash counts nothing twice.
-  void TellOfCrash() {
+  void TellOfCrash(const std::vector<InstanceId>& sidecars) {
     const policy::QuarantineOptions lifetimes;
     const bool convicted = crashes_ > 1;
     const policy::SuspicionRecord record{request_.digest_, crashes_, convicted,
                                          convicted
                                              ? lifetimes.conviction_lifetime_
-                                             : lifetimes.suspect_lifetime_};
+                                             : lifetimes.suspect_lifetime_,
+                                         SourceOf(sidecars)};
     if (traffic_.quarantine_.Merge(record, traffic_.steady_.Now())) {
       traffic_.upstreams_.SpreadGossip();
     }
   }
 
+  // The last one is where the work was.
+  static uint64_t SourceOf(const std::vector<InstanceId>& sidecars) {
+    return sidecars.empty() ? 0 : policy::CrashSourceOf(sidecars.back());
+  }
+
   void NoteNoUpstream(ErrorCode code) {
     if (code == ErrorCode::kNoUpstream && !no_upstream_) {
       no_upstream_ = true;
@@ -299,7 +317,7 @@
                            request_.id_, InstanceId(),
                            ErrorName(failure.error_.code_));
     Count("bergamot_retries");
-    StartAttemptSoon(Millis(0));
+    StartAttemptSoon(suspect_ ? kSuspectDelay : Millis(0));
   }
 
   void ReserveAgainLater() { StartAttemptSoon(kReserveAgainDelay); }
@@ -308,7 +326,7 @@
     delay_timer_.expires_after(ToChrono(delay));
     delay_timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && !self->ended_) {
+          if (!error && !self->ended_ && self->CheckQuarantine()) {
             self->StartAttempt();
           }
         });
@@ -347,6 +365,9 @@
     attempt_.reset();
     deadline_timer_.cancel();
     delay_timer_.cancel();
+    if (entered_) {
+      traffic_.copies_.Leave(request_.digest_, request_.id_, completed_);
+    }
     on_end_();
   }
 
@@ -366,6 +387,8 @@
   bool no_upstream_ = false;
   bool suspect_ = false;
   bool may_have_run_ = false;
+  bool entered_ = false;
+  bool completed_ = false;
   bool ended_ = false;
 };
 
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -8,6 +8,7 @@
 #include "src/entry/upstream_table.h"
 #include "src/http/metrics.h"
 #include "src/policy/admission.h"
+#include "src/policy/copy_gate.h"
 #include "src/policy/dispatcher.h"
 #include "src/policy/output_estimator.h"
 #include "src/policy/quarantine.h"
@@ -27,6 +28,7 @@
   policy::OutputEstimator& output_;
   policy::Quarantine& quarantine_;
   policy::RetryBudget& retries_;
+  policy::CopyGate& copies_;
   http::Metrics& metrics_;
   timeline::Timeline& timeline_;
 };
--- a/src/lab/sim_entry.cc
+++ b/src/lab/sim_entry.cc
@@ -147,6 +147,7 @@
   }
   state.suspect_ = suspicion == policy::Suspicion::kSuspect;
   state.dispatch_.suspect_ = state.suspect_;
+  state.dispatch_.digest_ = arrivals_[request].digest_;
   ++state.attempt_;
   AgeViews();
   const std::vector<int> chosen = dispatcher_.Choose(state.dispatch_, views_);
--- a/src/lab/sim_sidecar.cc
+++ b/src/lab/sim_sidecar.cc
@@ -226,7 +226,8 @@
   granted_.clear();
   waiting_.clear();
   prefixes_.clear();
-  hooks_.suspicion_(quarantine_.OnCrash(digests, loop_.now_millis()));
+  hooks_.suspicion_(
+      quarantine_.OnCrash(digests, loop_.now_millis(), index_ + 1));
   std::sort(lost.begin(), lost.end());
   std::sort(refused.begin(), refused.end());
   std::for_each(lost.begin(), lost.end(), hooks_.lost_);
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -92,6 +92,8 @@
   double Score(const UpstreamView& view,
                const DispatchRequest& request,
                const Match& match);
+  std::vector<int> PlaceOfSuspect(const DispatchRequest& request,
+                                  const std::vector<UpstreamView>& views) const;
   int HomeOf(const DispatchRequest& request,
              const std::vector<UpstreamView>& views) const;
 
@@ -268,6 +270,29 @@
   return score + jitter(random_);
 }
 
+// Copies of one suspect that run at the same time run at one upstream, one
+// after the other, whatever entry they came to.
+std::vector<int> Dispatcher::Impl::PlaceOfSuspect(
+    const DispatchRequest& request,
+    const std::vector<UpstreamView>& views) const {
+  std::vector<int> place;
+  uint64_t most = 0;
+  const std::hash<InstanceId> hash;
+  for (size_t i = 0; i < views.size(); ++i) {
+    const UpstreamView& view = views[i];
+    if (!view.usable_ || view.group_ != request.group_ ||
+        Contains(request.avoid_, view.sidecar_)) {
+      continue;
+    }
+    const uint64_t weight = Mix(hash(view.sidecar_) ^ request.digest_);
+    if (place.empty() || weight > most) {
+      place = {static_cast<int>(i)};
+      most = weight;
+    }
+  }
+  return place;
+}
+
 // The candidate with the highest hash for the prompt's first prefix.
 int Dispatcher::Impl::HomeOf(const DispatchRequest& request,
                              const std::vector<UpstreamView>& views) const {
@@ -307,6 +332,9 @@
 
 std::vector<int> Dispatcher::Choose(const DispatchRequest& request,
                                     const std::vector<UpstreamView>& views) {
+  if (request.suspect_ && request.digest_ != 0) {
+    return impl_->PlaceOfSuspect(request, views);
+  }
   impl_->Gather(request, views);
   std::vector<Candidate>& candidates = impl_->candidates_;
   const Impl::Match match = impl_->FindMatch(request.prefix_hashes_);
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -22,7 +22,9 @@
   std::vector<uint64_t> prefix_hashes_;
   // Sidecars that have failed this request already.
   std::vector<InstanceId> avoid_;
+  // Suspects of one digest go to the same upstream from every entry.
   bool suspect_ = false;
+  uint64_t digest_ = 0;
 };
 
 struct DispatcherOptions {
--- a/src/policy/quarantine.cc
+++ b/src/policy/quarantine.cc
@@ -5,6 +5,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "src/policy/prefix_hasher.h"
+
 namespace bergamotscale::policy {
 
 namespace {
@@ -20,6 +22,7 @@
     uint64_t digest_ = 0;
     int crashes_ = 0;
     Millis expires_;
+    uint64_t source_ = 0;
     bool convicted() const { return crashes_ >= kCrashesToConvict; }
   };
 
@@ -31,7 +34,12 @@
     return &*found->second;
   }
 
-  SuspicionRecord Set(uint64_t digest, int crashes, Millis expires, Millis now);
+  SuspicionRecord Set(const Record& record, Millis now);
+  // @return whether a crash at this source is another than the one known.
+  bool IsOther(const Record* known, uint64_t source) const {
+    return known != nullptr && known->crashes_ == 1 && known->source_ != 0 &&
+           source != 0 && known->source_ != source;
+  }
   void Forget(std::list<Record>::iterator record) {
     by_digest_.erase(record->digest_);
     records_.erase(record);
@@ -50,19 +58,16 @@
   std::unordered_map<uint64_t, std::list<Record>::iterator> by_digest_;
 };
 
-SuspicionRecord Quarantine::Impl::Set(uint64_t digest,
-                                      int crashes,
-                                      Millis expires,
-                                      Millis now) {
-  const auto found = by_digest_.find(digest);
+SuspicionRecord Quarantine::Impl::Set(const Record& record, Millis now) {
+  const auto found = by_digest_.find(record.digest_);
   if (found != by_digest_.end()) {
     Forget(found->second);
   }
   MakeRoom();
-  records_.push_front(Record{digest, crashes, expires});
-  by_digest_[digest] = records_.begin();
-  return SuspicionRecord{digest, crashes, crashes >= kCrashesToConvict,
-                         expires - now};
+  records_.push_front(record);
+  by_digest_[record.digest_] = records_.begin();
+  return SuspicionRecord{record.digest_, record.crashes_, record.convicted(),
+                         record.expires_ - now, record.source_};
 }
 
 // Drops the oldest record, a convicted one only if there is no other.
@@ -79,6 +84,10 @@
   Forget(std::prev(oldest.base()));
 }
 
+uint64_t CrashSourceOf(const InstanceId& sidecar) {
+  return DigestOf("crash", sidecar.value());
+}
+
 Quarantine::Quarantine(QuarantineOptions options)
     : impl_(std::make_unique<Impl>()) {
   impl_->options_ = options;
@@ -97,20 +106,24 @@
 
 std::vector<SuspicionRecord> Quarantine::OnCrash(
     const std::vector<RunningDigest>& running,
-    Millis now) {
+    Millis now,
+    uint64_t source) {
   // Those that were in an earlier crash explain this one.
   const bool explained = std::any_of(
       running.begin(), running.end(),
       [](const RunningDigest& attempt) { return attempt.suspect_; });
-  const int crashes = explained ? kCrashesToConvict : 1;
   std::vector<SuspicionRecord> changed;
   for (const RunningDigest& attempt : running) {
     const bool convicted = Check(attempt.digest_, now) == Suspicion::kConvicted;
     if (convicted || attempt.suspect_ != explained) {
       continue;
     }
+    const bool again =
+        impl_->IsOther(impl_->Find(attempt.digest_, now), source);
+    const int crashes = explained || again ? kCrashesToConvict : 1;
     const Millis expires = now + impl_->LifetimeOf(crashes);
-    changed.push_back(impl_->Set(attempt.digest_, crashes, expires, now));
+    changed.push_back(
+        impl_->Set({attempt.digest_, crashes, expires, source}, now));
   }
   return changed;
 }
@@ -123,16 +136,18 @@
   if (!suspect || known == Suspicion::kConvicted) {
     return {};
   }
-  return {impl_->Set(attempt.digest_, 0, now + impl_->LifetimeOf(0), now)};
+  return {impl_->Set({attempt.digest_, 0, now + impl_->LifetimeOf(0)}, now)};
 }
 
 bool Quarantine::Merge(const SuspicionRecord& record, Millis now) {
   if (record.expires_in_ <= Millis(0)) {
     return false;
   }
-  const int crashes =
-      record.convicted_ ? kCrashesToConvict : std::clamp(record.crashes_, 0, 1);
   const Impl::Record* own = impl_->Find(record.digest_, now);
+  const bool again = record.crashes_ > 0 && impl_->IsOther(own, record.source_);
+  const int crashes = record.convicted_ || again
+                          ? kCrashesToConvict
+                          : std::clamp(record.crashes_, 0, 1);
   if (own != nullptr && (own->crashes_ == crashes || own->convicted())) {
     return false;
   }
@@ -143,9 +158,10 @@
   if (own == nullptr && crashes == 0) {
     return false;
   }
+  const Millis longest = impl_->LifetimeOf(crashes);
   const Millis lifetime =
-      std::min(record.expires_in_, impl_->LifetimeOf(crashes));
-  impl_->Set(record.digest_, crashes, now + lifetime, now);
+      again ? longest : std::min(record.expires_in_, longest);
+  impl_->Set({record.digest_, crashes, now + lifetime, record.source_}, now);
   return true;
 }
 
@@ -158,7 +174,7 @@
     }
     if (record.expires_ > now) {
       records.push_back({record.digest_, record.crashes_, record.convicted(),
-                         record.expires_ - now});
+                         record.expires_ - now, record.source_});
     }
   }
   return records;
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "bergamotscale/ids.h"
 #include "bergamotscale/units.h"
 
 namespace bergamotscale::policy {
@@ -31,8 +32,13 @@
   int crashes_ = 0;  // 0 clears
   bool convicted_ = false;
   Millis expires_in_;
+  // Names the upstream that crashed first; 0 if not known.
+  uint64_t source_ = 0;
 };
 
+// @return the name of an upstream's sidecar in records.
+uint64_t CrashSourceOf(const InstanceId& sidecar);
+
 struct QuarantineOptions {
   size_t max_digests_ = 10'000;
   Millis suspect_lifetime_ = Millis(600'000);
@@ -47,6 +53,8 @@
 // The sidecar of a crashed upstream tells of all that ran there; an entry that
 // lost its link tells of its own attempts there. Both may tell of one crash:
 // what counts is whether an attempt had been started as a suspect.
+// Copies of one request may run at two upstreams before the first crash is
+// known. Crashes at different upstreams then count as two.
 // Records are soft state; peers merge them by taking the worse.
 // Thread safety: none.
 class Quarantine {
@@ -60,10 +68,12 @@
   Suspicion Check(uint64_t digest, Millis now) const;
 
   // An upstream crashed while it ran these.
+  // @param source see SuspicionRecord.
   // @return the records that changed, to be told to peers.
   std::vector<SuspicionRecord> OnCrash(
       const std::vector<RunningDigest>& running,
-      Millis now);
+      Millis now,
+      uint64_t source = 0);
 
   // An attempt ran to its end, which clears a suspect.
   // @return the record that changed, to be told to peers.
--- a/src/policy/work_queue.cc
+++ b/src/policy/work_queue.cc
@@ -108,6 +108,18 @@
   impl_->CountEnd(item, item.by_floor_ ? WorkOf(item) - WorkOf(actual) : 0);
 }
 
+QueueItem WorkQueue::MarkSuspect(const QueueItem& item) {
+  if (item.suspect_) {
+    return item;
+  }
+  QueueItem marked = item;
+  marked.suspect_ = true;
+  --impl_->lanes_[impl_->LaneOf(item.class_, item.tier_, false)]->running_;
+  ++impl_->lanes_[impl_->LaneOf(item.class_, item.tier_, true)]->running_;
+  ++impl_->suspects_running_;
+  return marked;
+}
+
 void WorkQueue::OnFirstToken(const QueueItem& item, Millis since_start) {
   impl_->starting_.erase(item.handle_);
   const double sample = static_cast<double>(since_start.count());
--- a/src/policy/work_queue.h
+++ b/src/policy/work_queue.h
@@ -56,6 +56,10 @@
   // @param output tokens that it wrote here.
   void Settle(const QueueItem& item, Tokens output);
 
+  // A popped request has become a suspect since it was pushed.
+  // @return the item to use from now on.
+  QueueItem MarkSuspect(const QueueItem& item);
+
   // A popped request's first token has come. Lateness is judged by how long
   // that takes, and lower tiers wait while others are at it: the prefill of a
   // prompt slows the answers of all that run.
--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -24,6 +24,7 @@
   verdict.crashes_ = record.crashes_;
   verdict.convicted_ = record.convicted_;
   verdict.expires_in_ = record.expires_in_;
+  verdict.source_ = record.source_;
   return verdict;
 }
 
@@ -203,8 +204,34 @@
     if (!item.has_value()) {
       return;
     }
-    Grant(*item);
+    if (!Reconsider(*item)) {
+      Grant(*item);
+    }
+  }
+}
+
+// Judges a request again that may have come under suspicion while it waited.
+// @return whether it was refused, or put back as a suspect.
+bool Scheduler::Reconsider(const policy::QueueItem& item) {
+  const uint64_t digest = entries_.at(item.handle_).digest_;
+  const Millis now = clock_.Now();
+  const policy::Suspicion suspicion =
+      digest == 0 ? policy::Suspicion::kClear : quarantine_.Check(digest, now);
+  if (suspicion == policy::Suspicion::kConvicted) {
+    queue_.Return(item);
+    const TicketHooks hooks = std::move(entries_.at(item.handle_).hooks_);
+    entries_.erase(item.handle_);
+    hooks.on_refused_(ErrorCode::kQuarantined, Millis(0));
+    return true;
+  }
+  if (suspicion == policy::Suspicion::kClear || item.suspect_) {
+    return false;
   }
+  queue_.Return(item);
+  Entry& entry = entries_.at(item.handle_);
+  entry.item_.suspect_ = true;
+  queue_.Push(entry.item_, now);
+  return true;
 }
 
 void Scheduler::Grant(const policy::QueueItem& item) {
@@ -287,7 +314,8 @@
 
 std::vector<wire::CrashVerdict> Scheduler::OnCrash(
     const std::vector<policy::RunningDigest>& running) {
-  return VerdictsOf(quarantine_.OnCrash(running, clock_.Now()));
+  return VerdictsOf(
+      quarantine_.OnCrash(running, clock_.Now(), options_.crash_source_));
 }
 
 void Scheduler::Merge(const wire::CrashVerdict& verdict) {
@@ -296,7 +324,19 @@
   record.crashes_ = verdict.crashes_;
   record.convicted_ = verdict.convicted_;
   record.expires_in_ = verdict.expires_in_;
-  quarantine_.Merge(record, clock_.Now());
+  record.source_ = verdict.source_;
+  if (quarantine_.Merge(record, clock_.Now()) && record.crashes_ > 0) {
+    MarkSuspects(record.digest_);
+  }
+}
+
+// No other suspect may start beside one that runs already.
+void Scheduler::MarkSuspects(uint64_t digest) {
+  for (auto& [ticket, entry] : entries_) {
+    if (entry.granted_ && entry.digest_ == digest) {
+      entry.item_ = queue_.MarkSuspect(entry.item_);
+    }
+  }
 }
 
 std::vector<wire::CrashVerdict> Scheduler::Verdicts(size_t limit) const {
--- a/src/sidecar/scheduler.h
+++ b/src/sidecar/scheduler.h
@@ -25,6 +25,8 @@
   // Whether the number of slots is learned from the time between tokens.
   bool learns_ = true;
   Millis grant_timeout_ = Millis(500);
+  // Name of this sidecar's upstream in crash verdicts.
+  uint64_t crash_source_ = 0;
 };
 
 // Names one reservation from Enqueue() to its end.
@@ -73,7 +75,7 @@
   // @return what peers should be told.
   std::vector<wire::CrashVerdict> OnCrash(
       const std::vector<policy::RunningDigest>& running);
-  // Takes in a peer's verdict.
+  // Takes in a peer's verdict. What runs or waits here is judged by it too.
   void Merge(const wire::CrashVerdict& verdict);
   std::vector<wire::CrashVerdict> Verdicts(size_t limit) const;
 
@@ -108,6 +110,8 @@
   policy::QueueItem ItemOf(const wire::Reserve& reserve, Ticket ticket) const;
   void Pump();
   void Grant(const policy::QueueItem& item);
+  bool Reconsider(const policy::QueueItem& item);
+  void MarkSuspects(uint64_t digest);
   void Refuse(Ticket ticket, ErrorCode code);
   void RefuseWaiting(ErrorCode code);
   void ObserveAnswer(const Entry& entry);
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -29,6 +29,7 @@
 
 SchedulerOptions SchedulerOptionsOf(const SidecarSettings& settings) {
   SchedulerOptions options;
+  options.crash_source_ = policy::CrashSourceOf(settings.instance_);
   options.initial_slots_ = settings.initial_slots_;
   options.max_slots_ = settings.max_slots_;
   options.learns_ = settings.kind_ == GroupKind::kEngine;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -199,7 +199,9 @@
   int crashes_ = 0;
   bool convicted_ = false;
   Millis expires_in_;
-  MSGPACK_DEFINE(digest_, crashes_, convicted_, expires_in_)
+  // Names the upstream that crashed first; 0 if not known.
+  uint64_t source_ = 0;
+  MSGPACK_DEFINE(digest_, crashes_, convicted_, expires_in_, source_)
 };
 
 // Requests per second of one workspace.
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -8,6 +8,7 @@
 #include "src/policy/admission.h"
 #include "src/policy/baselines.h"
 #include "src/policy/concurrency_limiter.h"
+#include "src/policy/copy_gate.h"
 #include "src/policy/demand_table.h"
 #include "src/policy/dispatcher.h"
 #include "src/policy/output_estimator.h"
@@ -359,6 +360,45 @@
   CHECK(entry.Check(3, Millis(6)) == Suspicion::kClear);
 }
 
+TEST_CASE("quarantine: crashes of copies at two upstreams convict") {
+  Quarantine first;
+  Quarantine second;
+  const auto at_first = first.OnCrash({{1, false}, {2, false}}, Millis(0), 11);
+  const auto at_second =
+      second.OnCrash({{1, false}, {3, false}}, Millis(0), 22);
+  for (const SuspicionRecord& record : at_second) {
+    first.Merge(record, Millis(1));
+  }
+  CHECK(first.Check(1, Millis(2)) == Suspicion::kConvicted);
+  CHECK(first.Check(2, Millis(2)) == Suspicion::kSuspect);
+  CHECK(first.Check(3, Millis(2)) == Suspicion::kSuspect);
+  // The same crash told twice counts once.
+  for (const SuspicionRecord& record : at_first) {
+    first.Merge(record, Millis(3));
+  }
+  CHECK(first.Check(2, Millis(4)) == Suspicion::kSuspect);
+}
+
+TEST_CASE("copy gate: one of a digest runs until one has ended well") {
+  CopyGate gate;
+  std::vector<std::string> went;
+  const auto go = [&went](const char* name) {
+    return [&went, name] { went.emplace_back(name); };
+  };
+  CHECK(gate.Enter(1, RequestId("a"), go("a")));
+  CHECK_FALSE(gate.Enter(1, RequestId("b"), go("b")));
+  CHECK_FALSE(gate.Enter(1, RequestId("c"), go("c")));
+  CHECK_FALSE(gate.Enter(1, RequestId("d"), go("d")));
+  CHECK(gate.Enter(2, RequestId("e"), go("e")));
+  gate.Leave(1, RequestId("c"), false);
+  gate.Leave(1, RequestId("a"), false);
+  CHECK(went == std::vector<std::string>{"b"});
+  gate.Leave(1, RequestId("b"), true);
+  CHECK(went == std::vector<std::string>{"b", "d"});
+  CHECK(gate.Enter(1, RequestId("f"), go("f")));
+  CHECK(gate.Enter(1, RequestId("g"), go("g")));
+}
+
 TEST_CASE("quarantine: memory is bounded and records expire") {
   QuarantineOptions options;
   options.max_digests_ = 100;
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -27,6 +27,9 @@
   // Time of an engine's step in microseconds.
   int64_t step_base_us_ = 500;
   int64_t step_per_sequence_us_ = 10;
+  // Sidecars call engines without a relay between, so that a connection to an
+  // engine that is down is refused, as it is on one node.
+  bool direct_engines_ = false;
 };
 
 // Starts the log, engines, one plain service, a sidecar beside each, and
--- a/tests/work_queue_test.cc
+++ b/tests/work_queue_test.cc
@@ -170,6 +170,21 @@
   });
 }
 
+TEST_CASE("queue: no suspect starts beside one that became one in running") {
+  WorkQueue queue = MakeQueue();
+  const SlotLimits limits{9, 0, 0};
+  queue.Push(Item(1, 1, 1000), Millis(0));
+  const auto first = queue.PopNext(Millis(0), limits);
+  REQUIRE(first.has_value());
+  const QueueItem marked = queue.MarkSuspect(*first);
+  QueueItem other = Item(2, 1, 1000);
+  other.suspect_ = true;
+  queue.Push(other, Millis(0));
+  CHECK_FALSE(queue.PopNext(Millis(1), limits).has_value());
+  queue.Settle(marked, Tokens(1));
+  CHECK(queue.PopNext(Millis(2), limits).has_value());
+}
+
 TEST_CASE("queue: expired requests are taken out") {
   WorkQueue queue = MakeQueue();
   queue.Push(Item(1, 1, 0), Millis(0));
