--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -29,7 +29,8 @@
   // Time of an engine's step in microseconds.
   int64_t step_base_us_ = 500;
   int64_t step_per_sequence_us_ = 10;
-  // Whether sidecars reach engines without the relay.
+  // Sidecars call engines without a relay between, so that a connection to an
+  // engine that is down is refused, as it is on one node.
   bool direct_engines_ = false;
   // Engines and entries are spread evenly over zones: "zone-1"....
   int zones_ = 1;
