Quarantine: orders with equal bodies are not one request

Cause: quarantine knew a request by path and body alone.

Ruled out: the same for chats: there the prompt is what crashes an engine, so equal prompts stay one request, whatever their keys.

Change: the digest of a call of a plain service takes in the workspace and the idempotency key. A resend keeps its key and so its digest.

Before: unit test "caller request: equal bodies under two keys are two orders" failed.

Conclusion: keyless calls of one workspace with equal bodies still share a digest; two crashes without a completed one between them convict it.

--- a/src/entry/caller_request.cc
+++ b/src/entry/caller_request.cc
@@ -182,10 +182,19 @@
     return read.error();
   }
   request.kind_ = GroupKind::kEngine;
+  request.digest_ = policy::DigestOf(raw.path_, raw.body_);
   request.idempotent_ = request.class_.idempotent_ && !request.is_order();
   return request;
 }
 
+// Calls of a service are often alike, so the digest tells orders and workspaces
+// apart: what crashes a service under one key says nothing of another.
+uint64_t DigestOfCall(const CallerRequest& request) {
+  const std::string name = request.path_ + "\n" + request.workspace_.value() +
+                           "\n" + request.key_.value();
+  return policy::DigestOf(name, request.body_);
+}
+
 Result<CallerRequest> ReadServiceCall(const ServiceRoute& route,
                                       const Workspace& workspace,
                                       const ConfigDocument& config,
@@ -201,6 +210,7 @@
   request.class_ = *service_class.value();
   request.group_ = route.group_;
   request.kind_ = GroupKind::kService;
+  request.digest_ = DigestOfCall(request);
   request.idempotent_ = route.idempotent_ && !request.is_order();
   return request;
 }
@@ -223,7 +233,6 @@
   request.method_ = raw.method_;
   request.path_ = raw.path_;
   request.body_ = raw.body_;
-  request.digest_ = policy::DigestOf(raw.path_, raw.body_);
   Status key = ReadKey(raw, &request);
   if (!key.ok()) {
     return key.error();
--- a/tests/caller_request_test.cc
+++ b/tests/caller_request_test.cc
@@ -59,6 +59,33 @@
   CHECK(read.value().idempotent_);
 }
 
+uint64_t DigestOf(const RawRequest& raw) {
+  const Result<CallerRequest> read = ReadCallerRequest(raw, TestConfig());
+  REQUIRE(read.ok());
+  return read.value().digest_;
+}
+
+// Quarantine must not take one order for another that only looks like it.
+TEST_CASE("caller request: equal bodies under two keys are two orders") {
+  RawRequest raw;
+  raw.method_ = "POST";
+  raw.path_ = "/v1/orders";
+  raw.authorization_ = std::string("Bearer ") + kKey;
+  raw.body_ = R"({"cut": 1})";
+  raw.idempotency_key_ = "k-1";
+  RawRequest other = raw;
+  other.idempotency_key_ = "k-2";
+  CHECK(DigestOf(raw) == DigestOf(raw));
+  CHECK(DigestOf(raw) != DigestOf(other));
+}
+
+// The prompt is what crashes an engine, whatever key its caller gives.
+TEST_CASE("caller request: equal chats are one under any key") {
+  RawRequest keyed = ChatRequest();
+  keyed.idempotency_key_ = "k-1";
+  CHECK(DigestOf(ChatRequest()) == DigestOf(keyed));
+}
+
 TEST_CASE("caller request: an idempotency key makes an order of a chat") {
   RawRequest raw = ChatRequest();
   raw.idempotency_key_ = "k-1";
