Entry: the report of a crash is a module of its own

Change: crash_report takes a crash into quarantine and tells peers; the flow only counts. Behaviour is the same.

--- /dev/null
+++ b/src/entry/crash_report.cc
@@ -0,0 +1,30 @@
+#include "src/entry/crash_report.h"
+
+namespace bergamotscale::entry {
+namespace {
+
+policy::SuspicionRecord RecordOf(const CrashReport& report) {
+  const policy::QuarantineOptions lifetimes;
+  policy::SuspicionRecord record;
+  record.digest_ = report.digest_;
+  record.crashes_ = report.crashes_;
+  record.convicted_ = report.crashes_ > 1;
+  record.expires_in_ = record.convicted_ ? lifetimes.conviction_lifetime_
+                                         : lifetimes.suspect_lifetime_;
+  if (!report.sidecars_.empty()) {
+    record.source_ = policy::CrashSourceOf(report.sidecars_.back());
+  }
+  return record;
+}
+
+}  // namespace
+
+void TellOfCrash(Traffic& traffic, const CrashReport& report) {
+  const bool changed =
+      traffic.quarantine_.Merge(RecordOf(report), traffic.steady_.Now());
+  if (changed) {
+    traffic.upstreams_.SpreadGossip();
+  }
+}
+
+}  // namespace bergamotscale::entry
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -11,6 +11,7 @@
 #include "src/core/chrono_time.h"
 #include "src/entry/answer_progress.h"
 #include "src/entry/attempt.h"
+#include "src/entry/crash_report.h"
 #include "src/entry/retry_rule.h"
 #include "src/entry/told_verdict.h"
 
@@ -281,31 +282,10 @@
     if (failure.error_.code_ == ErrorCode::kUpstreamFailed) {
       ++crashes_;
       suspect_ = true;
-      TellOfCrash(failure.sidecars_);
+      TellOfCrash(traffic_, {request_.digest_, crashes_, failure.sidecars_});
     }
   }
 
-  // Told at once: the caller may send the request again to another entry
-  // before the next round of gossip. Peers take the worse of two records, so
-  // that the sidecar telling of the same crash counts nothing twice.
-  void TellOfCrash(const std::vector<InstanceId>& sidecars) {
-    const policy::QuarantineOptions lifetimes;
-    const bool convicted = crashes_ > 1;
-    const policy::SuspicionRecord record{request_.digest_, crashes_, convicted,
-                                         convicted
-                                             ? lifetimes.conviction_lifetime_
-                                             : lifetimes.suspect_lifetime_,
-                                         SourceOf(sidecars)};
-    if (traffic_.quarantine_.Merge(record, traffic_.steady_.Now())) {
-      traffic_.upstreams_.SpreadGossip();
-    }
-  }
-
-  // The last one is where the work was.
-  static uint64_t SourceOf(const std::vector<InstanceId>& sidecars) {
-    return sidecars.empty() ? 0 : policy::CrashSourceOf(sidecars.back());
-  }
-
   void NoteNoUpstream(ErrorCode code) {
     if (code == ErrorCode::kNoUpstream && !no_upstream_) {
       no_upstream_ = true;
