--- a/tools/test.sh
+++ b/tools/test.sh
@@ -85,7 +85,7 @@
     continue
   fi
   for binary in "${binaries[@]}"; do
-    echo "known red: $name"
+    echo "known red: ${name//\\/}"
     "$folder/bin/$binary" "--test-case=$name" 2>&1 | grep -a 'test cases:' || true
   done
 done < <(red_tests)
