Tests, deltas: one steady load and its check; one pass over a list

The tests of fleet and lifetimes had the same load and the same check of it; the check of a list's order walked it twice.

Change: SteadyLoad() and CheckNothingLost() stand beside ChatLoad, assertions and sizes of the loads as they were; IsCanonicalList() walks once.

--- a/src/config/delta.cc
+++ b/src/config/delta.cc
@@ -62,14 +62,16 @@
   }
   std::string before;
   for (const json& element : list) {
-    std::string key = element.is_object() ? KeyOf(element) : std::string();
+    if (!element.is_object()) {
+      return false;
+    }
+    std::string key = KeyOf(element);
     if (&element != &list.front() && key <= before) {
       return false;
     }
     before = std::move(key);
   }
-  return std::all_of(list.begin(), list.end(),
-                     [](const json& element) { return element.is_object(); });
+  return true;
 }
 
 bool IsCanonical(const json& document) {
--- a/tests/process/chat_load.cc
+++ b/tests/process/chat_load.cc
@@ -205,4 +205,22 @@
   return cluster_.Url("entry-1");
 }
 
+LoadOptions SteadyLoad(int tokens) {
+  constexpr int kUnlimited = 1000000;
+  LoadOptions options;
+  options.requests_ = kUnlimited;
+  options.threads_ = 16;
+  options.tokens_ = tokens;
+  return options;
+}
+
+void CheckNothingLost(ChatLoad& load) {
+  load.Stop();
+  load.Wait();
+  MESSAGE(load.whole() << " whole answers");
+  CHECK(load.whole() > 0);
+  CHECK(load.wrong() == 0);
+  CHECK(load.failed() == 0);
+}
+
 }  // namespace bergamotscale::testing
--- a/tests/process/chat_load.h
+++ b/tests/process/chat_load.h
@@ -89,6 +89,12 @@
   std::thread readiness_;
 };
 
+// @return a load that goes on until it is stopped, on 16 threads.
+LoadOptions SteadyLoad(int tokens);
+
+// Ends the load and checks that each of its answers was whole and right.
+void CheckNothingLost(ChatLoad& load);
+
 }  // namespace bergamotscale::testing
 
 #endif  // BERGAMOTSCALE_TESTS_PROCESS_CHAT_LOAD_H_
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -25,30 +25,13 @@
 
 constexpr Millis kStopPatience(10000);
 constexpr Millis kListLag(10000);
-constexpr int kUnlimited = 1000000;
+constexpr int kTokens = 50;
 constexpr int kMaxPrinted = 10;
 
 void Pause(int64_t millis) {
   std::this_thread::sleep_for(milliseconds(millis));
 }
 
-LoadOptions SteadyLoad() {
-  LoadOptions options;
-  options.requests_ = kUnlimited;
-  options.threads_ = 16;
-  options.tokens_ = 50;
-  return options;
-}
-
-void CheckNothingLost(ChatLoad& load) {
-  load.Stop();
-  load.Wait();
-  MESSAGE(load.whole() << " whole answers");
-  CHECK(load.whole() > 0);
-  CHECK(load.wrong() == 0);
-  CHECK(load.failed() == 0);
-}
-
 void CheckStops(Cluster& cluster, const std::string& name) {
   cluster.Signal(name, SIGTERM);
   CHECK_MESSAGE(cluster.WaitForExit(name, kStopPatience) == 0, name);
@@ -101,7 +84,7 @@
 
 TEST_CASE("fleet: without the log chats go on and orders are not run") {
   Cluster cluster;
-  ChatLoad load(cluster, SteadyLoad());
+  ChatLoad load(cluster, SteadyLoad(kTokens));
   Pause(1000);
   CheckStops(cluster, "log");
   Sent order;
@@ -157,7 +140,7 @@
 TEST_CASE("fleet: a console is replaced while operators read its pages") {
   Cluster cluster;
   REQUIRE(cluster.WaitFor("console", "/readyz"));
-  ChatLoad load(cluster, SteadyLoad());
+  ChatLoad load(cluster, SteadyLoad(kTokens));
   std::atomic<bool> stopped{false};
   std::atomic<int> pages{0};
   std::atomic<int> cut{0};
@@ -212,7 +195,7 @@
 TEST_CASE("fleet: a leaving sidecar that is listed as live for 10 s more") {
   Cluster cluster(LaggingList());
   Pause(2000);
-  ChatLoad load(cluster, SteadyLoad());
+  ChatLoad load(cluster, SteadyLoad(kTokens));
   Pause(1000);
   const Millis stopped = Clock::Wall().Now();
   cluster.List("sidecar-1", "leaving");
@@ -227,7 +210,7 @@
 TEST_CASE("fleet: a dead sidecar that is listed as live for 10 s more") {
   Cluster cluster(LaggingList());
   Pause(2000);
-  ChatLoad load(cluster, SteadyLoad());
+  ChatLoad load(cluster, SteadyLoad(kTokens));
   Pause(1000);
   REQUIRE(LastStart(cluster, 1) > Millis(0));
   cluster.List("sidecar-1", "gone");
@@ -259,7 +242,7 @@
 }
 
 LoadOptions LoadAt(int entry, int threads) {
-  LoadOptions options = SteadyLoad();
+  LoadOptions options = SteadyLoad(kTokens);
   options.threads_ = threads;
   options.only_entry_ = entry;
   return options;
--- a/tests/process/lifetimes_test.cc
+++ b/tests/process/lifetimes_test.cc
@@ -19,28 +19,11 @@
 using std::chrono::milliseconds;
 
 constexpr Millis kStopPatience(10000);
-constexpr int kUnlimited = 1000000;
-
-LoadOptions SteadyLoad() {
-  LoadOptions options;
-  options.requests_ = kUnlimited;
-  options.threads_ = 16;
-  options.tokens_ = 100;
-  return options;
-}
-
-void CheckNothingLost(ChatLoad& load) {
-  load.Stop();
-  load.Wait();
-  MESSAGE(load.whole() << " whole answers");
-  CHECK(load.whole() > 0);
-  CHECK(load.wrong() == 0);
-  CHECK(load.failed() == 0);
-}
+constexpr int kTokens = 100;
 
 TEST_CASE("process: a leaving sidecar gets no new work and loses none") {
   Cluster cluster;
-  ChatLoad load(cluster, SteadyLoad());
+  ChatLoad load(cluster, SteadyLoad(kTokens));
   std::this_thread::sleep_for(milliseconds(1000));
   const Millis stopped = Clock::Wall().Now();
   cluster.Signal("sidecar-1", SIGTERM);
@@ -57,7 +40,7 @@
 
 void CheckRollingRestart(const std::vector<std::string>& names) {
   Cluster cluster;
-  ChatLoad load(cluster, SteadyLoad());
+  ChatLoad load(cluster, SteadyLoad(kTokens));
   for (const std::string& name : names) {
     CAPTURE(name);
     cluster.Signal(name, SIGTERM);
