Scripts: one way to start, await and stop a local system's processes

Change: tools/local_processes.sh holds the three steps; the scripts keep only what they remember of their processes. The wait is 20 s for all.

Conclusion: no change of behaviour but the longer wait of run_local.sh.

--- /dev/null
+++ b/tools/local_processes.sh
@@ -0,0 +1,33 @@
+# Starts and awaits the processes of a local system; read by the scripts that
+# run one, after tools/local_settings.sh. They set "folder", where the settings
+# are and the logs go.
+
+# Starts build/bin/BINARY with the settings of NAME; its id is in started_pid.
+start_process() {  # NAME BINARY
+  "build/bin/$2" "--settings=$folder/$1.json" >"$folder/$1.log" 2>&1 &
+  started_pid="$!"
+}
+
+# Waits until a process answers a path, for 20 s at most.
+wait_for() {  # NAME PATH
+  local tries
+  for tries in $(seq 400); do
+    if curl -sf -o /dev/null --max-time 2 "$(url_of "$1")$2"; then
+      return 0
+    fi
+    sleep 0.05
+  done
+  echo "$1 is not answering; see $folder/$1.log" >&2
+  return 1
+}
+
+# Sends SIGTERM to processes and waits until they have ended.
+stop_processes() {  # PID...
+  local pid
+  for pid in "$@"; do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "$@"; do
+    wait "$pid" 2>/dev/null || true
+  done
+}
--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -6,6 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source tools/local_settings.sh
+source tools/local_processes.sh
 
 usage() {
   echo "usage: tools/run_local.sh [--check] [--base_port=N]"
@@ -32,9 +33,9 @@
 pids=()
 
 start() {  # NAME BINARY
-  "build/bin/$2" "--settings=$folder/$1.json" >"$folder/$1.log" 2>&1 &
+  start_process "$1" "$2"
   names+=("$1")
-  pids+=("$!")
+  pids+=("$started_pid")
 }
 
 # Entries first, so that no caller loses its answer; stand-ins last.
@@ -45,32 +46,15 @@
     local stopping=()
     for i in "${!names[@]}"; do
       case "${names[$i]}" in
-        "$order"*)
-          kill -TERM "${pids[$i]}" 2>/dev/null || true
-          stopping+=("${pids[$i]}")
-          ;;
+        "$order"*) stopping+=("${pids[$i]}") ;;
       esac
     done
-    for pid in "${stopping[@]}"; do
-      wait "$pid" 2>/dev/null || true
-    done
+    stop_processes "${stopping[@]}"
   done
 }
 trap stop_all EXIT
 trap 'exit 0' INT TERM
 
-wait_for() {  # NAME PATH
-  local tries
-  for tries in $(seq 200); do
-    if curl -sf -o /dev/null --max-time 2 "$(url_of "$1")$2"; then
-      return 0
-    fi
-    sleep 0.05
-  done
-  echo "$1 is not answering; see $folder/$1.log" >&2
-  return 1
-}
-
 start log-1 fake_log
 start list-1 fake_instance_list
 start weights-1 fake_weight_store
