Configuration: the whole document is for peers that stay behind

Cause: a peer that had told an older revision was sent the whole document with the next round of gossip, each second, and with each new connection, as a fresh connection counts as revision zero. A peer tells its revision once a second, so most changes made both sides send and fold a document (980 KB at 5,300 workspaces) of a change that the log had told them in milliseconds.

Ruled out: asking peers for deltas: they have the log for that.

Change: OfferPacer sends it to a peer that stays behind for 2 s, and at once to one that asks (no configuration a second after its start), then each 3 s.

A fresh process in an outage has a document about 2 s after its start instead of at once; the users' bound is 9 s.

--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -64,14 +64,14 @@
         timeline_(settings_.instance_,
                   Clock::Wall(),
                   static_cast<size_t>(settings_.timeline_events_)),
-        upstreams_(io_,
-                   settings_,
-                   steady_,
-                   &timeline_,
-                   GossipHooks{[this](Revision peer) { return Gossip(peer); },
-                               [this](const wire::Gossip& gossip) {
-                                 TakeGossip(gossip);
-                               }}),
+        upstreams_(
+            io_,
+            settings_,
+            steady_,
+            &timeline_,
+            GossipHooks{
+                [this](config::OfferPacer& offers) { return Gossip(offers); },
+                [this](const wire::Gossip& gossip) { TakeGossip(gossip); }}),
         dispatcher_(DispatcherOptionsOf(settings_)),
         traffic_{io_,         settings_.instance_,
                  steady_,     upstreams_,
@@ -247,13 +247,15 @@
     });
   }
 
-  wire::Gossip Gossip(Revision peer_revision) {
+  wire::Gossip Gossip(config::OfferPacer& offers) {
     wire::Gossip gossip;
     gossip.from_ = settings_.instance_;
     const std::shared_ptr<const config::ConfigSnapshot> config = config_.Read();
+    gossip.needs_document_ =
+        config == nullptr && steady_.Now() - started_ >= kGossipInterval;
     if (config != nullptr) {
       gossip.revision_ = config->revision_;
-      if (peer_revision < config->revision_) {
+      if (offers.TakeOffer(config->revision_, steady_.Now())) {
         gossip.config_offset_ = config->offset_;
         gossip.document_ = config->text_;
       }
@@ -333,6 +335,7 @@
   Membership membership_;
   PlacementController placement_;
   boost::asio::steady_timer gossip_timer_;
+  const Millis started_ = steady_.Now();
   std::atomic<bool> leaving_{false};
   bool traffic_stopped_ = false;
   std::thread control_thread_;
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -25,7 +25,7 @@
     std::unique_ptr<link::LinkClient> client_;
     link::Stream status_stream_;
     wire::SidecarStatus status_;
-    Revision revision_;
+    config::OfferPacer offers_;
     Millis reported_;
     bool has_report_ = false;
     bool listed_ = true;
@@ -89,8 +89,8 @@
     }
     peer.status_stream_ = stream.value();
     // The process behind the link may be a fresh one that knows nothing.
-    peer.revision_ = Revision(0);
-    peer.status_stream_.Send(wire::Encode(gossip_.make_(peer.revision_)));
+    peer.offers_.Reset();
+    peer.status_stream_.Send(wire::Encode(gossip_.make_(peer.offers_)));
   }
 
   void OnStatusEnd(const InstanceId& id) {
@@ -138,7 +138,8 @@
     if (!gossip.ok()) {
       return;
     }
-    peer.revision_ = std::max(peer.revision_, gossip.value().revision_);
+    peer.offers_.OnTold(gossip.value().revision_,
+                        gossip.value().needs_document_);
     gossip_.take_(gossip.value());
   }
 
@@ -277,7 +278,7 @@
   for (const auto& [id, peer] : impl_->peers_) {
     if (peer->status_stream_.open()) {
       peer->status_stream_.Send(
-          wire::Encode(impl_->gossip_.make_(peer->revision_)));
+          wire::Encode(impl_->gossip_.make_(peer->offers_)));
     }
   }
 }
--- a/src/entry/upstream_table.h
+++ b/src/entry/upstream_table.h
@@ -10,6 +10,7 @@
 
 #include "bergamotscale/clock.h"
 #include "bergamotscale/result.h"
+#include "src/config/offer_pacer.h"
 #include "src/entry/settings.h"
 #include "src/link/link.h"
 #include "src/placement/placement_plan.h"
@@ -21,8 +22,9 @@
 
 // Soft state that goes to and comes from sidecars on status streams.
 struct GossipHooks {
-  // @return what to tell a peer that has this revision.
-  std::function<wire::Gossip(Revision peer_revision)> make_;
+  // @param offers says whether this peer is to be sent the document.
+  // @return what to tell the peer.
+  std::function<wire::Gossip(config::OfferPacer& offers)> make_;
   std::function<void(const wire::Gossip& gossip)> take_;
 };
 
--- a/src/sidecar/status_hub.cc
+++ b/src/sidecar/status_hub.cc
@@ -32,7 +32,7 @@
   if (!gossip.ok()) {
     return;
   }
-  peer.revision_ = gossip.value().revision_;
+  peer.offers_.OnTold(gossip.value().revision_, gossip.value().needs_document_);
   on_gossip_(gossip.value());
 }
 
@@ -56,12 +56,12 @@
   }
 }
 
-void StatusHub::BroadcastConfig(const wire::Gossip& gossip) {
+void StatusHub::BroadcastConfig(const wire::Gossip& gossip, Millis now) {
   wire::Gossip brief = gossip;
   brief.document_.clear();
   for (const auto& peer : peers_) {
-    const bool behind = peer->revision_ < gossip.revision_;
-    Send(*peer, wire::Encode(behind ? gossip : brief));
+    const bool offer = peer->offers_.TakeOffer(gossip.revision_, now);
+    Send(*peer, wire::Encode(offer ? gossip : brief));
   }
 }
 
--- a/src/sidecar/status_hub.h
+++ b/src/sidecar/status_hub.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "src/config/offer_pacer.h"
 #include "src/link/link.h"
 #include "src/wire/messages.h"
 
@@ -27,8 +28,9 @@
   // Sends to all peers that keep up.
   void Broadcast(const wire::SidecarStatus& status);
   void Broadcast(const wire::Gossip& gossip);
-  // Sends a gossip whose document goes only to peers with an older revision.
-  void BroadcastConfig(const wire::Gossip& gossip);
+  // Sends a gossip whose document goes only to peers that stay behind its
+  // revision.
+  void BroadcastConfig(const wire::Gossip& gossip, Millis now);
   // Ends all streams.
   void Finish();
 
@@ -37,7 +39,7 @@
  private:
   struct Peer {
     link::Stream stream_;
-    Revision revision_;
+    config::OfferPacer offers_;
   };
 
   void Send(Peer& peer, const std::string& frame);
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -294,16 +294,17 @@
   }
 
   void SendConfig() {
-    const auto config = blackboard_.config_.Read();
-    if (config == nullptr) {
-      return;
-    }
     wire::Gossip gossip;
     gossip.from_ = settings_.instance_;
-    gossip.revision_ = config->revision_;
-    gossip.config_offset_ = config->offset_;
-    gossip.document_ = config->text_;
-    hub_.BroadcastConfig(gossip);
+    const auto config = blackboard_.config_.Read();
+    if (config != nullptr) {
+      gossip.revision_ = config->revision_;
+      gossip.config_offset_ = config->offset_;
+      gossip.document_ = config->text_;
+    }
+    // This is not sent before the first interval is over.
+    gossip.needs_document_ = config == nullptr;
+    hub_.BroadcastConfig(gossip, clock_.Now());
   }
 
   boost::asio::io_context& io_;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -232,8 +232,8 @@
   MSGPACK_DEFINE(workspace_, per_second_)
 };
 
-// Either way on a status stream: soft state that peers pass on. A peer with an
-// older revision is sent the document.
+// Either way on a status stream: soft state that peers pass on. A peer that
+// stays behind is sent the document.
 struct Gossip {
   InstanceId from_;
   Revision revision_;
@@ -243,12 +243,15 @@
   // From an entry, what it sees itself; from a sidecar, the sums of what it was
   // told. Empty if there is nothing to tell.
   std::vector<WorkspaceDemand> demands_;
+  // The sender has no configuration, and had time to read the log.
+  bool needs_document_ = false;
   MSGPACK_DEFINE(from_,
                  revision_,
                  config_offset_,
                  document_,
                  crash_verdicts_,
-                 demands_)
+                 demands_,
+                 needs_document_)
 };
 
 // Any message, as one frame: the type's number, then its fields.
