Caller guard: a stop accepts what the kernel holds

Cause: StopAccepting() closed the listening socket at once. The kernel resets each connection that is complete in the accept queue then, with the request that it carries. A connection whose accept had succeeded, but whose handler ran after the close, was dropped as well. And while stopping, a connection that had sent nothing was closed 100 ms after it was accepted, so that a caller that got no processor time for that long was reset. The guard serves entries and the console alike.

Change: a socket filter makes the kernel drop new SYNs, handshakes that have begun get 100 ms, what the kernel holds is accepted, then the socket is closed. A peer whose SYN was dropped sends it again and finds the closed port or the next process. A connection without a request yet is closed a second after it was accepted. drained() tells the end of a stop, as no open connection doesn't say that none waits to be accepted; entries and the console wait for it.

Left: a kept connection that is closed while its next request is on the way, as in any HTTP server; a balancer stops using it when readiness fails.

--- a/src/console/guarded_listener.cc
+++ b/src/console/guarded_listener.cc
@@ -57,8 +57,7 @@
       return;
     }
     guard_.StopAccepting();
-    for (int look = 0; look < kDrainLooks && guard_.open_connections() > 0;
-         ++look) {
+    for (int look = 0; look < kDrainLooks && !guard_.drained(); ++look) {
       std::this_thread::sleep_for(kDrainLookDelay);
     }
     io_.stop();
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -141,7 +141,7 @@
     boost::asio::post(control_io_, [this] { placement_.Leave(); });
     std::this_thread::sleep_for(ToChrono(settings_.leave_grace_));
     guard_.StopAccepting();
-    while (router_.active() > 0 || guard_.open_connections() > 0) {
+    while (router_.active() > 0 || !guard_.drained()) {
       std::this_thread::sleep_for(ToChrono(kDrainPoll));
     }
     listener_.Close();
--- a/src/http/caller_connection.cc
+++ b/src/http/caller_connection.cc
@@ -20,6 +20,9 @@
 constexpr Millis kLingerTimeout(2000);
 // No more of a reply is expected after this long.
 constexpr Millis kReplyQuiet(100);
+// A caller that has just connected may send its first request for this long
+// after a stop began.
+constexpr Millis kFirstRequestTime(1000);
 constexpr int kServiceUnavailable = 503;
 
 std::string RefusalText(ErrorCode code) {
@@ -283,12 +286,18 @@
     Refuse(late);
     return;
   }
-  const Millis allowed = stopping ? kReplyQuiet : options_->idle_timeout_;
-  if (Idle() && now - last_moved_ > allowed) {
+  if (Idle() && now - last_moved_ > AllowedIdle(stopping)) {
     Close();
   }
 }
 
+Millis CallerConnection::AllowedIdle(bool stopping) const {
+  if (!stopping) {
+    return options_->idle_timeout_;
+  }
+  return bounds_.requests_begun() == 0 ? kFirstRequestTime : kReplyQuiet;
+}
+
 bool CallerConnection::Idle() const {
   return bounds_.phase() == RequestPhase::kBetween && !writing_caller_ &&
          !next_request_held_ && !bounds_.awaiting_reply() &&
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -68,6 +68,7 @@
   ErrorCode TakeHeld(size_t* taken);
   bool CallerHasLeft();
   bool Idle() const;
+  Millis AllowedIdle(bool stopping) const;
   ErrorCode LateCaller(Millis now) const;
 
   Tcp::socket caller_;
--- a/src/http/caller_guard.cc
+++ b/src/http/caller_guard.cc
@@ -12,6 +12,7 @@
 
 #include "src/http/caller_connection.h"
 #include "src/http/caller_registry.h"
+#include "src/http/listening_socket.h"
 #include "src/link/open_acceptor.h"
 
 namespace bergamotscale::http {
@@ -24,6 +25,8 @@
 constexpr std::chrono::milliseconds kSweepInterval(100);
 // Callers over the limit that are answered at a time; more are just closed.
 constexpr size_t kMaxRefused = 256;
+// For handshakes that have begun when the guard stops accepting.
+constexpr std::chrono::milliseconds kHandshakeTime(100);
 
 }  // namespace
 
@@ -35,7 +38,8 @@
             std::make_shared<const CallerGuardOptions>(std::move(options))),
         registry_(std::make_shared<CallerRegistry>()),
         acceptor_(io),
-        sweep_timer_(io) {}
+        sweep_timer_(io),
+        close_timer_(io) {}
 
   Result<link::Endpoint> Listen();
   void StopAccepting();
@@ -45,9 +49,13 @@
   const std::shared_ptr<const CallerGuardOptions> options_;
   const std::shared_ptr<CallerRegistry> registry_;
   std::atomic<int> open_connections_{0};
+  std::atomic<bool> drained_{false};
 
  private:
   void AcceptNext();
+  void AcceptHeld();
+  void CloseAcceptor();
+  void NoteConnections();
   void OnAccepted(tcp::socket socket);
   void RefuseForLimit(tcp::socket socket);
   void ScheduleSweep();
@@ -55,8 +63,10 @@
 
   tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_timer_;
+  boost::asio::steady_timer close_timer_;
   std::unordered_set<ConnectionPtr> connections_;
   std::unordered_set<ConnectionPtr> refused_;
+  bool accepting_ = false;
   bool accept_failed_ = false;  // the next sweep accepts again
   bool stopping_ = false;
   bool closed_ = false;
@@ -73,9 +83,12 @@
 }
 
 void CallerGuard::Impl::AcceptNext() {
+  accepting_ = true;
   acceptor_.async_accept(
       [self = shared_from_this()](AsioError error, tcp::socket socket) {
-        if (!self->acceptor_.is_open()) {
+        self->accepting_ = false;
+        if (self->closed_ || error == boost::asio::error::operation_aborted) {
+          self->NoteConnections();
           return;
         }
         if (error) {
@@ -85,10 +98,26 @@
           return;
         }
         self->OnAccepted(std::move(socket));
-        self->AcceptNext();
+        // A connection may have come just before the acceptor was closed.
+        if (self->acceptor_.is_open()) {
+          self->AcceptNext();
+        }
       });
 }
 
+// Accepts all that the kernel holds, without waiting for more.
+void CallerGuard::Impl::AcceptHeld() {
+  AsioError error;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      OnAccepted(std::move(socket));
+    }
+  }
+}
+
 void CallerGuard::Impl::OnAccepted(tcp::socket socket) {
   if (connections_.size() >= static_cast<size_t>(options_->max_connections_)) {
     RefuseForLimit(std::move(socket));
@@ -99,14 +128,20 @@
       [weak_self = weak_from_this()](const ConnectionPtr& closed) {
         if (const auto self = weak_self.lock()) {
           self->connections_.erase(closed);
-          self->open_connections_ = static_cast<int>(self->connections_.size());
+          self->NoteConnections();
         }
       });
   connections_.insert(connection);
-  open_connections_ = static_cast<int>(connections_.size());
+  NoteConnections();
   connection->Start();
 }
 
+void CallerGuard::Impl::NoteConnections() {
+  open_connections_ = static_cast<int>(connections_.size());
+  const bool accepts = acceptor_.is_open() || accepting_;
+  drained_ = stopping_ && !accepts && connections_.empty();
+}
+
 void CallerGuard::Impl::RefuseForLimit(tcp::socket socket) {
   if (refused_.size() >= kMaxRefused) {
     return;
@@ -148,15 +183,35 @@
 }
 
 void CallerGuard::Impl::StopAccepting() {
+  if (stopping_ || closed_) {
+    return;
+  }
   stopping_ = true;
+  const Status dropping = DropNewConnections(acceptor_.native_handle());
+  if (!dropping.ok()) {
+    LOG(WARNING) << "caller guard: " << dropping.error().Message();
+  }
+  close_timer_.expires_after(kHandshakeTime);
+  close_timer_.async_wait([self = shared_from_this()](AsioError error) {
+    if (!error && !self->closed_) {
+      self->AcceptHeld();
+      self->CloseAcceptor();
+    }
+  });
+}
+
+void CallerGuard::Impl::CloseAcceptor() {
   AsioError ignored;
   acceptor_.close(ignored);
+  NoteConnections();
 }
 
 void CallerGuard::Impl::Close() {
   closed_ = true;
-  StopAccepting();
+  stopping_ = true;
+  CloseAcceptor();
   sweep_timer_.cancel();
+  close_timer_.cancel();
   const auto connections = connections_;
   for (const ConnectionPtr& connection : connections) {
     connection->Close();
@@ -225,6 +280,10 @@
   boost::asio::post(impl_->io_, [impl = impl_] { impl->StopAccepting(); });
 }
 
+bool CallerGuard::drained() const {
+  return impl_->drained_;
+}
+
 int CallerGuard::open_connections() const {
   return impl_->open_connections_;
 }
--- a/src/http/caller_guard.h
+++ b/src/http/caller_guard.h
@@ -88,9 +88,14 @@
   void RequestStarted(const std::string& address);
   void RequestFinished(const std::string& address);
 
-  // Accepts no more callers. Connections without a request are closed, the
-  // others once their reply is through. Thread safety: safe.
+  // Takes no new connections; those that the kernel holds are accepted still.
+  // Each is closed once its reply is through; a new one without a request is
+  // closed after a second, a kept one without a request at once.
+  // Thread safety: safe.
   void StopAccepting();
+  // @return whether all callers are through after StopAccepting().
+  // Thread safety: safe.
+  bool drained() const;
   // @return callers that are connected. Thread safety: safe.
   int open_connections() const;
   // Closes everything. Call on the io_context's thread or when it is stopped.
--- a/tests/caller_guard_test.cc
+++ b/tests/caller_guard_test.cc
@@ -325,6 +325,129 @@
   CHECK(fourth.ReadUntil("fine").rfind("HTTP/1.1 200 ", 0) == 0);
 }
 
+// Holds the io_context's thread for as long as it lives.
+class BusyThread {
+ public:
+  explicit BusyThread(boost::asio::io_context& io) {
+    boost::asio::post(io, [this] {
+      held_ = true;
+      while (!released_) {
+        std::this_thread::sleep_for(milliseconds(1));
+      }
+      held_ = false;
+    });
+    REQUIRE(WaitFor([&] { return held_.load(); }, milliseconds(5000)));
+  }
+  ~BusyThread() {
+    released_ = true;
+    WaitFor([&] { return !held_; }, milliseconds(5000));
+  }
+  BusyThread(const BusyThread&) = delete;
+  BusyThread& operator=(const BusyThread&) = delete;
+
+ private:
+  std::atomic<bool> held_{false};
+  std::atomic<bool> released_{false};
+};
+
+using Callers = std::vector<std::unique_ptr<RawCaller>>;
+
+Callers Connect(const GuardBench& bench, int count) {
+  Callers callers;
+  for (int i = 0; i < count; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(bench.port_));
+  }
+  return callers;
+}
+
+// @return how many have the whole reply to a request of theirs.
+int WholeReplies(Callers& callers, const std::string& body) {
+  int whole = 0;
+  for (const auto& caller : callers) {
+    whole += caller->ReadUntil(body).find(body) != std::string::npos ? 1 : 0;
+  }
+  return whole;
+}
+
+TEST_CASE(
+    "caller guard: a stop answers requests sent before they are accepted") {
+  constexpr int kCallers = 50;
+  GuardBench bench;
+  Callers callers;
+  {
+    const BusyThread busy(bench.io_);
+    callers = Connect(bench, kCallers);
+    for (const auto& caller : callers) {
+      REQUIRE(caller->Send(PostOf("/echo", "whole")));
+    }
+    bench.guard_->StopAccepting();
+  }
+  CHECK(WholeReplies(callers, "whole") == kCallers);
+}
+
+TEST_CASE("caller guard: a stop cuts off no caller that connects meanwhile") {
+  constexpr int kThreads = 4;
+  GuardBench bench;
+  std::atomic<int> cut{0};
+  std::atomic<int> whole{0};
+  std::vector<std::thread> threads;
+  threads.reserve(kThreads);
+  for (int i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      for (bool refused = false; !refused;) {
+        std::unique_ptr<RawCaller> caller;
+        try {
+          caller = std::make_unique<RawCaller>(bench.port_);
+        } catch (const boost::system::system_error&) {
+          refused = true;
+          continue;
+        }
+        caller->Send(PostOf("/echo", "whole"));
+        const bool got =
+            caller->ReadUntil("whole").find("whole") != std::string::npos;
+        ++(got ? whole : cut);
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  bench.guard_->StopAccepting();
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(whole > 0);
+  CHECK(cut == 0);
+}
+
+TEST_CASE("caller guard: a stop waits for a new caller's first request") {
+  GuardBench bench;
+  RawCaller caller(bench.port_);
+  REQUIRE(WaitFor([&] { return bench.guard_->open_connections() == 1; },
+                  milliseconds(5000)));
+  bench.guard_->StopAccepting();
+  std::this_thread::sleep_for(milliseconds(400));
+  CHECK(caller.Send(PostOf("/echo", "whole")));
+  CHECK(caller.ReadUntil("whole").find("whole") != std::string::npos);
+}
+
+TEST_CASE("caller guard: a stop answers next requests that are not read yet") {
+  constexpr int kCallers = 400;
+  GuardBench bench;
+  Callers callers = Connect(bench, kCallers);
+  for (const auto& caller : callers) {
+    REQUIRE(caller->Send(PostOf("/echo", "first")));
+  }
+  REQUIRE(WholeReplies(callers, "first") == kCallers);
+  {
+    const BusyThread busy(bench.io_);
+    for (const auto& caller : callers) {
+      REQUIRE(caller->Send(PostOf("/echo", "second")));
+    }
+    bench.guard_->StopAccepting();
+    std::this_thread::sleep_for(milliseconds(300));
+  }
+  CHECK(WholeReplies(callers, "second") == kCallers);
+}
+
 TEST_CASE("caller guard: a graceful stop lets open requests end") {
   GuardBench bench;
   RawCaller idle(bench.port_);
