Service stand-in: a stop cuts off no order

Cause: the stand-in of a plain service stood behind the HTTP library's listener alone, whose close resets connections that wait to be accepted or whose request is not read yet, and which waits for replies 2 s at most. The sidecar saw a reset, which may be a crash: it probed, found the port closed, and made suspects of the orders. Two such orders were told "quarantined, may_have_run" though they had not run. While it waited the listener also took new orders.

Ruled out: the sidecar's reading of readiness.

Change: the console's guarded listener moves to src/http, with its bounds as options, and the service stands behind it: no new connections, then it waits for what it executes, 30 s at most as the engine's does. A held answer is not held while it stops.

Cost: a second connection for each call of the stand-in, on loopback.

--- a/src/console/console.cc
+++ b/src/console/console.cc
@@ -11,13 +11,13 @@
 #include "src/config/document_reader.h"
 #include "src/config/key_hash.h"
 #include "src/console/edit_actions.h"
-#include "src/console/guarded_listener.h"
 #include "src/console/html.h"
 #include "src/console/login.h"
 #include "src/console/pages.h"
 #include "src/console/replies.h"
 #include "src/console/sessions.h"
 #include "src/console/web_request.h"
+#include "src/http/guarded_listener.h"
 #include "src/http/listener.h"
 #include "src/http/metrics.h"
 #include "src/log/log_client.h"
@@ -36,14 +36,15 @@
 constexpr Millis kLogTimeout = Millis(3000);
 constexpr size_t kMaxCommentBytes = 500;
 
-link::Endpoint OuterOf(const ConsoleSettings& settings) {
-  return {settings.address_, static_cast<uint16_t>(settings.port_)};
-}
-
-link::Endpoint InnerOf(const ConsoleSettings& settings) {
-  const int port =
+http::GuardedListenerOptions ListenerOptionsOf(
+    const ConsoleSettings& settings) {
+  const int inner_port =
       settings.listener_port_ > 0 ? settings.listener_port_ : settings.port_;
-  return {settings.listener_address_, static_cast<uint16_t>(port)};
+  http::GuardedListenerOptions options;
+  options.outer_ = {settings.address_, static_cast<uint16_t>(settings.port_)};
+  options.inner_ = {settings.listener_address_,
+                    static_cast<uint16_t>(inner_port)};
+  return options;
 }
 
 json DocumentOf(const std::shared_ptr<const ConfigSnapshot>& snapshot) {
@@ -67,7 +68,7 @@
         publisher_(client_, follower_),
         sessions_(Clock::Steady()),
         login_(sessions_, mutex_, [this] { return Operators(); }),
-        server_(OuterOf(settings), InnerOf(settings)),
+        server_(ListenerOptionsOf(settings)),
         listener_(server_.listener()) {
     AddRoutes();
   }
@@ -304,7 +305,7 @@
   std::mutex mutex_;
   Sessions sessions_;
   Login login_;
-  GuardedListener server_;
+  http::GuardedListener server_;
   http::Listener& listener_;
 };
 
--- a/src/console/guarded_listener.cc
+++ b/src/http/guarded_listener.cc
@@ -1,4 +1,4 @@
-#include "src/console/guarded_listener.h"
+#include "src/http/guarded_listener.h"
 
 #include <chrono>
 #include <thread>
@@ -7,35 +7,32 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "bergamotscale/clock.h"
 #include "src/http/caller_guard.h"
 
-namespace bergamotscale::console {
+namespace bergamotscale::http {
 namespace {
 
-constexpr Bytes kMaxBody = Bytes(int64_t{64} * 1024);
-constexpr int kMaxConnections = 256;
-constexpr int kDrainLooks = 200;
 constexpr std::chrono::milliseconds kDrainLookDelay{10};
 
-http::CallerGuardOptions GuardOptions(const link::Endpoint& outer,
-                                      const link::Endpoint& inner) {
-  http::CallerGuardOptions options;
-  options.public_endpoint_ = outer;
-  options.listener_endpoint_ = inner;
-  options.max_body_ = kMaxBody;
-  options.max_connections_ = kMaxConnections;
-  return options;
+CallerGuardOptions GuardOptions(const GuardedListenerOptions& options) {
+  CallerGuardOptions guard;
+  guard.public_endpoint_ = options.outer_;
+  guard.listener_endpoint_ = options.inner_;
+  guard.max_body_ = options.max_body_;
+  guard.max_connections_ = options.max_connections_;
+  return guard;
 }
 
 }  // namespace
 
 class GuardedListener::Impl {
  public:
-  Impl(link::Endpoint outer, const link::Endpoint& inner)
-      : outer_(std::move(outer)),
-        listener_(inner.address_, inner.port_),
+  explicit Impl(GuardedListenerOptions options)
+      : options_(std::move(options)),
+        listener_(options_.inner_.address_, options_.inner_.port_),
         work_(io_.get_executor()),
-        guard_(io_, GuardOptions(outer_, inner)) {}
+        guard_(io_, GuardOptions(options_)) {}
 
   ~Impl() { Close(); }
 
@@ -57,31 +54,38 @@
       return;
     }
     guard_.StopAccepting();
-    for (int look = 0; look < kDrainLooks && !guard_.drained(); ++look) {
-      std::this_thread::sleep_for(kDrainLookDelay);
-    }
+    WaitUntilDrained();
     io_.stop();
     thread_.join();
     guard_.Close();
     listener_.Close();
   }
 
-  const link::Endpoint outer_;
-  http::Listener listener_;
+  const GuardedListenerOptions options_;
+  Listener listener_;
+
+ private:
+  void WaitUntilDrained() {
+    const Clock clock = Clock::Steady();
+    const Millis give_up = clock.Now() + options_.drain_limit_;
+    while (!guard_.drained() && clock.Now() < give_up) {
+      std::this_thread::sleep_for(kDrainLookDelay);
+    }
+  }
+
   boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
-  http::CallerGuard guard_;
+  CallerGuard guard_;
   std::thread thread_;
 };
 
-GuardedListener::GuardedListener(link::Endpoint outer,
-                                 const link::Endpoint& inner)
-    : impl_(std::make_unique<Impl>(std::move(outer), inner)) {}
+GuardedListener::GuardedListener(GuardedListenerOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
 
 GuardedListener::~GuardedListener() = default;
 
-http::Listener& GuardedListener::listener() {
+Listener& GuardedListener::listener() {
   return impl_->listener_;
 }
 
@@ -94,8 +98,8 @@
 }
 
 std::string GuardedListener::url() const {
-  return "http://" + impl_->outer_.address_ + ":" +
-         std::to_string(impl_->outer_.port_);
+  const link::Endpoint& outer = impl_->options_.outer_;
+  return "http://" + outer.ToString();
 }
 
-}  // namespace bergamotscale::console
+}  // namespace bergamotscale::http
--- /dev/null
+++ b/src/http/guarded_listener.h
@@ -0,0 +1,54 @@
+// An HTTP server behind a guard that bounds what callers send.
+#ifndef BERGAMOTSCALE_SRC_HTTP_GUARDED_LISTENER_H_
+#define BERGAMOTSCALE_SRC_HTTP_GUARDED_LISTENER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "bergamotscale/result.h"
+#include "bergamotscale/units.h"
+#include "src/http/listener.h"
+#include "src/link/link.h"
+
+namespace bergamotscale::http {
+
+struct GuardedListenerOptions {
+  // Where callers connect.
+  link::Endpoint outer_;
+  // Where the HTTP library listens, on loopback.
+  link::Endpoint inner_;
+  Bytes max_body_ = Bytes(int64_t{64} * 1024);
+  int max_connections_ = 256;
+  // Close() waits for replies at most this long.
+  Millis drain_limit_ = Millis(2000);
+};
+
+// Thread safety: as Listener.
+class GuardedListener {
+ public:
+  explicit GuardedListener(GuardedListenerOptions options);
+  // Closes.
+  ~GuardedListener();
+  GuardedListener(const GuardedListener&) = delete;
+  GuardedListener& operator=(const GuardedListener&) = delete;
+
+  // Add routes to it before Open().
+  Listener& listener();
+
+  Status Open();
+  // Takes no new connections and lets replies out, for a bounded time.
+  // Idempotent.
+  void Close();
+
+  // @return such as "http://127.0.0.1:8080".
+  std::string url() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::http
+
+#endif  // BERGAMOTSCALE_SRC_HTTP_GUARDED_LISTENER_H_
--- a/standins/service/service_server.cc
+++ b/standins/service/service_server.cc
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 
 #include "src/http/body.h"
+#include "src/http/guarded_listener.h"
 #include "src/http/listener.h"
 #include "standins/journal/journal.h"
 
@@ -29,6 +30,11 @@
 
 constexpr int kHighestPort = 65535;
 constexpr Millis kLongestDelay = Millis(600000);
+constexpr Millis kMostDrainTime = Millis(30000);
+constexpr int kMaxConnections = 10000;
+constexpr Bytes kMaxBody = Bytes(int64_t{8} * 1024 * 1024);
+// Of the HTTP library behind the guard, with the port of the guard.
+constexpr char kInnerAddress[] = "127.0.0.2";
 
 // @return true if the counter was above zero; it is then one less.
 bool TakeOne(std::atomic<int64_t>* counter) {
@@ -41,6 +47,18 @@
   return false;
 }
 
+http::GuardedListenerOptions ListenerOptionsOf(
+    const ServiceSettings& settings) {
+  const auto port = static_cast<uint16_t>(settings.port_);
+  http::GuardedListenerOptions options;
+  options.outer_ = {settings.address_, port};
+  options.inner_ = {kInnerAddress, port};
+  options.max_body_ = kMaxBody;
+  options.max_connections_ = kMaxConnections;
+  options.drain_limit_ = kMostDrainTime;
+  return options;
+}
+
 }  // namespace
 
 void ReadServiceSettings(settings::FieldReader& reader,
@@ -60,21 +78,23 @@
         delay_(settings.delay_.count()),
         work_(context_.get_executor()),
         thread_([this] { context_.run(); }),
-        listener_(settings.address_, static_cast<uint16_t>(settings.port_)) {
+        server_(ListenerOptionsOf(settings)),
+        listener_(server_.listener()) {
     AddRoutes();
   }
 
   ~Impl() {
+    Close();
     context_.stop();
     thread_.join();
   }
 
-  Status Open() { return listener_.Open(); }
+  Status Open() { return server_.Open(); }
 
   void Close() {
     stopping_ = true;
     ReleaseHeld();
-    listener_.Close();
+    server_.Close();
   }
 
  private:
@@ -123,7 +143,7 @@
     if (TakeOne(&exits_left_)) {
       _exit(kCrashExitCode);
     }
-    if (TakeOne(&holds_left_)) {
+    if (!stopping_ && TakeOne(&holds_left_)) {
       const std::lock_guard<std::mutex> lock(mutex_);
       held_.push_back(request);
       return;
@@ -165,7 +185,7 @@
                     "{\"accepted\":true}\n", "application/json");
   }
 
-  // The listener can't close while a request has no reply.
+  // A stop waits for all replies.
   void ReleaseHeld() {
     const std::lock_guard<std::mutex> lock(mutex_);
     for (const http_request& request : held_) {
@@ -185,7 +205,8 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_;
   std::thread thread_;
-  http::Listener listener_;
+  http::GuardedListener server_;
+  http::Listener& listener_;
 };
 
 ServiceServer::ServiceServer(const ServiceSettings& settings)
--- a/standins/service/service_server.h
+++ b/standins/service/service_server.h
@@ -41,6 +41,8 @@
   ServiceServer& operator=(const ServiceServer&) = delete;
 
   Status Open();
+  // Refuses new connections and waits for the executions that have begun, for
+  // a bounded time. Idempotent.
   void Close();
 
  private:
--- a/tests/process/cluster.cc
+++ b/tests/process/cluster.cc
@@ -208,7 +208,10 @@
   const std::string name =
       number == 1 ? "service" : "service-" + std::to_string(number);
   const uint16_t port = FreePort();
-  Add(name, "fake_service", port, {{"port", port}, {"delay_ms", 20}});
+  Add(name, "fake_service", port,
+      {{"port", port},
+       {"delay_ms", 20},
+       {"journal_file", folder_ + "/" + name + ".journal"}});
   AddSidecar("sidecar-" + name, "agency", "service", Url(name), FreePort(),
              ZoneOfEngine(number));
 }
@@ -333,8 +336,15 @@
 }
 
 std::vector<json> Cluster::OrderJournal(int number) const {
-  std::ifstream lines(folder_ + "/engine-" + std::to_string(number) +
-                      ".orders");
+  return LinesOf("engine-" + std::to_string(number) + ".orders");
+}
+
+std::vector<json> Cluster::JournalFile(const std::string& name) const {
+  return LinesOf(name + ".journal");
+}
+
+std::vector<json> Cluster::LinesOf(const std::string& file) const {
+  std::ifstream lines(folder_ + "/" + file);
   std::vector<json> records;
   for (std::string line; std::getline(lines, line);) {
     records.push_back(json::parse(line));
--- a/tests/process/cluster.h
+++ b/tests/process/cluster.h
@@ -94,6 +94,9 @@
   std::vector<nlohmann::json> Journal(const std::string& name) const;
   // @return the lines of the file of orders that an engine carried out.
   std::vector<nlohmann::json> OrderJournal(int number) const;
+  // @return the lines of a stand-in's journal of all its runs: one for the
+  // start and one for the end of each execution.
+  std::vector<nlohmann::json> JournalFile(const std::string& name) const;
 
   // Publishes a document; the test fails if it isn't accepted.
   void Publish(const nlohmann::json& document);
@@ -122,6 +125,7 @@
   void AddEntry(int number);
   void AddConsole();
   std::string ListUrl() const;
+  std::vector<nlohmann::json> LinesOf(const std::string& file) const;
 
   const ClusterOptions options_;
   std::string folder_;
--- a/tests/process/fleet_test.cc
+++ b/tests/process/fleet_test.cc
@@ -137,6 +137,42 @@
   CHECK(executed == load.sent());
 }
 
+int FinishedOrders(const Cluster& cluster,
+                   const std::string& service,
+                   std::set<std::string>* keys) {
+  int finished = 0;
+  for (const auto& record : cluster.JournalFile(service)) {
+    if (record["outcome"] == "finished") {
+      CHECK(keys->insert(record["key"].get<std::string>()).second);
+      ++finished;
+    }
+  }
+  return finished;
+}
+
+// A service that ends its open requests and then refuses connections.
+TEST_CASE("fleet: services are stopped under load before their sidecars") {
+  ClusterOptions options;
+  options.services_ = 2;
+  Cluster cluster(options);
+  OrderLoad load(cluster);
+  for (const std::string service : {"service", "service-2", "service"}) {
+    Pause(1500);
+    CheckStops(cluster, service);
+    cluster.Start(service);
+    REQUIRE(cluster.WaitFor("sidecar-" + service, "/readyz"));
+  }
+  Pause(1000);
+  load.Stop();
+  std::set<std::string> keys;
+  const int executed = FinishedOrders(cluster, "service", &keys) +
+                       FinishedOrders(cluster, "service-2", &keys);
+  MESSAGE(load.sent() << " orders");
+  CHECK(load.sent() > 0);
+  CHECK(load.failed() == 0);
+  CHECK(executed == load.sent());
+}
+
 TEST_CASE("fleet: a console is replaced while operators read its pages") {
   Cluster cluster;
   REQUIRE(cluster.WaitFor("console", "/readyz"));
