Lab: goodput in percent of the attainable, and the cached share of prompts

Change: MostGoodput() is an upper bound from the emulator's parameters and the mean demand: engines at the top tier's mean time between tokens for as much as 99 in 100 of its tokens need, full batches elsewhere. A test compares it with all divisions into whole engines. The table gains att.% and cache%.

--- a/src/lab/proxy_simulation.cc
+++ b/src/lab/proxy_simulation.cc
@@ -132,6 +132,9 @@
     return;
   }
   const int request = found->second;
+  if (event.type_ == emulator::EngineEventType::kToken && event.index_ == 0) {
+    recorder_.Prefilled(request, event.cached_tokens_, event.at_);
+  }
   if (event.type_ == emulator::EngineEventType::kPreempted) {
     recorder_.Preempted(request);
   } else if (event.type_ == emulator::EngineEventType::kToken) {
--- a/src/lab/recorder.cc
+++ b/src/lab/recorder.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/lab/attainable.h"
+
 namespace bergamotscale::lab {
 
 namespace {
@@ -80,6 +82,17 @@
   written_in_window_ += InWindow(at) ? 1 : 0;
 }
 
+void Recorder::Prefilled(int request, Tokens cached, Micros at) {
+  if (!InWindow(at)) {
+    return;
+  }
+  const auto blocks =
+      static_cast<int64_t>(arrivals_[request].block_hashes_.size());
+  const int64_t shared = blocks * scenario_.engine_.block_.count();
+  shared_prompts_ += shared;
+  cached_prompts_ += std::min(cached.count(), shared);
+}
+
 void Recorder::Preempted(int request) {
   ++preempted_[arrivals_[request].class_];
 }
@@ -217,6 +230,12 @@
       Ratio(static_cast<double>(busy_samples_), static_cast<double>(samples_));
   report.goodput_percent_ =
       kPercent * Ratio(report.goodput_, Ratio(report.output_, busy));
+  report.attainable_percent_ =
+      kPercent *
+      Ratio(report.goodput_, MostGoodput(scenario_).tokens_per_second_);
+  report.cached_percent_ =
+      kPercent * Ratio(static_cast<double>(cached_prompts_),
+                       static_cast<double>(shared_prompts_));
   report.mean_batch_ = Ratio(static_cast<double>(sampled_running_),
                              static_cast<double>(busy_samples_));
   report.written_tokens_ = written_;
--- a/src/lab/recorder.h
+++ b/src/lab/recorder.h
@@ -37,6 +37,10 @@
   double output_ = 0;   // tokens per second written
   // Percent of what the engines could write at the batch that they ran.
   double goodput_percent_ = 0;
+  // Percent of MostGoodput(); 0 if the top tier alone exceeds capacity.
+  double attainable_percent_ = 0;
+  // Percent of the shared prompts of requests started that were cached.
+  double cached_percent_ = 0;
   double mean_batch_ = 0;
   double wasted_percent_ = 0;  // of the tokens written
   int64_t written_tokens_ = 0;
@@ -60,6 +64,8 @@
   void Delivered(int request, int64_t index, Micros at);
   // An engine wrote a token.
   void Written(Micros at);
+  // An engine has prefilled a request, of whose prompt `cached` were cached.
+  void Prefilled(int request, Tokens cached, Micros at);
   void Preempted(int request);
   void Crashed() { ++crashes_; }
   void Retried() { ++retries_; }
@@ -97,6 +103,8 @@
   int64_t written_ = 0;
   int64_t delivered_ = 0;
   int64_t written_in_window_ = 0;
+  int64_t shared_prompts_ = 0;  // tokens
+  int64_t cached_prompts_ = 0;  // tokens
   int64_t samples_ = 0;
   int64_t busy_samples_ = 0;
   int64_t sampled_running_ = 0;
--- a/src/lab/router_simulation.cc
+++ b/src/lab/router_simulation.cc
@@ -75,6 +75,9 @@
         loop_.now() + Delay(arrivals_[RequestOf(handle)].entry_, sidecar);
     EntryOf(RequestOf(handle)).OnToken(handle, index, at);
   };
+  hooks.prefilled_ = [this](uint64_t handle, Tokens cached) {
+    recorder_.Prefilled(RequestOf(handle), cached, loop_.now());
+  };
   hooks.finished_ = [this, sidecar](uint64_t handle) {
     const Micros at =
         loop_.now() + Delay(arrivals_[RequestOf(handle)].entry_, sidecar);
--- a/src/lab/sim_sidecar.cc
+++ b/src/lab/sim_sidecar.cc
@@ -143,6 +143,9 @@
   const auto handle = static_cast<uint64_t>(event.id_.value());
   switch (event.type_) {
     case emulator::EngineEventType::kToken:
+      if (event.index_ == 0) {
+        hooks_.prefilled_(handle, event.cached_tokens_);
+      }
       OnToken(handle, event.index_);
       break;
     case emulator::EngineEventType::kFinished:
--- a/src/lab/sim_sidecar.h
+++ b/src/lab/sim_sidecar.h
@@ -23,6 +23,8 @@
 struct SidecarHooks {
   std::function<void(uint64_t)> granted_;
   std::function<void(uint64_t, int64_t index)> token_;
+  // The first token came, after a prefill that the cache had shortened.
+  std::function<void(uint64_t, Tokens cached)> prefilled_;
   std::function<void(uint64_t)> finished_;
   // Its engine crashed under it.
   std::function<void(uint64_t)> lost_;
--- /dev/null
+++ b/tests/attainable_test.cc
@@ -0,0 +1,72 @@
+// The bound on goodput that the experiment's table is in percent of.
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "src/lab/attainable.h"
+
+namespace bergamotscale::lab {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+// The best of all divisions into whole engines, where each kept one runs
+// `tight` requests of the first class and as many of the last as fit.
+double BestOfWholeEngines(const Scenario& scenario, double cached_share) {
+  const std::vector<ClassDemand> demands = DemandOf(scenario, cached_share);
+  const emulator::EngineParameters& engine = scenario.engine_;
+  const auto base = static_cast<double>(engine.step_base_.count());
+  const auto target = static_cast<double>(
+      emulator::ToMicros(scenario.classes_[0].class_.between_tokens_).count());
+  const double cost = demands.front().cost_micros_;
+  const double bulk_cost = demands.back().cost_micros_;
+  const int most = engine.max_running_;
+  const double full = most / (base + most * bulk_cost);
+  double best = 0;
+  for (int kept = 1; kept <= scenario.engines_; ++kept) {
+    for (int tight = 0; base + tight * cost <= target; ++tight) {
+      const double step_left = target - base - tight * cost;
+      const double bulk = std::min<double>(step_left / bulk_cost, most - tight);
+      const double step = base + tight * cost + bulk * bulk_cost;
+      const double rate = kept * kMicrosPerSecond / step;
+      if (tight * rate < demands.front().tokens_per_second_) {
+        continue;
+      }
+      const double others =
+          (scenario.engines_ - kept) * full * kMicrosPerSecond;
+      best = std::max(best, demands.front().tokens_per_second_ + bulk * rate +
+                                others);
+    }
+  }
+  return best;
+}
+
+TEST_CASE("attainable: no division into whole engines gives more") {
+  for (const std::string& user : ScenarioUsers()) {
+    CAPTURE(user);
+    const Scenario scenario = MakeScenario(user, "bulk_burst").value();
+    for (const double cached : {0.0, 0.5, 1.0}) {
+      const double bound = MostGoodput(scenario, cached).tokens_per_second_;
+      const double whole = BestOfWholeEngines(scenario, cached);
+      CHECK(whole <= bound);
+      CHECK(whole >= 0.97 * bound);
+    }
+  }
+}
+
+TEST_CASE("attainable: bounded by the demand, and by the top tier's need") {
+  Scenario scenario = MakeScenario("hanbit", "steady").value();
+  double demand = 0;
+  for (const ClassDemand& each : DemandOf(scenario, 1)) {
+    demand += each.tokens_per_second_;
+  }
+  const double top = DemandOf(scenario, 1).front().tokens_per_second_;
+  CHECK(MostGoodput(scenario).tokens_per_second_ ==
+        doctest::Approx(demand - 0.01 * top));
+  // With the top tier beyond what all engines write in its time there is none.
+  scenario = MakeScenario("hanbit", "urgent_burst").value();
+  CHECK(MostGoodput(scenario).tokens_per_second_ == 0);
+}
+
+}  // namespace
+}  // namespace bergamotscale::lab
