Limiter: a limit of four or less grows again

Cause: the limit grows by 15 percent at most and is rounded down from a quarter above, so a limit of 1 to 4 never grew, however fast the engine was. A few prefills right after a start (or a refusal for want of memory) bring a limit there. Test: limiter: grows again from any limit; before, 1 to 4 stayed as they were.

--- a/src/lab/attainable.cc
+++ b/src/lab/attainable.cc
@@ -71,7 +71,8 @@
 
   // @return the tokens per second, or 0 if the top tier doesn't fit.
   double Serve(double kept) {
-    const double base = static_cast<double>(scenario_.engine_.step_base_.count());
+    const double base =
+        static_cast<double>(scenario_.engine_.step_base_.count());
     const double most = scenario_.engine_.max_running_;
     const double step = TopTargetMicros(scenario_);
     EngineTime kept_time(kept * (1 - base / step),
--- a/src/lab/experiment.cc
+++ b/src/lab/experiment.cc
@@ -48,14 +48,13 @@
 }
 
 std::string FormatReport(const Report& report) {
-  std::string line =
-      Format("%-18s %5lld %8.0f %6.1f %6.1f %8.0f %6.1f %6.1f %7.3f %5lld %6lld",
-             report.policy_.c_str(), static_cast<long long>(report.seed_),
-             report.goodput_, report.attainable_percent_,
-             report.goodput_percent_, report.output_, report.mean_batch_,
-             report.cached_percent_, report.wasted_percent_,
-             static_cast<long long>(report.crashes_),
-             static_cast<long long>(report.retries_));
+  std::string line = Format(
+      "%-18s %5lld %8.0f %6.1f %6.1f %8.0f %6.1f %6.1f %7.3f %5lld %6lld",
+      report.policy_.c_str(), static_cast<long long>(report.seed_),
+      report.goodput_, report.attainable_percent_, report.goodput_percent_,
+      report.output_, report.mean_batch_, report.cached_percent_,
+      report.wasted_percent_, static_cast<long long>(report.crashes_),
+      static_cast<long long>(report.retries_));
   for (const ClassReport& entry : report.classes_) {
     line += Format(" | %6.2f %6lld %5lld %5lld %4lld %6.0f %5.1f %5lld",
                    entry.attainment_, static_cast<long long>(entry.requests_),
@@ -70,9 +69,9 @@
 
 std::string FormatHeader(const Report& report) {
   std::string line =
-      Format("%-18s %5s %8s %6s %6s %8s %6s %6s %7s %5s %6s", "policy",
-             "seed", "good/s", "att.%", "good%", "out/s", "batch", "cache%",
-             "waste%", "crash", "retry");
+      Format("%-18s %5s %8s %6s %6s %8s %6s %6s %7s %5s %6s", "policy", "seed",
+             "good/s", "att.%", "good%", "out/s", "batch", "cache%", "waste%",
+             "crash", "retry");
   for (const ClassReport& entry : report.classes_) {
     line +=
         Format(" | %-10s%4s%6s %5s %5s %4s %6s %5s %5s", entry.name_.c_str(),
--- a/src/policy/concurrency_limiter.cc
+++ b/src/policy/concurrency_limiter.cc
@@ -126,7 +126,11 @@
   }
   // Rounding down keeps the limit still near its aim and still lets it grow.
   const double from = factor < 1 ? std::min(limit_, std::max(peak, 1)) : limit_;
-  const int moved = static_cast<int>(std::floor(from * factor + 0.25));
+  int moved = static_cast<int>(std::floor(from * factor + 0.25));
+  if (factor >= kMostGrowth) {
+    // Rounding must not hold a small limit down.
+    moved = std::max(moved, limit_ + 1);
+  }
   limit_ = std::clamp(moved, 1, std::max(1, options_.max_));
 }
 
--- a/tests/attainable_test.cc
+++ b/tests/attainable_test.cc
@@ -34,8 +34,8 @@
       }
       const double others =
           (scenario.engines_ - kept) * full * kMicrosPerSecond;
-      best = std::max(best, demands.front().tokens_per_second_ + bulk * rate +
-                                others);
+      best = std::max(
+          best, demands.front().tokens_per_second_ + bulk * rate + others);
     }
   }
   return best;
--- a/tests/policy_test.cc
+++ b/tests/policy_test.cc
@@ -306,6 +306,17 @@
   CHECK(limiter.limit() == 4);
 }
 
+TEST_CASE("limiter: grows again from any limit") {
+  for (int low = 1; low <= 8; ++low) {
+    CAPTURE(low);
+    ConcurrencyLimiter limiter;
+    limiter.SetTarget(Millis(30));
+    limiter.ObserveRefusal(low);
+    CHECK(limiter.limit() == low);
+    CHECK(Settled(limiter, 0, 10, 0.5) >= 32);
+  }
+}
+
 // One process's quarantine, with several upstreams that crash on one digest.
 TEST_CASE("quarantine: a crasher takes two upstreams, neighbours go on") {
   testing::CheckProperty("two crashes", [] {
