Dispatch: under load a request goes to the homes of its prompt

When all queues are full their reported waits differ by seconds, a cached prefix saves 13 ms of score, and so the shortest queue took each prompt and every engine ran every template. Change: a request that has to wait everywhere counts waits within its class's first-token target of the least as equal (a tenth of it in the top tier), and the reservations go to the upstreams with the highest hash for its prompt, the same from all entries. Where something is free nothing changes. The hash is mixed twice, as the first prefixes of neighbours went to 5 of 9 upstreams. Test: dispatch: under load a prompt has the same homes at all entries; before, 50 prompts went to 3 of 9 upstreams, the shortest queues.

--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -18,6 +18,13 @@
 constexpr double kFullBatchMillis = 30;
 // A prompt that is new to all goes to the same upstream from every entry.
 constexpr double kHomeMillis = 4;
+// Under load, the most that an upstream's place among the homes of a prompt
+// counts: every entry sends a prompt to the same few.
+constexpr double kHomesMillis = 30;
+// Waits that exceed the least by no more than this part of a class's
+// first-token target are equal, so that cached prefixes decide.
+constexpr int64_t kTopTierEvenPercent = 10;
+constexpr int64_t kEvenPercent = 100;
 // Random part of a score, so that entries with one report don't all follow it.
 constexpr double kJitterMillis = 3;
 constexpr double kStragglerMillis = 20'000;
@@ -34,9 +41,18 @@
   value ^= value >> 33;
   value *= 0xff51afd7ed558ccdULL;
   value ^= value >> 33;
+  value *= 0xc4ceb9fe1a85ec53ULL;
+  value ^= value >> 33;
   return value;
 }
 
+// @return a fraction that is the same for an upstream and a prefix everywhere.
+double HomeWeight(const InstanceId& sidecar, uint64_t prefix) {
+  const uint64_t mixed = Mix(std::hash<InstanceId>()(sidecar) ^ prefix);
+  return static_cast<double>(mixed) /
+         static_cast<double>(std::numeric_limits<uint64_t>::max());
+}
+
 template <typename Id>
 bool Contains(const std::vector<Id>& ids, const Id& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -97,11 +113,19 @@
                                   const std::vector<UpstreamView>& views) const;
   int HomeOf(const DispatchRequest& request,
              const std::vector<UpstreamView>& views) const;
+  void SetEvenWaits(const std::vector<ServiceClass>& classes);
+  void WeighWaits(const DispatchRequest& request,
+                  const std::vector<UpstreamView>& views);
 
   DispatcherOptions options_;
   std::mt19937_64 random_;
   KeptUpstreams kept_;
   bool only_kept_ = false;  // what the present sample is limited to
+  std::unordered_map<ClassId, Millis> even_waits_;
+  // Of the present request: waits in ms up to this are equal, and whether it
+  // has to wait at all candidates.
+  double even_until_ = 0;
+  bool waits_ = false;
   std::unordered_map<uint64_t, Home> homes_;
   std::unordered_map<uint64_t, Home> older_homes_;
   // Reused between calls.
@@ -253,7 +277,7 @@
 double Dispatcher::Impl::Score(const UpstreamView& view,
                                const DispatchRequest& request,
                                const Match& match) {
-  double score = Wait(view, request.class_);
+  double score = std::max(Wait(view, request.class_), even_until_);
   const double slots = std::max(view.slots_, 1);
   score += kFullBatchMillis * (view.running_ + view.placed_since_) / slots;
   if (view.zone_ != options_.zone_) {
@@ -265,6 +289,10 @@
   }
   score -= static_cast<double>(options_.prefix_saving_.count()) *
            static_cast<double>(prefixes);
+  if (waits_ && !request.prefix_hashes_.empty()) {
+    score -= kHomesMillis *
+             HomeWeight(view.sidecar_, request.prefix_hashes_.front());
+  }
   if (view.between_tokens_.count() * kPercent >
       median_gap_ * options_.straggler_percent_) {
     score += kStragglerMillis;
@@ -316,6 +344,32 @@
   return home;
 }
 
+void Dispatcher::Impl::SetEvenWaits(const std::vector<ServiceClass>& classes) {
+  even_waits_.clear();
+  Tier top = classes.empty() ? Tier(1) : classes.front().tier_;
+  for (const ServiceClass& each : classes) {
+    top = std::min(top, each.tier_);
+  }
+  for (const ServiceClass& each : classes) {
+    const int64_t percent =
+        each.tier_ == top ? kTopTierEvenPercent : kEvenPercent;
+    even_waits_[each.name_] =
+        Millis(each.first_token_.count() * percent / kPercent);
+  }
+}
+
+// Under load a prefill that the cache spares serves everybody, and which queue
+// is a little shorter serves nobody.
+void Dispatcher::Impl::WeighWaits(const DispatchRequest& request,
+                                  const std::vector<UpstreamView>& views) {
+  const double least = LeastWait(request.class_, views);
+  const auto even = even_waits_.find(request.class_);
+  waits_ = least > 0;
+  even_until_ = !waits_ || even == even_waits_.end()
+                    ? 0
+                    : least + static_cast<double>(even->second.count());
+}
+
 Dispatcher::Dispatcher(DispatcherOptions options)
     : impl_(std::make_unique<Impl>()) {
   impl_->random_.seed(options.seed_);
@@ -327,6 +381,7 @@
 
 void Dispatcher::Configure(const std::vector<ServiceClass>& classes) {
   impl_->kept_.Configure(classes);
+  impl_->SetEvenWaits(classes);
 }
 
 void Dispatcher::Refresh(const std::vector<UpstreamView>& views) {
@@ -339,6 +394,7 @@
     return impl_->PlaceOfSuspect(request, views);
   }
   impl_->Gather(request, views);
+  impl_->WeighWaits(request, views);
   std::vector<Candidate>& candidates = impl_->candidates_;
   const Impl::Match match = impl_->FindMatch(request.prefix_hashes_);
   const int home = match.home_ == nullptr ? impl_->HomeOf(request, views) : -1;
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -48,11 +48,13 @@
 
 // Chooses upstreams by expected wait: the last report, discounted by its age,
 // plus this entry's own placements since. One place goes to the upstream that
-// holds the prompt's prefix, if its load allows. Classes with the tightest time
-// between tokens keep to the upstreams that KeptUpstreams keeps, unless they
-// would wait there.
-// Cost: grows with the smaller of sample_ and the number of views.
-// Thread safety: none.
+// holds the prompt's prefix, if its load allows. A request that has to wait
+// everywhere goes to the homes of its prompt, which are the same for all
+// entries, unless it would wait there for longer by a part of its first-token
+// target: a small one for the top tier, all of it for the others. Classes with
+// the tightest time between tokens keep to the upstreams that KeptUpstreams
+// keeps, unless they would wait there. Cost: grows with the smaller of sample_
+// and the number of views. Thread safety: none.
 class Dispatcher {
  public:
   explicit Dispatcher(DispatcherOptions options);
--- a/tests/kept_upstreams_test.cc
+++ b/tests/kept_upstreams_test.cc
@@ -138,6 +138,45 @@
   }
 }
 
+// The places that an entry of that seed chooses for a prompt of a plan.
+std::set<int> PlacesOfPrompt(uint64_t seed,
+                             uint64_t prefix,
+                             const std::vector<UpstreamView>& views) {
+  DispatcherOptions options;
+  options.seed_ = seed;
+  Dispatcher dispatcher{options};
+  dispatcher.Configure(Classes());
+  DispatchRequest plan;
+  plan.class_ = ClassId("plan");
+  plan.group_ = GroupId("engines");
+  plan.prefix_hashes_ = {prefix};
+  const std::vector<int> chosen = dispatcher.Choose(plan, views);
+  return {chosen.begin(), chosen.end()};
+}
+
+TEST_CASE("dispatch: under load a prompt has the same homes at all entries") {
+  std::vector<UpstreamView> views = Busy(9, 0, 0);
+  for (size_t i = 0; i < views.size(); ++i) {
+    views[i].class_waits_[1].wait_ = Millis(1000 + 20 * static_cast<int>(i));
+  }
+  std::set<int> homes;
+  int same = 0;
+  constexpr int kPrompts = 50;
+  for (uint64_t prompt = 1; prompt <= kPrompts; ++prompt) {
+    const std::set<int> places = PlacesOfPrompt(1, prompt, views);
+    same += places == PlacesOfPrompt(2, prompt, views) ? 1 : 0;
+    homes.insert(places.begin(), places.end());
+  }
+  // A random part of a score changes few of them, and all share the load.
+  CHECK(same >= kPrompts / 2);
+  CHECK(homes.size() == views.size());
+  // The bound on load: no home beyond the class's first-token target.
+  views[4].class_waits_[1].wait_ = Millis(3100);
+  for (uint64_t prompt = 1; prompt <= kPrompts; ++prompt) {
+    CHECK(PlacesOfPrompt(1, prompt, views).count(4) == 0);
+  }
+}
+
 TEST_CASE("dispatch: kept upstreams are found among thousands") {
   Dispatcher dispatcher{DispatcherOptions()};
   dispatcher.Configure(Classes());
