--- a/tests/offer_pacer_test.cc
+++ b/tests/offer_pacer_test.cc
@@ -6,11 +6,13 @@
 namespace bergamotscale::config {
 namespace {
 
+constexpr Millis kRound(1000);
+
 // Rounds of gossip, one a second. @return in how many the document was sent.
 int OffersTo(OfferPacer& pacer, Revision own, int rounds) {
   int offers = 0;
   for (int round = 0; round < rounds; ++round) {
-    offers += pacer.TakeOffer(own, Millis(1000 * round)) ? 1 : 0;
+    offers += pacer.TakeOffer(own, kRound * round) ? 1 : 0;
   }
   return offers;
 }
@@ -33,7 +35,7 @@
   // Each second a change, which the peer tells of a second later.
   for (int second = 1; second < 60; ++second) {
     pacer.OnTold(Revision(second));
-    offers += pacer.TakeOffer(Revision(second + 1), Millis(1000 * second));
+    offers += pacer.TakeOffer(Revision(second + 1), kRound * second);
   }
   CHECK(offers == 0);
 }
