Dispatch: no place in another zone while the own can take a request at once

Cause: an entry places three reservations and the first grant wins, wherever it is. The own zone was preferred by 1 ms of score, below the random part (3 ms) and the cost of a batch (30 ms by its share), so that the winner was chance: 23 of 45, 25 of 46 and 29 of 43 requests in the own zone.

Ruled out: the retry budget (never spent).

Change: places in other zones are dropped while an upstream of the own zone has a free slot, an expected wait below 5 ms and is no straggler, unless another zone holds more of the prompt's prefix or the own zone has a single upstream. A suspect that has waited for a quarter of its deadline without a grant withdraws (nothing was sent, so nothing ran) and tries the next engine of its order, in the entry and in the lab alike.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -59,6 +59,14 @@
 
   bool bound() const { return bound_; }
 
+  std::vector<InstanceId> sidecars() const {
+    std::vector<InstanceId> sidecars;
+    for (const Place& place : places_) {
+      sidecars.push_back(place.sidecar_);
+    }
+    return sidecars;
+  }
+
  private:
   policy::DispatchRequest Wanted() const {
     policy::DispatchRequest wanted;
@@ -345,6 +353,10 @@
   impl_->Cancel();
 }
 
+std::vector<InstanceId> Attempt::sidecars() const {
+  return impl_->sidecars();
+}
+
 bool Attempt::bound() const {
   return impl_->bound();
 }
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -68,6 +68,9 @@
   // @return whether the work has been sent to a sidecar.
   bool bound() const;
 
+  // @return where reservations were placed.
+  std::vector<InstanceId> sidecars() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -182,9 +182,36 @@
     };
     attempt_ =
         std::make_unique<Attempt>(traffic_, request_, Plan(), std::move(hooks));
+    MoveSuspectLater();
     attempt_->Start();
   }
 
+  // A suspect has one place; if that grants nothing for long, it tries the
+  // next. Nothing was sent there, so nothing has run.
+  void MoveSuspectLater() {
+    if (!suspect_) {
+      return;
+    }
+    delay_timer_.expires_after(
+        ToChrono(policy::SuspectPatience(request_.class_.deadline_)));
+    delay_timer_.async_wait([self = shared_from_this(), attempt = attempts_](
+                                const boost::system::error_code& error) {
+      if (!error && attempt == self->attempts_) {
+        self->MoveSuspect();
+      }
+    });
+  }
+
+  void MoveSuspect() {
+    if (ended_ || attempt_->bound()) {
+      return;
+    }
+    const std::vector<InstanceId> places = attempt_->sidecars();
+    avoid_.insert(avoid_.end(), places.begin(), places.end());
+    attempt_.reset();
+    StartAttemptSoon(Millis(0));
+  }
+
   void OnChunk(const wire::Chunk& chunk) {
     const bool first =
         progress_.Add(chunk.text_, chunk.tokens_, traffic_.steady_.Now());
--- a/src/lab/sim_entry.cc
+++ b/src/lab/sim_entry.cc
@@ -157,11 +157,34 @@
     return;
   }
   state.reserved_at_ = chosen;
+  MoveSuspectLater(request);
   for (const int sidecar : chosen) {
     Reserve(request, sidecar);
   }
 }
 
+// A suspect that its place grants nothing for long tries the next one.
+void SimEntry::MoveSuspectLater(int request) {
+  const Request& state = requests_[request];
+  if (!state.suspect_) {
+    return;
+  }
+  const Millis patience =
+      policy::SuspectPatience(WorkloadOf(request).class_.deadline_);
+  const uint64_t handle = MakeHandle(request, state.attempt_);
+  loop_.After(emulator::ToMicros(patience), [this, request, handle] {
+    Request* waiting = Find(handle);
+    if (waiting == nullptr || waiting->running_at_ >= 0) {
+      return;
+    }
+    for (const int sidecar : waiting->reserved_at_) {
+      waiting->dispatch_.avoid_.push_back(views_[sidecar].sidecar_);
+    }
+    Withdraw(*waiting, request);
+    Dispatch(request);
+  });
+}
+
 void SimEntry::Reserve(int request, int sidecar) {
   const Request& state = requests_[request];
   const Arrival& arrival = arrivals_[request];
--- a/src/lab/sim_entry.h
+++ b/src/lab/sim_entry.h
@@ -69,6 +69,7 @@
 
   Request* Find(uint64_t handle);
   void Dispatch(int request);
+  void MoveSuspectLater(int request);
   void Reserve(int request, int sidecar);
   void Start(int request, int sidecar);
   void Withdraw(Request& state, int request);
--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -22,12 +22,17 @@
 constexpr double kJitterMillis = 3;
 constexpr double kStragglerMillis = 20'000;
 constexpr size_t kMaxPrefixes = 20'000;
+// Fewer upstreams than this in the own zone are no choice.
+constexpr int kMinOwnZone = 2;
+// A suspect tries so many places within its deadline.
+constexpr int64_t kSuspectPlaces = 4;
 // A wait under this is no reason to look beyond an upstream.
 constexpr double kMinSlotMillis = 5;
 
 struct Candidate {
   int index_ = 0;
-  double score_ = 0;  // ms
+  double score_ = 0;     // ms
+  size_t prefixes_ = 0;  // of the prompt, cached there
 };
 
 uint64_t Mix(uint64_t value) {
@@ -65,6 +70,10 @@
 
 }  // namespace
 
+Millis SuspectPatience(Millis deadline) {
+  return deadline / kSuspectPlaces;
+}
+
 struct Dispatcher::Impl {
   // Where a prefix has run last, from this entry.
   struct Home {
@@ -90,9 +99,19 @@
   double Wait(const UpstreamView& view, const ClassId& class_id) const;
   double LeastWait(const ClassId& class_id,
                    const std::vector<UpstreamView>& views) const;
+  static size_t PrefixesAt(const UpstreamView& view,
+                           const DispatchRequest& request,
+                           const Match& match);
   double Score(const UpstreamView& view,
                const DispatchRequest& request,
-               const Match& match);
+               size_t prefixes);
+  bool IsStraggler(const UpstreamView& view) const;
+  double PlacedSince(const UpstreamView& view) const;
+  double FreeSlots(const UpstreamView& view) const;
+  bool CanTakeAtOnce(const UpstreamView& view, const ClassId& class_id) const;
+  bool KeepsOwnZone(const DispatchRequest& request,
+                    const std::vector<UpstreamView>& views) const;
+  void DropOtherZones(const std::vector<UpstreamView>& views);
   std::vector<int> PlaceOfSuspect(const DispatchRequest& request,
                                   const std::vector<UpstreamView>& views) const;
   int HomeOf(const DispatchRequest& request,
@@ -127,7 +146,7 @@
       return;
     }
   }
-  candidates_.push_back(Candidate{index, 0});
+  candidates_.push_back(Candidate{index, 0, 0});
 }
 
 // Collects and measures candidates; those that aren't kept for a tight class
@@ -222,19 +241,29 @@
   }
 }
 
+// Most of the places taken since the report are withdrawn again.
+double Dispatcher::Impl::PlacedSince(const UpstreamView& view) const {
+  return static_cast<double>(view.placed_since_) /
+         std::max(options_.reservations_, 1);
+}
+
+// @return slots that are expected to be free now; below zero if more is placed
+// there than it runs at once.
+double Dispatcher::Impl::FreeSlots(const UpstreamView& view) const {
+  return view.slots_ - view.running_ - PlacedSince(view);
+}
+
 double Dispatcher::Impl::Wait(const UpstreamView& view,
                               const ClassId& class_id) const {
   const double age = static_cast<double>(view.report_age_.count());
   const double fresh = kHalfAgeMillis / (kHalfAgeMillis + age);
   const double reported = ReportedWait(view, class_id);
   const double wait = reported * fresh + mean_wait_ * (1 - fresh);
-  // Most of the places taken since are withdrawn again.
-  const double placed = static_cast<double>(view.placed_since_) /
-                        std::max(options_.reservations_, 1);
-  const double free = view.slots_ - view.running_ - placed;
+  const double free = FreeSlots(view);
   if (free > 0) {
     return wait;
   }
+  const double placed = PlacedSince(view);
   const double slot = std::max(kMinSlotMillis, reported / (view.waiting_ + 1));
   return wait + slot * std::min(-free + 1, placed);
 }
@@ -250,23 +279,73 @@
   return least;
 }
 
+bool Dispatcher::Impl::IsStraggler(const UpstreamView& view) const {
+  return view.between_tokens_.count() * kPercent >
+         median_gap_ * options_.straggler_percent_;
+}
+
+// @return how many of the prompt's prefixes the upstream holds.
+size_t Dispatcher::Impl::PrefixesAt(const UpstreamView& view,
+                                    const DispatchRequest& request,
+                                    const Match& match) {
+  const size_t reported = ReportedPrefixes(view, request.prefix_hashes_);
+  const bool is_home =
+      match.home_ != nullptr && match.home_->sidecar_ == view.sidecar_;
+  return is_home ? std::max(reported, match.count_) : reported;
+}
+
+bool Dispatcher::Impl::CanTakeAtOnce(const UpstreamView& view,
+                                     const ClassId& class_id) const {
+  return FreeSlots(view) > 0 && !IsStraggler(view) &&
+         ReportedWait(view, class_id) < kMinSlotMillis;
+}
+
+// @return whether an upstream of the own zone can take the request at once, and
+// none elsewhere holds more of its prompt. Of several reservations the first
+// grant wins, wherever it is, so that a low score alone keeps no request here.
+bool Dispatcher::Impl::KeepsOwnZone(
+    const DispatchRequest& request,
+    const std::vector<UpstreamView>& views) const {
+  int own = 0;
+  bool ready = false;
+  size_t own_prefixes = 0;
+  size_t other_prefixes = 0;
+  for (const Candidate& candidate : candidates_) {
+    const UpstreamView& view = views[candidate.index_];
+    if (view.zone_ != options_.zone_) {
+      other_prefixes = std::max(other_prefixes, candidate.prefixes_);
+      continue;
+    }
+    ++own;
+    if (CanTakeAtOnce(view, request.class_)) {
+      ready = true;
+      own_prefixes = std::max(own_prefixes, candidate.prefixes_);
+    }
+  }
+  return own >= kMinOwnZone && ready && own_prefixes >= other_prefixes;
+}
+
+void Dispatcher::Impl::DropOtherZones(const std::vector<UpstreamView>& views) {
+  const auto away = [this, &views](const Candidate& candidate) {
+    return views[candidate.index_].zone_ != options_.zone_;
+  };
+  candidates_.erase(
+      std::remove_if(candidates_.begin(), candidates_.end(), away),
+      candidates_.end());
+}
+
 double Dispatcher::Impl::Score(const UpstreamView& view,
                                const DispatchRequest& request,
-                               const Match& match) {
+                               size_t prefixes) {
   double score = Wait(view, request.class_);
   const double slots = std::max(view.slots_, 1);
   score += kFullBatchMillis * (view.running_ + view.placed_since_) / slots;
   if (view.zone_ != options_.zone_) {
     score += static_cast<double>(options_.zone_cost_.count());
   }
-  size_t prefixes = ReportedPrefixes(view, request.prefix_hashes_);
-  if (match.home_ != nullptr && match.home_->sidecar_ == view.sidecar_) {
-    prefixes = std::max(prefixes, match.count_);
-  }
   score -= static_cast<double>(options_.prefix_saving_.count()) *
            static_cast<double>(prefixes);
-  if (view.between_tokens_.count() * kPercent >
-      median_gap_ * options_.straggler_percent_) {
+  if (IsStraggler(view)) {
     score += kStragglerMillis;
   }
   std::uniform_real_distribution<double> jitter(0, kJitterMillis);
@@ -343,9 +422,14 @@
   const Impl::Match match = impl_->FindMatch(request.prefix_hashes_);
   const int home = match.home_ == nullptr ? impl_->HomeOf(request, views) : -1;
   for (Candidate& candidate : candidates) {
-    candidate.score_ = impl_->Score(views[candidate.index_], request, match) -
+    const UpstreamView& view = views[candidate.index_];
+    candidate.prefixes_ = Impl::PrefixesAt(view, request, match);
+    candidate.score_ = impl_->Score(view, request, candidate.prefixes_) -
                        (candidate.index_ == home ? kHomeMillis : 0);
   }
+  if (impl_->KeepsOwnZone(request, views)) {
+    impl_->DropOtherZones(views);
+  }
   const size_t wanted =
       static_cast<size_t>(std::max(impl_->options_.reservations_, 1));
   const size_t count = std::min(wanted, candidates.size());
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -29,6 +29,10 @@
   uint64_t digest_ = 0;
 };
 
+// @return how long a suspect waits for its place before it tries the next one,
+// given the time from its arrival to its deadline. Thread safety: safe.
+Millis SuspectPatience(Millis deadline);
+
 struct DispatcherOptions {
   uint64_t seed_ = 1;
   // Zone of this entry.
@@ -48,11 +52,12 @@
 
 // Chooses upstreams by expected wait: the last report, discounted by its age,
 // plus this entry's own placements since. One place goes to the upstream that
-// holds the prompt's prefix, if its load allows. Classes with the tightest time
-// between tokens keep to the upstreams that KeptUpstreams keeps, unless they
-// would wait there.
-// Cost: grows with the smaller of sample_ and the number of views.
-// Thread safety: none.
+// holds the prompt's prefix, if its load allows. While an upstream of the own
+// zone can take the request at once, and no other zone holds more of its
+// prompt, all places are in the own zone, if that has a choice of upstreams.
+// Classes with the tightest time between tokens keep to the upstreams that
+// KeptUpstreams keeps, unless they would wait there. Cost: grows with the
+// smaller of sample_ and the number of views. Thread safety: none.
 class Dispatcher {
  public:
   explicit Dispatcher(DispatcherOptions options);
--- /dev/null
+++ b/tests/dispatch_zones_test.cc
@@ -0,0 +1,100 @@
+// Where reservations go between availability zones.
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "src/policy/dispatcher.h"
+
+namespace bergamotscale::policy {
+namespace {
+
+// Six idle upstreams, every other one in zone a.
+std::vector<UpstreamView> Views() {
+  std::vector<UpstreamView> views(6);
+  for (size_t i = 0; i < views.size(); ++i) {
+    views[i].sidecar_ = InstanceId("s" + std::to_string(i));
+    views[i].group_ = GroupId("engines");
+    views[i].zone_ = ZoneId(i % 2 == 0 ? "a" : "b");
+    views[i].usable_ = true;
+    views[i].slots_ = 4;
+    views[i].between_tokens_ = Millis(20);
+  }
+  return views;
+}
+
+DispatchRequest Request() {
+  DispatchRequest request;
+  request.class_ = ClassId("quote");
+  request.group_ = GroupId("engines");
+  return request;
+}
+
+Dispatcher DispatcherInA() {
+  DispatcherOptions options;
+  options.zone_ = ZoneId("a");
+  return Dispatcher(options);
+}
+
+int CountAbroad(const std::vector<UpstreamView>& views,
+                const DispatchRequest& request) {
+  Dispatcher dispatcher = DispatcherInA();
+  int abroad = 0;
+  for (const int index : dispatcher.Choose(request, views)) {
+    abroad += views[index].zone_ == ZoneId("a") ? 0 : 1;
+  }
+  return abroad;
+}
+
+TEST_CASE("dispatch: no place in another zone while the own has a free slot") {
+  std::vector<UpstreamView> views = Views();
+  views[0].running_ = 4;
+  views[2].running_ = 3;
+  CHECK(CountAbroad(views, Request()) == 0);
+  views[4].usable_ = false;
+  CHECK(CountAbroad(views, Request()) == 0);
+}
+
+TEST_CASE("dispatch: places in other zones when the own is full or no choice") {
+  std::vector<UpstreamView> full = Views();
+  std::vector<UpstreamView> slow = Views();
+  std::vector<UpstreamView> waiting = Views();
+  std::vector<UpstreamView> single = Views();
+  for (const int own : {0, 2, 4}) {
+    full[own].running_ = 4;
+    slow[own].between_tokens_ = Millis(90);
+    waiting[own].expected_wait_ = Millis(200);
+    single[own].usable_ = own == 0;
+  }
+  slow[0].usable_ = false;  // the median is that of zone b
+  for (const auto& views : {full, slow, waiting, single}) {
+    CHECK(CountAbroad(views, Request()) > 0);
+  }
+}
+
+TEST_CASE("dispatch: a longer cached prefix in another zone outweighs it") {
+  std::vector<UpstreamView> views = Views();
+  DispatchRequest request = Request();
+  request.prefix_hashes_ = {11, 22};
+  views[1].cached_prefixes_ = {11, 22};
+  views[2].cached_prefixes_ = {11};
+  CHECK(DispatcherInA().Choose(request, views).front() == 1);
+  views[2].cached_prefixes_ = {11, 22};
+  CHECK(CountAbroad(views, request) == 0);
+}
+
+TEST_CASE("dispatch: a suspect that moves on has another single place") {
+  const std::vector<UpstreamView> views = Views();
+  DispatchRequest request = Request();
+  request.suspect_ = true;
+  request.digest_ = 7;
+  const std::vector<int> first = DispatcherInA().Choose(request, views);
+  REQUIRE(first.size() == 1);
+  request.avoid_ = {views[first.front()].sidecar_};
+  const std::vector<int> next = DispatcherInA().Choose(request, views);
+  REQUIRE(next.size() == 1);
+  CHECK(next != first);
+}
+
+}  // namespace
+}  // namespace bergamotscale::policy
