Placement: engines by demand, unloading for room, one copy kept

Cause: the plan loaded every configured model on every engine of its group and unloaded nothing, so a group whose engines can't hold all models had no placement, a burst of one model got no more engines, and what the document no longer named kept its room. A single engine's version was replaced in place, which left no engine with the model meanwhile.

Ruled out: demand by the entries' gossip of workspaces (it doesn't name models, and would need sums of sums; the holder has each sidecar's status already); unloading whatever has no demand (the next burst fetches it again under the store's limit); one order that swaps two models (a lost half of it leaves an engine with too much).

Change: - models_per_engine of a group says what an engine has room for; without it all is as before. - Sidecars report running and waiting requests by model; ModelDemand keeps a mean of them that rises in seconds and falls by demand_memory_ms. - The plan fills room by need, then by demand per engine, and takes room for a model that is short from one that isn't configured, or has less demand per engine by a factor of 1.5 also without it; never the last engine of a configured model. A sole engine's version is replaced after another engine has it. - Orders to unload are remembered by the fold like loads, so that a new holder knows what is under way; a later order for the same model and engine voids an earlier one. - A sidecar withholds a model before it unloads it, until its requests have ended; if they don't by the order's expiry, it is offered again.

The plan's tests follow the new name PlanOrders, else unchanged; the fleet of the process tests has moved to a header, for the faults' tests.

--- a/include/bergamotscale/config_document.h
+++ b/include/bergamotscale/config_document.h
@@ -46,6 +46,8 @@
   GroupKind kind_ = GroupKind::kEngine;
   // Whether these upstreams refuse orders with an old fencing number.
   bool checks_fence_ = false;
+  // Models that an engine has room for; zero for any number.
+  int models_per_engine_ = 0;
 };
 
 // A model and the group of engines that serves it.
--- a/src/config/document_reader.cc
+++ b/src/config/document_reader.cc
@@ -115,6 +115,9 @@
   ReadChecked(reader, "kind", &IsGroupKind, "\"engine\" or \"service\"", &kind);
   target->kind_ = kind == "service" ? GroupKind::kService : GroupKind::kEngine;
   reader.Boolean("checks_fence", Need::kOptional, &target->checks_fence_);
+  constexpr int kMaxModelsPerEngine = 1000;
+  reader.Integer("models_per_engine", Need::kOptional, 0, kMaxModelsPerEngine,
+                 &target->models_per_engine_);
 }
 
 void ReadModel(FieldReader& reader, Model* target) {
--- a/src/config/document_writer.cc
+++ b/src/config/document_writer.cc
@@ -38,9 +38,13 @@
 
 json ToJson(const UpstreamGroup& entry) {
   const char* kind = entry.kind_ == GroupKind::kEngine ? "engine" : "service";
-  return {{"name", entry.name_.value()},
-          {"kind", kind},
-          {"checks_fence", entry.checks_fence_}};
+  json group = {{"name", entry.name_.value()},
+                {"kind", kind},
+                {"checks_fence", entry.checks_fence_}};
+  if (entry.models_per_engine_ > 0) {
+    group["models_per_engine"] = entry.models_per_engine_;
+  }
+  return group;
 }
 
 json ToJson(const Model& entry) {
--- a/src/entry/load_budget.h
+++ b/src/entry/load_budget.h
@@ -29,12 +29,15 @@
   int Used(const placement::PlacementFold& fold, Millis now);
   int Left(const placement::PlacementFold& fold, Millis now);
 
-  // Fills ordered_ of the engines with the loads that may still be under way.
+  // Fills ordered_ and unloading_ of the engines with what may still be under
+  // way: the last order for each model that has not timed out.
   void MarkOrdered(const placement::PlacementFold& fold,
                    Millis now,
                    std::vector<placement::EngineView>* engines) const;
 
  private:
+  bool MayBeUnderWay(const placement::EngineOrder& order, Millis now) const;
+
   const PlacementSettings settings_;
   std::vector<placement::EngineOrder> unseen_;
 };
--- a/src/entry/placement_controller.cc
+++ b/src/entry/placement_controller.cc
@@ -15,6 +15,7 @@
 #include "src/entry/load_budget.h"
 #include "src/log/stream_follower.h"
 #include "src/placement/lease_keeper.h"
+#include "src/placement/model_demand.h"
 #include "src/placement/placement_fold.h"
 
 namespace bergamotscale::entry {
@@ -37,6 +38,7 @@
   Fence fence_;
   bool held_ = false;
   int loads_ = 0;
+  placement::Demand demand_;
 };
 
 uint64_t RandomNumber() {
@@ -56,6 +58,13 @@
   return options;
 }
 
+placement::ModelDemandOptions DemandOptions(const EntrySettings& settings) {
+  placement::ModelDemandOptions options;
+  options.memory_ = settings.placement_.demand_memory_;
+  options.reservations_ = settings.reservations_;
+  return options;
+}
+
 }  // namespace
 
 class PlacementController::Impl : public std::enable_shared_from_this<Impl> {
@@ -74,6 +83,8 @@
         hooks_(std::move(hooks)),
         timer_(io),
         budget_(settings_),
+        demand_options_(DemandOptions(settings)),
+        demand_(demand_options_),
         keeper_(
             KeeperOptions(settings),
             steady_,
@@ -104,7 +115,12 @@
   std::string StateJson() const {
     const std::shared_ptr<const State> state = state_.Read();
     const State shown = state == nullptr ? State() : *state;
-    const nlohmann::json body = {{"holder", shown.holder_.value()},
+    nlohmann::json demand = nlohmann::json::object();
+    for (const auto& [model, slots] : shown.demand_) {
+      demand[model.value()] = slots;
+    }
+    const nlohmann::json body = {{"demand", demand},
+                                 {"holder", shown.holder_.value()},
                                  {"fence", shown.fence_.value()},
                                  {"held", shown.held_},
                                  {"loads_in_window", shown.loads_},
@@ -190,16 +206,24 @@
       return;
     }
     const Millis now = wall_.Now();
+    demand_.Observe(engines, steady_.Now());
     budget_.MarkOrdered(fold_, now, &engines);
     const int budget = std::min(budget_.Left(fold_, now), kMaxOrdersPerRound);
-    for (EngineOrder& order : PlanLoads(*config, engines, budget)) {
+    for (EngineOrder& order :
+         PlanOrders(*config, engines, budget, demand_.slots())) {
       order.fence_ = *fence;
       order.wall_ = now;
-      order.expires_ = now + settings_.order_lifetime_;
+      order.expires_ = now + LifetimeOf(order);
       Give(order);
     }
   }
 
+  // An engine unloads a model once its requests have ended.
+  Millis LifetimeOf(const EngineOrder& order) const {
+    const bool unloads = order.action_ == placement::EngineAction::kUnloadModel;
+    return unloads ? settings_.load_timeout_ : settings_.order_lifetime_;
+  }
+
   void Give(const EngineOrder& order) {
     budget_.OnGiven(order);
     LOG(INFO) << "order to " << order.sidecar_.value() << ": "
@@ -242,6 +266,9 @@
     }
     state.held_ = held.has_value();
     state.loads_ = budget_.Used(fold_, wall_.Now());
+    if (state.held_) {
+      state.demand_ = demand_.slots();
+    }
     metrics_.Set("bergamot_placement_held", "", state.held_ ? 1 : 0);
     metrics_.Set("bergamot_placement_fence", "",
                  static_cast<double>(state.fence_.value()));
@@ -255,6 +282,7 @@
       LOG(INFO) << "lease on placement lost, fence " << noted_->value();
     }
     if (held.has_value()) {
+      demand_ = placement::ModelDemand(demand_options_);
       timeline_.Add(EventType::kLeaseWon, RequestId(), InstanceId(),
                     "fence " + std::to_string(held->value()));
       LOG(INFO) << "lease on placement won, fence " << held->value();
@@ -273,6 +301,8 @@
   boost::asio::steady_timer timer_;
   placement::PlacementFold fold_;
   LoadBudget budget_;
+  const placement::ModelDemandOptions demand_options_;
+  placement::ModelDemand demand_;
   placement::LeaseKeeper keeper_;
   std::unique_ptr<log::StreamFollower> follower_;
   std::optional<Fence> noted_;
--- a/src/entry/placement_controller.h
+++ b/src/entry/placement_controller.h
@@ -28,10 +28,11 @@
 };
 
 // Follows the placement stream, tries to hold its lease, and as the holder
-// appends orders to load what the configuration names and engines lack, within
-// the weight store's limit. The order of the log decides who holds; a holder
-// that was paused, or can't read the log, stops giving orders by itself.
-// Thread safety: use on the io_context's thread, but for StateJson().
+// appends orders by which each model that the configuration names is on as many
+// engines as its demand needs, within the weight store's limit. The order of
+// the log decides who holds; a holder that was paused, or can't read the log,
+// stops giving orders by itself. Thread safety: use on the io_context's thread,
+// but for StateJson().
 class PlacementController {
  public:
   // @param client, timeline, metrics must outlive this, the context all calls.
@@ -51,9 +52,10 @@
   void Leave();
   void Stop();
 
-  // @return {"holder", "fence", "held", "loads_in_window", "weight_fetches"} as
-  // this entry has read the log; holder is empty while none is known. Thread
-  // safety: safe.
+  // @return {"holder", "fence", "held", "loads_in_window", "weight_fetches",
+  // "demand"} as this entry has read the log; holder is empty while none is
+  // known, and the holder tells the slots that each model's demand needs.
+  // Thread safety: safe.
   std::string StateJson() const;
 
  private:
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -64,8 +64,10 @@
                   kMaxWeightWindow, &placement->weight_window_);
     item.Duration("order_lifetime_ms", Need::kOptional, Millis(100),
                   Millis(60000), &placement->order_lifetime_);
+    item.Duration("demand_memory_ms", Need::kOptional, Millis(100), kMaxTimeout,
+                  &placement->demand_memory_);
     item.Duration("load_timeout_ms", Need::kOptional, Millis(100),
-                  placement::kLoadMemory, &placement->load_timeout_);
+                  placement::kOrderMemory, &placement->load_timeout_);
   });
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -41,6 +41,8 @@
   Millis order_lifetime_ = Millis(10000);
   // A load that has not ended by then is ordered again.
   Millis load_timeout_ = Millis(60000);
+  // Time constant by which demand that has gone is forgotten.
+  Millis demand_memory_ = Millis(60000);
 };
 
 struct EntrySettings {
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -252,12 +252,16 @@
   const Millis now = impl_->steady_.Now();
   for (const auto& [id, peer] : impl_->peers_) {
     const policy::UpstreamView view = impl_->ViewOf(*peer, now);
-    views.push_back({id,
-                     view.group_,
-                     view.usable_,
-                     peer->status_.models_,
-                     peer->status_.loaded_,
-                     {}});
+    placement::EngineView engine;
+    engine.sidecar_ = id;
+    engine.group_ = view.group_;
+    engine.accepting_ = view.usable_;
+    engine.models_ = peer->status_.models_;
+    engine.loaded_ = peer->status_.loaded_;
+    engine.withheld_ = peer->status_.withheld_;
+    engine.slots_ = peer->status_.slots_;
+    engine.loads_ = peer->status_.model_loads_;
+    views.push_back(std::move(engine));
   }
   return views;
 }
--- a/src/load/workload.cc
+++ b/src/load/workload.cc
@@ -92,8 +92,8 @@
                   classes});
   }
   config.groups_ = {
-      UpstreamGroup{profile.engine_group_, GroupKind::kEngine, false},
-      UpstreamGroup{profile.service_group_, GroupKind::kService, false}};
+      UpstreamGroup{profile.engine_group_, GroupKind::kEngine, false, 0},
+      UpstreamGroup{profile.service_group_, GroupKind::kService, false, 0}};
   config.models_ = {Model{profile.model_, profile.engine_group_}};
   return config;
 }
--- a/src/placement/placement_fold.cc
+++ b/src/placement/placement_fold.cc
@@ -6,7 +6,7 @@
 namespace bergamotscale::placement {
 namespace {
 
-constexpr size_t kMaxLoads = 10000;
+constexpr size_t kMaxOrders = 10000;
 
 Millis WallOf(const PlacementRecord& record) {
   return std::visit([](const auto& known) { return known.wall_; }, record);
@@ -45,12 +45,12 @@
     refused_ = order;
     return std::nullopt;
   }
-  if (FetchesWeights(order)) {
-    loads_.push_back(order);
+  if (order.action_ != EngineAction::kSetRole) {
+    orders_.push_back(order);
   }
-  while (!loads_.empty() && (loads_.size() > kMaxLoads ||
-                             loads_.front().wall_ + kLoadMemory < now_)) {
-    loads_.pop_front();
+  while (!orders_.empty() && (orders_.size() > kMaxOrders ||
+                              orders_.front().wall_ + kOrderMemory < now_)) {
+    orders_.pop_front();
   }
   return order;
 }
@@ -86,8 +86,9 @@
 
 int PlacementFold::LoadsSince(Millis wall) const {
   return static_cast<int>(std::count_if(
-      loads_.begin(), loads_.end(),
-      [wall](const EngineOrder& load) { return load.wall_ >= wall; }));
+      orders_.begin(), orders_.end(), [wall](const EngineOrder& order) {
+        return FetchesWeights(order) && order.wall_ >= wall;
+      }));
 }
 
 }  // namespace bergamotscale::placement
--- a/src/placement/placement_fold.h
+++ b/src/placement/placement_fold.h
@@ -14,8 +14,8 @@
 // No lease is asked for longer.
 inline constexpr Millis kMaxLeaseTtl = Millis(60'000);
 
-// How long orders that fetch weights are remembered.
-inline constexpr Millis kLoadMemory = Millis(600'000);
+// How long orders to load and unload are remembered.
+inline constexpr Millis kOrderMemory = Millis(600'000);
 
 struct Lease {
   Fence fence_;
@@ -49,9 +49,9 @@
   // @return standing orders since a wall time that fetch weights, whoever held
   // the lease: what the weight store's limit is shared by.
   int LoadsSince(Millis wall) const;
-  // @return those orders, oldest first; of the last kLoadMemory. Valid until
-  // the next Apply().
-  const std::deque<EngineOrder>& loads() const { return loads_; }
+  // @return standing orders to load and unload, oldest first; of the last
+  // kOrderMemory. Valid until the next Apply().
+  const std::deque<EngineOrder>& orders() const { return orders_; }
 
  private:
   void Take(const LeaseRequest& request, LogOffset offset);
@@ -64,7 +64,7 @@
   bool knows_lease_ = false;
   std::optional<Millis> first_wall_;
   Millis now_;
-  std::deque<EngineOrder> loads_;
+  std::deque<EngineOrder> orders_;
   std::optional<EngineOrder> refused_;
 };
 
--- a/src/sidecar/engine_orders.cc
+++ b/src/sidecar/engine_orders.cc
@@ -22,6 +22,8 @@
 constexpr int kHttpFirstError = 400;
 constexpr int kHttpFirstServerError = 500;
 constexpr std::chrono::milliseconds kRetryDelay(500);
+// Between looks at whether requests for a withheld model still run.
+constexpr std::chrono::milliseconds kIdlePoll(50);
 constexpr Millis kCallTimeout(5000);
 
 }  // namespace
@@ -33,14 +35,16 @@
        timeline::Timeline& timeline,
        http::Metrics& metrics,
        InstanceId sidecar,
-       std::string engine_url)
+       std::string engine_url,
+       EngineOrderHooks hooks)
       : io_(io),
         client_(client),
         timeline_(timeline),
         metrics_(metrics),
         timer_(io),
         sidecar_(std::move(sidecar)),
-        engine_url_(std::move(engine_url)) {}
+        engine_url_(std::move(engine_url)),
+        hooks_(std::move(hooks)) {}
 
   // Weak, as the follower is a member and holds these.
   log::FollowerHooks Hooks() {
@@ -133,18 +137,49 @@
     }
     DropExpired();
     const EngineOrder* next = gate_.Next();
+    OfferAgain(next);
     if (next == nullptr) {
       return;
     }
     busy_ = true;
+    if (Unloads(*next) && !Withhold(next->model_)) {
+      WaitAndTryAgain(kIdlePoll);
+      return;
+    }
+    Call(*next);
+  }
+
+  static bool Unloads(const EngineOrder& order) {
+    return order.action_ == placement::EngineAction::kUnloadModel;
+  }
+
+  // Ends the withholding of a model that is not to be unloaded any more.
+  void OfferAgain(const EngineOrder* next) {
+    const bool still =
+        next != nullptr && Unloads(*next) && withheld_ == next->model_;
+    if (withheld_.has_value() && !still) {
+      hooks_.set_offer_(*withheld_, ModelOffer::kOffered);
+      withheld_.reset();
+    }
+  }
+
+  // @return whether no request for the model runs.
+  bool Withhold(const ModelId& model) {
+    if (!withheld_.has_value()) {
+      withheld_ = model;
+      hooks_.set_offer_(model, ModelOffer::kWithheld);
+    }
+    return hooks_.is_idle_(model);
+  }
+
+  void Call(const EngineOrder& order) {
     http::Call call;
     call.method_ = "POST";
     call.url_ = engine_url_ + "/orders";
-    call.body_ = placement::EngineOrderBody(*next);
+    call.body_ = placement::EngineOrderBody(order);
     call.timeout_ = kCallTimeout;
     std::weak_ptr<Impl> weak = weak_from_this();
-    http::CallOnce(call, [weak,
-                          order = *next](const Result<http::Reply>& reply) {
+    http::CallOnce(call, [weak, order](const Result<http::Reply>& reply) {
       PostTo(weak, [order, reply](Impl& self) { self.OnReply(order, reply); });
     });
   }
@@ -156,6 +191,7 @@
         status >= kHttpFirstError && status < kHttpFirstServerError;
     if (carried_out) {
       NoteApplied(order);
+      NoteUnloaded(order);
     } else if (refused) {
       NoteRefused(order, "the engine answered " + std::to_string(status));
     }
@@ -167,7 +203,14 @@
     } else {
       // The engine may be starting; orders say a state, so that giving one
       // twice does no harm.
-      WaitAndTryAgain();
+      WaitAndTryAgain(kRetryDelay);
+    }
+  }
+
+  void NoteUnloaded(const EngineOrder& order) {
+    if (Unloads(order) && withheld_ == order.model_) {
+      hooks_.set_offer_(order.model_, ModelOffer::kUnloaded);
+      withheld_.reset();
     }
   }
 
@@ -176,8 +219,8 @@
     CarryOutNext();
   }
 
-  void WaitAndTryAgain() {
-    timer_.expires_after(kRetryDelay);
+  void WaitAndTryAgain(std::chrono::milliseconds delay) {
+    timer_.expires_after(delay);
     timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->stopped_) {
@@ -194,6 +237,9 @@
   boost::asio::steady_timer timer_;
   InstanceId sidecar_;
   std::string engine_url_;
+  const EngineOrderHooks hooks_;
+  // The model of an order to unload that is being carried out.
+  std::optional<ModelId> withheld_;
   placement::PlacementFold fold_;
   placement::OrderGate gate_;
   std::unique_ptr<log::StreamFollower> follower_;
@@ -207,13 +253,15 @@
                            timeline::Timeline& timeline,
                            http::Metrics& metrics,
                            InstanceId sidecar,
-                           std::string engine_url)
+                           std::string engine_url,
+                           EngineOrderHooks hooks)
     : impl_(std::make_shared<Impl>(io,
                                    client,
                                    timeline,
                                    metrics,
                                    std::move(sidecar),
-                                   std::move(engine_url))) {}
+                                   std::move(engine_url),
+                                   std::move(hooks))) {}
 
 EngineOrders::~EngineOrders() {
   impl_->Stop();
--- a/src/sidecar/engine_orders.h
+++ b/src/sidecar/engine_orders.h
@@ -2,6 +2,7 @@
 #ifndef BERGAMOTSCALE_SRC_SIDECAR_ENGINE_ORDERS_H_
 #define BERGAMOTSCALE_SRC_SIDECAR_ENGINE_ORDERS_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,12 +11,22 @@
 #include "bergamotscale/ids.h"
 #include "src/http/metrics.h"
 #include "src/log/log_client.h"
+#include "src/sidecar/traffic.h"
 #include "src/timeline/timeline.h"
 
 namespace bergamotscale::sidecar {
 
+// What the orders need of the traffic. Called on the io_context's thread.
+struct EngineOrderHooks {
+  std::function<void(const ModelId&, ModelOffer)> set_offer_;
+  // @return whether the model is withheld and no request for it runs.
+  std::function<bool(const ModelId&)> is_idle_;
+};
+
 // The only one that gives orders to the engine. It gives none before it has
-// read the stream to its end, and then one at a time.
+// read the stream to its end, and then one at a time. A model that is to be
+// unloaded gets no new requests, and is unloaded once those that run have
+// ended; if they don't end before the order expires, it is offered again.
 // Thread safety: use on the io_context's thread.
 class EngineOrders {
  public:
@@ -25,7 +36,8 @@
                timeline::Timeline& timeline,
                http::Metrics& metrics,
                InstanceId sidecar,
-               std::string engine_url);
+               std::string engine_url,
+               EngineOrderHooks hooks);
   // Stops.
   ~EngineOrders();
   EngineOrders(const EngineOrders&) = delete;
--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -66,6 +66,9 @@
   if (!accepting_) {
     return ErrorCode::kUpstreamUnreachable;
   }
+  if (withheld_.count(reserve.model_) > 0) {
+    return ErrorCode::kUnknownModel;
+  }
   const bool convicted = reserve.digest_ != 0 &&
                          quarantine_.Check(reserve.digest_, clock_.Now()) ==
                              policy::Suspicion::kConvicted;
@@ -103,6 +106,7 @@
   Entry entry;
   entry.item_ = ItemOf(reserve, ticket);
   entry.digest_ = reserve.digest_;
+  entry.model_ = reserve.model_;
   entry.hooks_ = std::move(hooks);
   entry.prefix_hashes_ = reserve.prefix_hashes_;
   entry.between_tokens_target_ = reserve.between_tokens_target_;
@@ -265,6 +269,29 @@
   }
 }
 
+void Scheduler::Withhold(const std::set<ModelId>& models) {
+  withheld_ = models;
+  std::vector<Ticket> waiting;
+  for (const auto& [ticket, entry] : entries_) {
+    if (!entry.granted_ && withheld_.count(entry.model_) > 0) {
+      waiting.push_back(ticket);
+    }
+  }
+  for (const Ticket ticket : waiting) {
+    Refuse(ticket, ErrorCode::kUnknownModel);
+  }
+}
+
+std::set<ModelId> Scheduler::ModelsInUse() const {
+  std::set<ModelId> models;
+  for (const auto& [ticket, entry] : entries_) {
+    if (entry.granted_) {
+      models.insert(entry.model_);
+    }
+  }
+  return models;
+}
+
 void Scheduler::SetAccepting(bool accepting) {
   if (accepting == accepting_) {
     return;
@@ -377,6 +404,21 @@
     status->expected_wait_ =
         std::max(status->expected_wait_, load.expected_wait_);
   }
+  DescribeModels(status);
+}
+
+void Scheduler::DescribeModels(wire::SidecarStatus* status) const {
+  std::map<ModelId, wire::ModelLoad> loads;
+  for (const auto& [ticket, entry] : entries_) {
+    if (!entry.model_.empty()) {
+      wire::ModelLoad& load = loads[entry.model_];
+      ++(entry.granted_ ? load.running_ : load.waiting_);
+    }
+  }
+  for (auto& [model, load] : loads) {
+    load.model_ = model;
+    status->model_loads_.push_back(load);
+  }
 }
 
 }  // namespace bergamotscale::sidecar
--- a/src/sidecar/scheduler.h
+++ b/src/sidecar/scheduler.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "bergamotscale/clock.h"
@@ -79,6 +80,11 @@
   void Merge(const wire::CrashVerdict& verdict);
   std::vector<wire::CrashVerdict> Verdicts(size_t limit) const;
 
+  // Refuses what waits, and from now on what comes, for these models.
+  void Withhold(const std::set<ModelId>& models);
+  // @return models of the requests that hold a slot.
+  std::set<ModelId> ModelsInUse() const;
+
   // While not accepting nothing is granted, and nothing new is queued.
   void SetAccepting(bool accepting);
   // Refuses all that wait and from then on all that come. For good.
@@ -95,6 +101,7 @@
   struct Entry {
     policy::QueueItem item_;
     uint64_t digest_ = 0;
+    ModelId model_;
     TicketHooks hooks_;
     std::vector<uint64_t> prefix_hashes_;
     bool granted_ = false;
@@ -114,6 +121,7 @@
   void MarkSuspects(uint64_t digest);
   void Refuse(Ticket ticket, ErrorCode code);
   void RefuseWaiting(ErrorCode code);
+  void DescribeModels(wire::SidecarStatus* status) const;
   void ObserveAnswer(const Entry& entry);
   void RememberPrefixes(const Entry& entry);
 
@@ -125,6 +133,7 @@
   policy::Quarantine quarantine_;
   std::vector<ClassId> classes_;
   std::map<Ticket, Entry> entries_;
+  std::set<ModelId> withheld_;
   std::deque<uint64_t> recent_prefixes_;
   Ticket last_ticket_ = 0;
   bool accepting_ = false;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -84,7 +84,8 @@
                        timeline_,
                        metrics_,
                        settings_.instance_,
-                       settings_.upstream_url_) {
+                       settings_.upstream_url_,
+                       EngineOrderHooksOf()) {
     blackboard_.ready_.Write(false);
     AddRoutes();
   }
@@ -181,6 +182,21 @@
     return hooks;
   }
 
+  EngineOrderHooks EngineOrderHooksOf() {
+    EngineOrderHooks hooks;
+    hooks.set_offer_ = [this](const ModelId& model, ModelOffer offer) {
+      boost::asio::post(traffic_io(), [this, model, offer] {
+        traffic_.SetOffer(model, offer);
+      });
+    };
+    hooks.is_idle_ = [this](const ModelId& model) {
+      const auto use = blackboard_.model_use_.Read();
+      return use != nullptr && use->withheld_.count(model) > 0 &&
+             use->in_use_.count(model) == 0;
+    };
+    return hooks;
+  }
+
   void AddRoutes() {
     http::SideHooks hooks;
     hooks.ready_ = [this] { return *blackboard_.ready_.Read(); };
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -110,6 +110,21 @@
     SendConfig();
   }
 
+  void SetOffer(const ModelId& model, ModelOffer offer) {
+    if (offer == ModelOffer::kWithheld) {
+      withheld_.insert(model);
+    } else {
+      withheld_.erase(model);
+    }
+    if (offer == ModelOffer::kUnloaded) {
+      models_.erase(std::remove(models_.begin(), models_.end(), model),
+                    models_.end());
+    }
+    scheduler_.Withhold(withheld_);
+    PublishModelUse();
+    SendStatus();
+  }
+
   void Leave() {
     if (leaving_) {
       return;
@@ -158,6 +173,9 @@
   void Tick() {
     scheduler_.Tick();
     orders_.executor().Tick();
+    if (!withheld_.empty()) {
+      PublishModelUse();
+    }
     const bool drained =
         leaving_ && sessions_.empty() && orders_.executor().idle();
     if (drained && !told_drained_) {
@@ -166,6 +184,10 @@
     }
   }
 
+  void PublishModelUse() {
+    blackboard_.model_use_.Write(ModelUse{withheld_, scheduler_.ModelsInUse()});
+  }
+
   void OnReport(const UpstreamReport& report) {
     const bool silent = report.state_ == UpstreamState::kSilent;
     if (silent && silent_probes_ == 0) {
@@ -272,7 +294,10 @@
     status.sidecar_ = settings_.instance_;
     status.group_ = settings_.group_;
     status.zone_ = settings_.zone_;
-    status.models_ = models_;
+    for (const ModelId& model : models_) {
+      const bool withheld = withheld_.count(model) > 0;
+      (withheld ? status.withheld_ : status.models_).push_back(model);
+    }
     status.loaded_ = loaded_;
     scheduler_.Describe(&status);
     hub_.Broadcast(status);
@@ -325,6 +350,7 @@
   const Clock clock_ = Clock::Steady();
   std::vector<ModelId> models_;
   std::vector<wire::LoadedModel> loaded_;
+  std::set<ModelId> withheld_;
   bool upstream_up_ = false;
   bool leaving_ = false;
   bool told_drained_ = false;
@@ -358,6 +384,10 @@
   impl_->OnConfig();
 }
 
+void Traffic::SetOffer(const ModelId& model, ModelOffer offer) {
+  impl_->SetOffer(model, offer);
+}
+
 void Traffic::Leave() {
   impl_->Leave();
 }
--- a/src/sidecar/traffic.h
+++ b/src/sidecar/traffic.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,12 +19,27 @@
 
 namespace bergamotscale::sidecar {
 
+// How requests are offered a model that the engine has.
+enum class ModelOffer {
+  kOffered,
+  kWithheld,  // no new requests; running ones end
+  kUnloaded,  // known to be gone before the next report
+};
+
+// Models that are withheld, and those that have requests running.
+struct ModelUse {
+  std::set<ModelId> withheld_;
+  std::set<ModelId> in_use_;
+};
+
 // Where the threads of a sidecar meet.
 struct Blackboard {
   // Written by the control thread.
   Slot<config::ConfigSnapshot> config_;
   // Written by the traffic thread: whether new work is accepted.
   Slot<bool> ready_;
+  // Written by the traffic thread.
+  Slot<ModelUse> model_use_;
 };
 
 // What the traffic thread leaves to the control thread. Called on the traffic
@@ -55,6 +71,8 @@
   Status Start();
   // Takes the configuration on the blackboard.
   void OnConfig();
+  // Changes how a model is offered; what waits for a withheld one is refused.
+  void SetOffer(const ModelId& model, ModelOffer offer);
   // Refuses new work, lets running work end. Idempotent.
   void Leave();
   // Closes everything.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -182,6 +182,14 @@
   MSGPACK_DEFINE(model_, version_, adapters_)
 };
 
+// Requests for one model at a sidecar.
+struct ModelLoad {
+  ModelId model_;
+  int waiting_ = 0;
+  int running_ = 0;
+  MSGPACK_DEFINE(model_, waiting_, running_)
+};
+
 // Sidecar to entry, sent on every status stream several times a second.
 struct SidecarStatus {
   InstanceId sidecar_;
@@ -199,6 +207,10 @@
   std::vector<uint64_t> cached_prefixes_;
   // Those of models_ that have a version or adapters.
   std::vector<LoadedModel> loaded_;
+  // Models with requests.
+  std::vector<ModelLoad> model_loads_;
+  // Loaded models that get no new requests, as they are to be unloaded.
+  std::vector<ModelId> withheld_;
   MSGPACK_DEFINE(sidecar_,
                  group_,
                  zone_,
@@ -211,7 +223,9 @@
                  expected_wait_,
                  models_,
                  cached_prefixes_,
-                 loaded_)
+                 loaded_,
+                 model_loads_,
+                 withheld_)
 };
 
 // A verdict on a request that crashes upstreams.
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -237,15 +237,15 @@
   }
   engines[0].models_ = {ModelId("a")};
   engines[2].accepting_ = false;
-  const auto orders = PlanLoads(config, engines, 5);
+  const auto orders = PlanOrders(config, engines, 5);
   REQUIRE(orders.size() == 2);
   CHECK(orders[0].model_ == ModelId("b"));
   CHECK(orders[0].sidecar_ == InstanceId("0"));
   CHECK(orders[1].model_ == ModelId("b"));
-  CHECK(PlanLoads(config, engines, 1).size() == 1);
+  CHECK(PlanOrders(config, engines, 1).size() == 1);
   engines[0].ordered_ = {ModelId("b")};
   engines[1].ordered_ = {ModelId("b")};
-  CHECK(PlanLoads(config, engines, 5).empty());
+  CHECK(PlanOrders(config, engines, 5).empty());
 }
 
 TEST_CASE("placement plan: one version at a time is replaced, then adapters") {
@@ -259,16 +259,16 @@
     engines[index].models_ = {ModelId("a")};
     engines[index].loaded_ = {{ModelId("a"), "v1", {}}};
   }
-  auto orders = PlanLoads(config, engines, 5);
+  auto orders = PlanOrders(config, engines, 5);
   REQUIRE(orders.size() == 1);
   CHECK(orders[0].version_ == "v2");
   CHECK(!Shows(engines[0], orders[0]));
   engines[0].ordered_ = {ModelId("a")};
-  CHECK(PlanLoads(config, engines, 5).empty());
+  CHECK(PlanOrders(config, engines, 5).empty());
   engines[0].ordered_.clear();
   engines[0].loaded_[0].version_ = "v2";
   CHECK(Shows(engines[0], orders[0]));
-  orders = PlanLoads(config, engines, 5);
+  orders = PlanOrders(config, engines, 5);
   REQUIRE(orders.size() == 2);
   CHECK(orders[0].adapter_ == "x");
   CHECK(orders[1].version_ == "v2");
@@ -290,7 +290,7 @@
   }
   const Clock clock = Clock::Steady();
   Millis start = clock.Now();
-  CHECK(PlanLoads(config, engines, 20).size() == 20);
+  CHECK(PlanOrders(config, engines, 20).size() == 20);
   MESSAGE("nothing loaded: " << (clock.Now() - start).count() << " ms");
   for (EngineView& engine : engines) {
     for (const Model& model : config.models_) {
@@ -298,7 +298,7 @@
     }
   }
   start = clock.Now();
-  CHECK(PlanLoads(config, engines, 20).empty());
+  CHECK(PlanOrders(config, engines, 20).empty());
   MESSAGE("all loaded: " << (clock.Now() - start).count() << " ms");
 }
 
--- a/tests/process/placement_test.cc
+++ b/tests/process/placement_test.cc
@@ -1,244 +1,65 @@
 // Orders to engines through real processes: who gives them, and that no older
 // holder's order stands.
-#include <csignal>
-
+#include <atomic>
 #include <chrono>
 #include <string>
 #include <thread>
 
 #include <doctest/doctest.h>
 
-#include "src/http/client.h"
-#include "tests/process/chat_load.h"
-#include "tests/process/cluster.h"
-#include "tests/support/placement_history.h"
+#include "tests/process/placement_fleet.h"
 
 namespace bergamotscale::testing {
 namespace {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr char kGroup[] = "keywording";
-constexpr milliseconds kPatience(20000);
-constexpr int kHttpOk = 200;
 constexpr int kHttpConflict = 409;
-constexpr int kManyFetches = 1000;
-constexpr int64_t kLeaseMs = 2000;
-constexpr int64_t kWindowMs = 3000;
-
-template <typename Condition>
-bool WaitUntil(const Condition& condition) {
-  const auto end = steady_clock::now() + kPatience;
-  while (!condition()) {
-    if (steady_clock::now() > end) {
-      return false;
-    }
-    std::this_thread::sleep_for(milliseconds(20));
-  }
-  return true;
-}
-
-http::Reply Request(const std::string& method,
-                    const std::string& url,
-                    const std::string& body = {}) {
-  http::Call call;
-  call.method_ = method;
-  call.url_ = url;
-  call.body_ = body;
-  const Result<http::Reply> reply = http::CallAndWait(call);
-  return reply.ok() ? reply.value() : http::Reply();
-}
+constexpr int kLongAnswer = 200;
 
-// Engines with an even number ignore fences.
-ClusterOptions Options(int engines, int weight_fetches) {
-  ClusterOptions options;
-  options.engines_ = engines;
-  options.entry_settings_["placement"] = {{"lease_ms", kLeaseMs},
-                                          {"plan_interval_ms", 100},
-                                          {"weight_fetches", weight_fetches},
-                                          {"weight_window_ms", kWindowMs},
-                                          {"order_lifetime_ms", 1500},
-                                          {"load_timeout_ms", 4000}};
-  options.engine_settings_ = [](int number) {
-    return json{{"checks_fence", number % 2 == 1}, {"load_time_ms", 200}};
-  };
-  options.weight_store_ = {{"fetch_ms", 100},
-                           {"window_ms", kWindowMs},
-                           {"fetches_per_window", kManyFetches}};
-  return options;
-}
-
-// The system with what the tests ask of it.
-class Fleet {
+// Callers of one model, each with one request at a time.
+class ModelLoad {
  public:
-  explicit Fleet(const ClusterOptions& options)
-      : options_(options),
-        cluster_(options_),
-        document_(Cluster::StartDocument()) {}
-
-  Cluster& cluster() { return cluster_; }
-
-  json Placement(int entry) const {
-    const std::string url = cluster_.Url("entry-" + std::to_string(entry));
-    const http::Reply reply = Request("GET", url + "/placement");
-    return json::parse(reply.body_.empty() ? "{}" : reply.body_);
-  }
-
-  // @return the number of the entry that believes to hold the lease, or zero.
-  int Holder() const {
-    for (int entry = 1; entry <= options_.entries_; ++entry) {
-      if (entry != stopped_ && Placement(entry).value("held", false)) {
-        return entry;
-      }
-    }
-    return 0;
-  }
-
-  int WaitForHolder() const {
-    int holder = 0;
-    CHECK(WaitUntil([&] { return (holder = Holder()) != 0; }));
-    REQUIRE(holder != 0);
-    return holder;
-  }
-
-  int64_t Fence(int entry) const { return Placement(entry).at("fence"); }
-
-  void Stop(int entry) {
-    stopped_ = entry;
-    cluster_.Signal("entry-" + std::to_string(entry), SIGSTOP);
-  }
-
-  void Continue() {
-    cluster_.Signal("entry-" + std::to_string(stopped_), SIGCONT);
-    stopped_ = 0;
-  }
-
-  void AddModel(const std::string& model) {
-    document_["models"].push_back({{"name", model}, {"group", kGroup}});
-    cluster_.Publish(document_);
-  }
-
-  void ChangeModel(const std::string& model, const json& change) {
-    for (json& known : document_["models"]) {
-      if (known["name"] == model) {
-        known.update(change);
-      }
+  ModelLoad(const PlacementFleet& fleet, std::string model, int callers) {
+    for (int caller = 0; caller < callers; ++caller) {
+      const int entry = caller % 2 + 1;
+      callers_.emplace_back([this, &fleet, model, entry] {
+        while (!stopped_) {
+          const int status = fleet.ChatStatus(entry, model, kLongAnswer);
+          ++(status == kHttpOk ? answered_ : failed_);
+        }
+      });
     }
-    cluster_.Publish(document_);
-  }
-
-  // @return the number of engines whose list of models has the text.
-  int EnginesShowing(const std::string& text) const {
-    int count = 0;
-    for (int number = 1; number <= options_.engines_; ++number) {
-      const std::string url = cluster_.Url("engine-" + std::to_string(number));
-      const http::Reply reply = Request("GET", url + "/v1/models");
-      count += reply.body_.find(text) != std::string::npos ? 1 : 0;
-    }
-    return count;
-  }
-
-  // @return the number of engines that have the model ready.
-  int EnginesWith(const std::string& model) const {
-    return EnginesShowing('"' + model + '"');
-  }
-
-  bool WaitForModel(const std::string& model) const {
-    return WaitUntil([&] { return EnginesWith(model) == options_.engines_; });
-  }
-
-  int ChatStatus(int entry, const std::string& model) const {
-    json body = json::parse(ChatBody(ChatContent(1, 5), /*stream=*/false));
-    body["model"] = model;
-    http::Call call;
-    call.method_ = "POST";
-    call.url_ =
-        cluster_.Url("entry-" + std::to_string(entry)) + "/v1/chat/completions";
-    call.headers_ = {
-        {"Authorization", std::string("Bearer ") + Cluster::kWorkspaceKey}};
-    call.body_ = body.dump();
-    const Result<http::Reply> reply = http::CallAndWait(call);
-    return reply.ok() ? reply.value().status_ : 0;
-  }
-
-  // Appends an order as a holder would whose append comes late.
-  void AppendOrder(int64_t fence, int number, const std::string& model) const {
-    const json order = {
-        {"type", "engine_order"},
-        {"fence", fence},
-        {"order", "unload_model"},
-        {"model", model},
-        {"adapter", ""},
-        {"version", ""},
-        {"role", ""},
-        {"sidecar", "sidecar-" + std::to_string(number)},
-        {"wall_ms", std::chrono::duration_cast<milliseconds>(
-                        std::chrono::system_clock::now().time_since_epoch())
-                        .count()}};
-    const http::Reply reply =
-        Request("POST", cluster_.Url("log") + "/streams/placement/append",
-                order.dump());
-    REQUIRE(reply.status_ == kHttpOk);
   }
-
-  // Past the sidecars.
-  int GiveDirectly(int64_t fence, int number, const std::string& model) const {
-    const json order = {
-        {"fence", fence}, {"order", "unload_model"}, {"model", model}};
-    return Request("POST",
-                   cluster_.Url("engine-" + std::to_string(number)) + "/orders",
-                   order.dump())
-        .status_;
-  }
-
-  bool WaitForEvent(const std::string& process, const std::string& event) {
-    const std::string wanted = "\"event\":\"" + event + "\"";
-    return WaitUntil([&] {
-      return Request("GET", cluster_.Url(process) + "/timeline")
-                 .body_.find(wanted) != std::string::npos;
-    });
-  }
-
-  std::vector<tests::PlacementViolation> Check() const {
-    tests::PlacementHistory history;
-    history.log_ = cluster_.Journal("log");
-    for (int number = 1; number <= options_.engines_; ++number) {
-      history.engines_.push_back(
-          {"sidecar-" + std::to_string(number), cluster_.OrderJournal(number)});
+  ~ModelLoad() { Stop(); }
+  ModelLoad(const ModelLoad&) = delete;
+  ModelLoad& operator=(const ModelLoad&) = delete;
+
+  // Waits for the requests in flight.
+  void Stop() {
+    stopped_ = true;
+    for (std::thread& caller : callers_) {
+      caller.join();
     }
-    history.fetches_ = cluster_.Journal("weights");
-    history.max_fetches_ = options_.weight_store_.at("fetches_per_window");
-    history.window_ms_ = kWindowMs;
-    return tests::CheckPlacement(history);
+    callers_.clear();
   }
 
-  void CheckHistory() const {
-    const auto violations = Check();
-    CHECK_MESSAGE(violations.empty(), tests::Describe(violations));
-  }
-
-  int CountOrders() const {
-    int count = 0;
-    for (int number = 1; number <= options_.engines_; ++number) {
-      count += static_cast<int>(cluster_.OrderJournal(number).size());
-    }
-    return count;
-  }
+  int answered() const { return answered_; }
+  int failed() const { return failed_; }
 
  private:
-  const ClusterOptions options_;
-  Cluster cluster_;
-  json document_;
-  int stopped_ = 0;
+  std::atomic<bool> stopped_{false};
+  std::atomic<int> answered_{0};
+  std::atomic<int> failed_{0};
+  std::vector<std::thread> callers_;
 };
 
 }  // namespace
 
 TEST_CASE("placement: a published model is loaded and then served") {
   // One load at a time, so that for a while only some engines have it.
-  Fleet fleet(Options(2, 1));
+  PlacementFleet fleet(PlacementOptions(2, 1));
   fleet.WaitForHolder();
   CHECK(fleet.ChatStatus(1, "headlines-8b") != kHttpOk);
   fleet.AddModel("headlines-8b");
@@ -257,7 +78,7 @@
 
 TEST_CASE(
     "placement: a holder stopped past its lease gives no standing order") {
-  Fleet fleet(Options(2, kManyFetches));
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
   for (int round = 1; round <= 3; ++round) {
     const int older = fleet.WaitForHolder();
     const int64_t older_fence = fleet.Fence(older);
@@ -281,7 +102,7 @@
 }
 
 TEST_CASE("placement: a version is replaced and adapters come in service") {
-  Fleet fleet(Options(2, kManyFetches));
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
   fleet.AddModel("headlines-8b");
   REQUIRE(fleet.WaitForModel("headlines-8b"));
   // Entries have seen it too.
@@ -305,7 +126,7 @@
 }
 
 TEST_CASE("placement: past the sidecar an older order reaches an engine") {
-  Fleet fleet(Options(2, kManyFetches));
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
   const int older = fleet.WaitForHolder();
   const int64_t older_fence = fleet.Fence(older);
   fleet.Stop(older);
@@ -319,7 +140,7 @@
 }
 
 TEST_CASE("placement: another entry takes over from a killed holder") {
-  Fleet fleet(Options(2, kManyFetches));
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
   const int killed = fleet.WaitForHolder();
   const int64_t fence = fleet.Fence(killed);
   fleet.cluster().Kill("entry-" + std::to_string(killed));
@@ -332,7 +153,7 @@
 }
 
 TEST_CASE("placement: with the log down there is service and no new order") {
-  Fleet fleet(Options(2, kManyFetches));
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
   fleet.WaitForHolder();
   fleet.AddModel("headlines-8b");
   REQUIRE(fleet.WaitForModel("headlines-8b"));
@@ -359,9 +180,9 @@
 }
 
 TEST_CASE("placement: loads keep within the weight store's limit") {
-  ClusterOptions options = Options(6, 2);
+  ClusterOptions options = PlacementOptions(6, 2);
   options.weight_store_["fetches_per_window"] = 2;
-  Fleet fleet(options);
+  PlacementFleet fleet(options);
   fleet.WaitForHolder();
   fleet.AddModel("headlines-8b");
   const auto start = steady_clock::now();
@@ -375,9 +196,9 @@
 }
 
 TEST_CASE("placement: without sharing out the store's limit is exceeded") {
-  ClusterOptions options = Options(6, kManyFetches);
+  ClusterOptions options = PlacementOptions(6, kManyFetches);
   options.weight_store_["fetches_per_window"] = 2;
-  Fleet fleet(options);
+  PlacementFleet fleet(options);
   fleet.WaitForHolder();
   fleet.AddModel("headlines-8b");
   CHECK(WaitUntil(
@@ -387,4 +208,54 @@
   CHECK(violations.front().rule_ == tests::PlacementRule::kOverLimit);
 }
 
+TEST_CASE("placement: a model in demand gets more engines, no request fails") {
+  ClusterOptions options = PlacementOptions(4, kManyFetches);
+  options.sidecar_settings_ = {{"initial_slots", 4}, {"max_slots", 4}};
+  PlacementFleet fleet(options);
+  fleet.WaitForHolder();
+  fleet.SetRoom(1);
+  fleet.AddModel("headlines-8b");
+  REQUIRE(WaitUntil([&] {
+    return fleet.EnginesWith("headlines-8b") == 1 &&
+           fleet.EnginesWith(Cluster::kModel) == 3;
+  }));
+  REQUIRE(WaitUntil(
+      [&] { return fleet.ChatStatus(1, "headlines-8b") == kHttpOk; }));
+  const auto start = steady_clock::now();
+  ModelLoad busy(fleet, "headlines-8b", /*callers=*/12);
+  ModelLoad quiet(fleet, Cluster::kModel, /*callers=*/1);
+  const bool moved =
+      WaitUntil([&] { return fleet.EnginesWith("headlines-8b") == 3; });
+  const auto passed =
+      std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
+  MESSAGE("on 3 engines after " << passed.count() << " ms");
+  CHECK(moved);
+  // Its demand has gone; its engines stay until another model needs them.
+  busy.Stop();
+  std::this_thread::sleep_for(milliseconds(1000));
+  quiet.Stop();
+  CHECK(fleet.EnginesWith("headlines-8b") == 3);
+  CHECK(fleet.EnginesWith(Cluster::kModel) == 1);
+  CHECK(busy.answered() > 0);
+  CHECK(busy.failed() == 0);
+  CHECK(quiet.failed() == 0);
+  CHECK(fleet.MostModels() == 1);
+  fleet.CheckHistory();
+}
+
+TEST_CASE("placement: a model that is configured no more makes room") {
+  ClusterOptions options = PlacementOptions(2, kManyFetches);
+  PlacementFleet fleet(options);
+  fleet.WaitForHolder();
+  fleet.SetRoom(1);
+  fleet.AddModel("headlines-8b");
+  REQUIRE(WaitUntil([&] { return fleet.EnginesWith("headlines-8b") == 1; }));
+  fleet.RemoveModel("headlines-8b");
+  fleet.AddModel("captions-8b");
+  CHECK(WaitUntil([&] { return fleet.EnginesWith("captions-8b") == 1; }));
+  CHECK(fleet.EnginesWith("headlines-8b") == 0);
+  CHECK(fleet.EnginesWith(Cluster::kModel) == 1);
+  fleet.CheckHistory();
+}
+
 }  // namespace bergamotscale::testing
