Upstream calls: a lost connection is noticed within 3 s

Cause: the HTTP library sets neither keep-alive nor a limit on what isn't acknowledged. A connection that something between the ends has lost track of was waited for until upstream_timeout, while probes on new connections said that the upstream is well. Its failure reached the engine neither, so the engine went on with the work.

Ruled out: a bound on the time to the first byte, as plain services and long prompts may take longer.

A call that ended by a timeout fails with link_silent instead of upstream_failed, which is no sign of a crash, and the engine is told on a connection of its own to stop. Relay::LoseTrack() and LosePackets() in tests/support drop packets by a socket filter.

Left: where a proxy between the two still acknowledges, the deadline decides.

--- a/src/sidecar/execution.cc
+++ b/src/sidecar/execution.cc
@@ -219,6 +219,9 @@
     }
     if (!status.ok()) {
       const bool sent = status.error().code_ != ErrorCode::kUpstreamUnreachable;
+      if (status.error().code_ == ErrorCode::kLinkSilent) {
+        CancelAtEngine();
+      }
       Fail(status.error(), sent ? Verdict::kMayHaveRun : Verdict::kNotRun);
       return;
     }
--- a/src/sidecar/upstream_call.cc
+++ b/src/sidecar/upstream_call.cc
@@ -19,6 +19,9 @@
     task.get();
     return Done{};
   } catch (const web::http::http_exception& failure) {
+    if (failure.error_code() == std::errc::timed_out) {
+      return Error(ErrorCode::kLinkSilent, failure.what());
+    }
     return http::ErrorOfFailure(failure);
   } catch (const std::exception& failure) {
     return Error(ErrorCode::kUpstreamFailed, failure.what());
@@ -114,7 +117,9 @@
   }
 
   void Break(const Error& error) {
-    End(Error(ErrorCode::kUpstreamFailed, error.detail_));
+    const bool silent = error.code_ == ErrorCode::kLinkSilent;
+    End(Error(silent ? error.code_ : ErrorCode::kUpstreamFailed,
+              error.detail_));
   }
 
   void End(const Status& status) {
--- a/tests/process/silence_test.cc
+++ b/tests/process/silence_test.cc
@@ -2,6 +2,7 @@
 #include <csignal>
 
 #include <chrono>
+#include <functional>
 #include <future>
 #include <string>
 #include <thread>
@@ -31,16 +32,18 @@
   return options;
 }
 
-TEST_CASE("silence: an engine before its first token, the work is moved") {
-  const ClusterOptions options = SlowEngines();
-  Cluster cluster(options);
+// Sends a chat, makes the engine that runs it silent, and checks that another
+// takes it in time. @return the number of the silent engine.
+int CheckMovedFromSilent(const ClusterOptions& options,
+                         Cluster& cluster,
+                         const std::function<void(int)>& silence) {
   auto answer = std::async(std::launch::async, [&] {
     return Chat(cluster.Url("entry-1"), ChatContent(1, 1), /*stream=*/true);
   });
   const int silent = WaitForRunningEngine(cluster, options.engines_);
   REQUIRE(silent != 0);
   const Millis start = Clock::Wall().Now();
-  cluster.Signal("engine-" + std::to_string(silent), SIGSTOP);
+  silence(silent);
   Millis moved;
   REQUIRE(WaitUntil(
       [&] {
@@ -58,6 +61,27 @@
   MESSAGE("moved after " << (moved - start).count() << " ms");
   CHECK(moved - start < kNoticed);
   CHECK(IsWhole(answer.get(), ChatContent(1, 1)));
+  return silent;
+}
+
+TEST_CASE("silence: an engine before its first token, the work is moved") {
+  const ClusterOptions options = SlowEngines();
+  Cluster cluster(options);
+  CheckMovedFromSilent(options, cluster, [&](int engine) {
+    cluster.Signal("engine-" + std::to_string(engine), SIGSTOP);
+  });
+}
+
+TEST_CASE("silence: one connection before the first token, the work is moved") {
+  const ClusterOptions options = SlowEngines();
+  Cluster cluster(options);
+  const int silent = CheckMovedFromSilent(options, cluster, [&](int engine) {
+    cluster.EngineRelay(engine).LoseTrack();
+  });
+  // The engine is told on another connection to stop.
+  const auto left = cluster.Journal("engine-" + std::to_string(silent));
+  REQUIRE(left.size() == 1);
+  CHECK(left[0]["outcome"] == "cancelled");
 }
 
 struct Refusal {
@@ -69,14 +93,15 @@
 // Sends work and makes its upstream silent while it runs.
 Refusal SilenceAndRefusal(Cluster& cluster,
                           const Sent& sent,
-                          const std::string& upstream) {
+                          const std::string& upstream,
+                          const std::function<void()>& silence) {
   auto answer =
       std::async(std::launch::async, [&] { return Send(cluster, sent); });
   REQUIRE(WaitUntil([&] { return !cluster.Journal(upstream).empty(); },
                     milliseconds(5000)));
   Refusal refusal;
   refusal.silent_since_ = Clock::Wall().Now();
-  cluster.Signal(upstream, SIGSTOP);
+  silence();
   refusal.outcome_ = answer.get();
   refusal.took_ = Clock::Wall().Now() - refusal.silent_since_;
   return refusal;
@@ -95,20 +120,31 @@
   return Millis();
 }
 
-TEST_CASE("silence: an engine with work that may not be repeated") {
+void CheckUnrepeatableIsRefused(const std::function<void(Cluster&)>& silence) {
   ClusterOptions options = SlowEngines();
   options.engines_ = 1;
   Cluster cluster(options);
   Sent sent;
   sent.class_ = "order";
   sent.body_ = ChatBody(ChatContent(1, 10), /*stream=*/false);
-  const Refusal refusal = SilenceAndRefusal(cluster, sent, "engine-1");
+  const Refusal refusal =
+      SilenceAndRefusal(cluster, sent, "engine-1", [&] { silence(cluster); });
   MESSAGE("refused after " << refusal.took_.count()
                            << " ms: " << refusal.outcome_);
   CHECK(refusal.took_ < kNoticed);
   CHECK(refusal.outcome_.find("may_have_run") != std::string::npos);
 }
 
+TEST_CASE("silence: an engine with work that may not be repeated") {
+  CheckUnrepeatableIsRefused(
+      [](Cluster& cluster) { cluster.Signal("engine-1", SIGSTOP); });
+}
+
+TEST_CASE("silence: one connection with work that may not be repeated") {
+  CheckUnrepeatableIsRefused(
+      [](Cluster& cluster) { cluster.EngineRelay(1).LoseTrack(); });
+}
+
 TEST_CASE("silence: a plain service that executes an order") {
   Cluster cluster;
   SetFaults(cluster, "service", R"({"delay_ms":20000})");
@@ -116,7 +152,8 @@
   order.path_ = "/v1/orders";
   order.body_ = "{}";
   order.order_key_ = "silent-order";
-  const Refusal refusal = SilenceAndRefusal(cluster, order, "service");
+  const Refusal refusal = SilenceAndRefusal(
+      cluster, order, "service", [&] { cluster.Signal("service", SIGSTOP); });
   MESSAGE("refused after " << refusal.took_.count()
                            << " ms: " << refusal.outcome_);
   // An order is offered to others: there is none.
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -16,6 +16,7 @@
 #include <boost/asio/write.hpp>
 
 #include "src/link/link.h"
+#include "tests/support/silent_socket.h"
 
 namespace bergamotscale::testing {
 
@@ -23,7 +24,8 @@
 
 // Relays between callers and one target. A frozen connection stays open on
 // both sides, but nothing passes any more.
-// Thread safety: Cut, Freeze and FreezeNew may be called on any thread.
+// Thread safety: Cut, Freeze, LoseTrack and FreezeNew may be called on any
+// thread.
 class Relay {
  public:
   using Tcp = boost::asio::ip::tcp;
@@ -53,6 +55,10 @@
   void Freeze() {
     boost::asio::post(core_->io_, [core = core_] { core->Freeze(); });
   }
+  // As Freeze, but both ends get no acknowledgement any more either.
+  void LoseTrack() {
+    boost::asio::post(core_->io_, [core = core_] { core->LoseTrack(); });
+  }
   // Whether connections that are accepted from now on are frozen too.
   void FreezeNew(bool freeze) {
     boost::asio::post(core_->io_,
@@ -160,6 +166,14 @@
       }
     }
 
+    void LoseTrack() {
+      Freeze();
+      for (const auto& pair : pairs_) {
+        LosePackets(pair->caller_.native_handle());
+        LosePackets(pair->target_.native_handle());
+      }
+    }
+
     boost::asio::io_context& io_;
     const link::Endpoint target_;
     Tcp::acceptor acceptor_;
--- /dev/null
+++ b/tests/support/silent_socket.h
@@ -0,0 +1,21 @@
+// A connection that something between its ends has lost track of.
+#ifndef BERGAMOTSCALE_TESTS_SUPPORT_SILENT_SOCKET_H_
+#define BERGAMOTSCALE_TESTS_SUPPORT_SILENT_SOCKET_H_
+
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+namespace bergamotscale::testing {
+
+// From then on each packet that arrives at the socket is lost, so that the
+// peer gets no acknowledgement any more. @return whether the kernel took it.
+inline bool LosePackets(int socket) {
+  sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program = {1, &drop};
+  return setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                    sizeof(program)) == 0;
+}
+
+}  // namespace bergamotscale::testing
+
+#endif  // BERGAMOTSCALE_TESTS_SUPPORT_SILENT_SOCKET_H_
--- a/tests/upstream_call_test.cc
+++ b/tests/upstream_call_test.cc
@@ -10,6 +10,7 @@
 #include "src/sidecar/io_thread.h"
 #include "src/sidecar/upstream_call.h"
 #include "tests/support/raw_server.h"
+#include "tests/support/silent_socket.h"
 
 namespace bergamotscale::sidecar {
 namespace {
@@ -51,6 +52,7 @@
     http::Call call;
     call.method_ = "POST";
     call.url_ = url;
+    call.timeout_ = Millis(30000);
     UpstreamHooks hooks;
     hooks.on_head_ = [](const UpstreamHead&) {};
     hooks.on_data_ = [this](std::string_view data) {
@@ -166,6 +168,46 @@
   CHECK(closed);
 }
 
+// Reads a request, perhaps begins an answer, and then hears nothing any more.
+Status CallThatGoesSilent(const std::string& answer_start) {
+  std::atomic<bool> done{false};
+  RawServer server([&](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, answer_start);
+    // The acknowledgement of what was sent has come.
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    CHECK(testing::LosePackets(socket.native_handle()));
+    while (!done) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return false;
+  });
+  Caller caller;
+  Status status = caller.Run(server.url() + "/order-1");
+  done = true;
+  CHECK(CountOf(server, "/order-1") == 1);
+  return status;
+}
+
+TEST_CASE("upstream call: a lost connection is noticed within 3 s") {
+  for (const char* answer_start : {"", kStreamStart}) {
+    const auto start = std::chrono::steady_clock::now();
+    const Status status = CallThatGoesSilent(answer_start);
+    const auto took = std::chrono::steady_clock::now() - start;
+    REQUIRE(!status.ok());
+    CHECK(status.error().code_ == ErrorCode::kLinkSilent);
+    CHECK(took < std::chrono::seconds(3));
+  }
+}
+
+TEST_CASE("upstream call: a slow answer on a sound connection is waited for") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(4500));
+    Write(socket, kWholeAnswer);
+    return false;
+  });
+  CHECK(Caller().Run(server.url() + "/").ok());
+}
+
 TEST_CASE("event reader: events survive any cut into pieces") {
   const std::string stream =
       "data: a\n\n: comment\r\ndata: b\r\n\r\nevent: x\ndata: c\ndata:d\n\n";
