--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -255,7 +255,7 @@
     placement::EngineView engine;
     engine.sidecar_ = id;
     engine.group_ = view.group_;
-    engine.accepting_ = view.usable_;
+    engine.accepting_ = view.usable_ && peer->status_.models_current_;
     engine.models_ = peer->status_.models_;
     engine.loaded_ = peer->status_.loaded_;
     engine.withheld_ = peer->status_.withheld_;
--- a/src/placement/placement_plan.h
+++ b/src/placement/placement_plan.h
@@ -15,12 +15,13 @@
 struct EngineView {
   InstanceId sidecar_;
   GroupId group_;
+  // Usable, with a report that says what it has now.
   bool accepting_ = false;
   // Loaded, and offered to requests.
   std::vector<ModelId> models_;
   // Those of models_ that have a version or adapters.
   std::vector<wire::LoadedModel> loaded_;
-  // Loaded, but offered no more, as they are to be unloaded.
+  // Not offered, but with room taken: to be unloaded, or loading late.
   std::vector<ModelId> withheld_;
   // Models of orders to load, and to unload, that were given and that Shows()
   // doesn't find yet.
--- a/src/sidecar/engine_orders.cc
+++ b/src/sidecar/engine_orders.cc
@@ -118,8 +118,12 @@
     metrics_.Add("bergamot_engine_orders_applied");
   }
 
+  // An order that may be under way in the engine is not given up: the engine
+  // is asked until it answers, or is seen to be another process.
   bool IsExpired(const EngineOrder& order) const {
-    return order.expires_ > Millis(0) && wall_.Now() >= order.expires_;
+    const bool late =
+        order.expires_ > Millis(0) && wall_.Now() >= order.expires_;
+    return late && !under_way_;
   }
 
   void DropExpired() {
@@ -178,6 +182,7 @@
     call.url_ = engine_url_ + "/orders";
     call.body_ = placement::EngineOrderBody(order);
     call.timeout_ = kCallTimeout;
+    called_ = steady_.Now();
     std::weak_ptr<Impl> weak = weak_from_this();
     http::CallOnce(call, [weak, order](const Result<http::Reply>& reply) {
       PostTo(weak, [order, reply](Impl& self) { self.OnReply(order, reply); });
@@ -189,6 +194,7 @@
     const bool carried_out = status > 0 && status < kHttpFirstError;
     const bool refused =
         status >= kHttpFirstError && status < kHttpFirstServerError;
+    NoteUnderWay(order, reply);
     if (carried_out) {
       NoteApplied(order);
       NoteUnloaded(order);
@@ -207,6 +213,23 @@
     }
   }
 
+  // A call that ran out of time may take effect later.
+  void NoteUnderWay(const EngineOrder& order,
+                    const Result<http::Reply>& reply) {
+    const bool timed_out =
+        !reply.ok() && steady_.Now() >= called_ + kCallTimeout;
+    const bool answered = reply.ok();
+    const bool process_gone =
+        !reply.ok() && reply.error().code_ == ErrorCode::kUpstreamUnreachable;
+    const bool refused = answered && reply.value().status_ >= kHttpFirstError;
+    if (timed_out && order.action_ == placement::EngineAction::kLoadModel) {
+      hooks_.set_offer_(order.model_, ModelOffer::kLoading);
+    } else if (under_way_ && (process_gone || refused)) {
+      hooks_.set_offer_(order.model_, ModelOffer::kOffered);
+    }
+    under_way_ = timed_out || (under_way_ && !answered && !process_gone);
+  }
+
   void NoteUnloaded(const EngineOrder& order) {
     if (Unloads(order) && withheld_ == order.model_) {
       hooks_.set_offer_(order.model_, ModelOffer::kUnloaded);
@@ -234,6 +257,7 @@
   timeline::Timeline& timeline_;
   http::Metrics& metrics_;
   const Clock wall_ = Clock::Wall();
+  const Clock steady_ = Clock::Steady();
   boost::asio::steady_timer timer_;
   InstanceId sidecar_;
   std::string engine_url_;
@@ -245,6 +269,10 @@
   std::unique_ptr<log::StreamFollower> follower_;
   bool caught_up_ = false;
   bool busy_ = false;
+  // When the last call began, and whether it or the ones before it, of the
+  // same order, may still take effect.
+  Millis called_;
+  bool under_way_ = false;
   bool stopped_ = false;
 };
 
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -1,6 +1,7 @@
 #include "src/sidecar/traffic.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
@@ -43,6 +44,13 @@
   return options;
 }
 
+// Reports that may be missing before the models of the last are not current,
+// and the time that one takes.
+constexpr int64_t kReportsToMiss = 2;
+constexpr Millis kReportDelay = Millis(1000);
+// A load that the engine has taken late shows within this time, or has failed.
+constexpr Millis kLateLoading = Millis(60'000);
+
 }  // namespace
 
 class Traffic::Impl {
@@ -116,6 +124,10 @@
     } else {
       withheld_.erase(model);
     }
+    loading_.erase(model);
+    if (offer == ModelOffer::kLoading) {
+      loading_[model] = clock_.Now();
+    }
     if (offer == ModelOffer::kUnloaded) {
       models_.erase(std::remove(models_.begin(), models_.end(), model),
                     models_.end());
@@ -200,6 +212,10 @@
     if (report.state_ == UpstreamState::kUp) {
       models_ = report.models_;
       loaded_ = report.loaded_;
+      models_reported_ = clock_.Now();
+      DropLoading();
+    } else if (report.state_ == UpstreamState::kUnreachable) {
+      loading_.clear();
     }
     if (down || report.state_ == UpstreamState::kUp) {
       SetUpstreamUp(!down);
@@ -210,6 +226,16 @@
     }
   }
 
+  // Forgets late loads that the report shows, or that failed.
+  void DropLoading() {
+    for (auto model = loading_.begin(); model != loading_.end();) {
+      const bool shown = std::find(models_.begin(), models_.end(),
+                                   model->first) != models_.end();
+      const bool failed = clock_.Now() - model->second > kLateLoading;
+      model = shown || failed ? loading_.erase(model) : std::next(model);
+    }
+  }
+
   // A copy, as ended work makes room for other sessions.
   void EndSilentWork() {
     const std::set<std::shared_ptr<WorkSession>> sessions = sessions_;
@@ -298,7 +324,13 @@
       const bool withheld = withheld_.count(model) > 0;
       (withheld ? status.withheld_ : status.models_).push_back(model);
     }
+    for (const auto& [model, since] : loading_) {
+      status.withheld_.push_back(model);
+    }
     status.loaded_ = loaded_;
+    status.models_current_ =
+        clock_.Now() - models_reported_ <=
+        settings_.health_interval_ * kReportsToMiss + kReportDelay;
     scheduler_.Describe(&status);
     hub_.Broadcast(status);
   }
@@ -350,7 +382,10 @@
   const Clock clock_ = Clock::Steady();
   std::vector<ModelId> models_;
   std::vector<wire::LoadedModel> loaded_;
+  Millis models_reported_;
   std::set<ModelId> withheld_;
+  // When it was last known that they may be loading.
+  std::map<ModelId, Millis> loading_;
   bool upstream_up_ = false;
   bool leaving_ = false;
   bool told_drained_ = false;
--- a/src/sidecar/traffic.h
+++ b/src/sidecar/traffic.h
@@ -24,6 +24,7 @@
   kOffered,
   kWithheld,  // no new requests; running ones end
   kUnloaded,  // known to be gone before the next report
+  kLoading,   // may come late, and takes its room until then
 };
 
 // Models that are withheld, and those that have requests running.
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -209,8 +209,11 @@
   std::vector<LoadedModel> loaded_;
   // Models with requests.
   std::vector<ModelLoad> model_loads_;
-  // Loaded models that get no new requests, as they are to be unloaded.
+  // Models that take room but get no requests: they are to be unloaded, or an
+  // order to load them may still be under way in the engine.
   std::vector<ModelId> withheld_;
+  // False after a pause of the sidecar, until its upstream has told its models.
+  bool models_current_ = false;
   MSGPACK_DEFINE(sidecar_,
                  group_,
                  zone_,
@@ -225,7 +228,8 @@
                  cached_prefixes_,
                  loaded_,
                  model_loads_,
-                 withheld_)
+                 withheld_,
+                 models_current_)
 };
 
 // A verdict on a request that crashes upstreams.
--- /dev/null
+++ b/tests/process/placement_faults_test.cc
@@ -0,0 +1,296 @@
+// Placement under faults, alone and in pairs. BERGAMOTSCALE_SEEDS sets how many
+// random pairs are run; each fault alone is run if it asks for more than CI's.
+#include <chrono>
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "tests/process/placement_fleet.h"
+#include "tests/support/fault_pairs.h"
+
+namespace bergamotscale::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int kSeedsInCi = 2;
+constexpr int kEngines = 3;
+constexpr int kRoom = 2;
+// Past the lease, and past the sidecar's patience with an order to its engine.
+constexpr milliseconds kFaultTime(6000);
+constexpr milliseconds kAfterwards(3000);
+// Many plans.
+constexpr milliseconds kRest(1500);
+
+enum class Fault {
+  kKillHolder,
+  kStopHolder,
+  kKillEngine,
+  kStopEngine,
+  kKillSidecar,
+  kStopSidecar,
+  kLogDown,
+  kLogSlow,
+  kLogSilent,
+  kLogLosesAnswers,
+  kSilentEngineLink,
+  kCount,
+};
+
+constexpr int kFaultCount = static_cast<int>(Fault::kCount);
+
+const char* FaultName(Fault fault) {
+  constexpr const char* kNames[kFaultCount] = {
+      "kill holder",  "stop holder",       "kill engine",       "stop engine",
+      "kill sidecar", "stop sidecar",      "log down",          "log slow",
+      "log silent",   "log loses answers", "silent engine link"};
+  return kNames[static_cast<int>(fault)];
+}
+
+ClusterOptions FaultOptions() {
+  ClusterOptions options = PlacementOptions(kEngines, 20);
+  options.weight_store_["fetches_per_window"] = 20;
+  return options;
+}
+
+// Models are published and taken away while faults are at work; then all must
+// come to rest as configured.
+class Run {
+ public:
+  Run(uint64_t seed, std::vector<Fault> faults)
+      : random_(seed), faults_(std::move(faults)), fleet_(FaultOptions()) {}
+
+  void Go() {
+    fleet_.WaitForHolder();
+    fleet_.SetRoom(kRoom);
+    fleet_.AddModel("headlines-8b");
+    fleet_.AddModel("captions-8b");
+    Pause(1000);
+    for (const Fault fault : faults_) {
+      Begin(fault);
+      Pause(500);
+    }
+    const bool publishes = !LogIsAway();
+    if (publishes) {
+      fleet_.RemoveModel("captions-8b");
+      fleet_.AddModel("titles-8b");
+    }
+    std::this_thread::sleep_for(kFaultTime);
+    for (auto fault = faults_.rbegin(); fault != faults_.rend(); ++fault) {
+      End(*fault);
+    }
+    if (!publishes) {
+      fleet_.RemoveModel("captions-8b");
+      fleet_.AddModel("titles-8b");
+    }
+    CheckRest();
+  }
+
+ private:
+  void Pause(uint64_t most_ms) {
+    std::this_thread::sleep_for(milliseconds(random_() % most_ms));
+  }
+
+  bool LogIsAway() const {
+    return std::any_of(faults_.begin(), faults_.end(), [](Fault fault) {
+      return fault >= Fault::kLogDown && fault <= Fault::kLogLosesAnswers;
+    });
+  }
+
+  bool IsTarget(const std::string& name) const {
+    return std::any_of(
+        targets_.begin(), targets_.end(),
+        [&name](const auto& known) { return known.second == name; });
+  }
+
+  std::string Chosen(const std::string& kind) {
+    std::string name;
+    do {
+      name = kind + "-" + std::to_string(random_() % kEngines + 1);
+    } while (IsTarget(name));
+    return name;
+  }
+
+  // None may be known while the log is away.
+  std::string Holder() const {
+    const int holder = fleet_.Holder();
+    const std::string other = IsTarget("entry-1") ? "entry-2" : "entry-1";
+    return holder == 0 ? other : "entry-" + std::to_string(holder);
+  }
+
+  void PostLogFaults(const std::string& text) {
+    REQUIRE(Request("POST", fleet_.cluster().Url("log") + "/faults", text)
+                .status_ == kHttpOk);
+  }
+
+  void Begin(Fault fault) {
+    switch (fault) {
+      case Fault::kKillHolder:
+      case Fault::kStopHolder:
+        targets_[fault] = Holder();
+        break;
+      case Fault::kKillEngine:
+      case Fault::kStopEngine:
+        targets_[fault] = Chosen("engine");
+        break;
+      case Fault::kKillSidecar:
+      case Fault::kStopSidecar:
+        targets_[fault] = Chosen("sidecar");
+        break;
+      case Fault::kLogDown:
+        return PostLogFaults(R"({"down": true})");
+      case Fault::kLogSlow:
+        return PostLogFaults(R"({"slow_ms": 700})");
+      case Fault::kLogSilent:
+        return PostLogFaults(R"({"silent": true})");
+      case Fault::kLogLosesAnswers:
+        return PostLogFaults(R"({"lose_answers": -1})");
+      case Fault::kSilentEngineLink:
+        fleet_.cluster().EngineRelay(1).Freeze();
+        return;
+      case Fault::kCount:
+        return;
+    }
+    const std::string& target = targets_[fault];
+    if (Kills(fault)) {
+      fleet_.cluster().Kill(target);
+    } else {
+      fleet_.cluster().Signal(target, SIGSTOP);
+    }
+  }
+
+  static bool Kills(Fault fault) {
+    return fault == Fault::kKillHolder || fault == Fault::kKillEngine ||
+           fault == Fault::kKillSidecar;
+  }
+
+  void End(Fault fault) {
+    if (Kills(fault)) {
+      fleet_.cluster().Start(targets_[fault]);
+    } else if (targets_.count(fault) > 0) {
+      fleet_.cluster().Signal(targets_[fault], SIGCONT);
+    } else if (fault != Fault::kSilentEngineLink) {
+      PostLogFaults(R"({"down": false, "slow_ms": 0, "lose_answers": 0,
+                        "silent": false})");
+    }
+  }
+
+  bool AsConfigured() const {
+    return fleet_.EnginesWith(Cluster::kModel) > 0 &&
+           fleet_.EnginesWith("headlines-8b") > 0 &&
+           fleet_.EnginesWith("titles-8b") > 0;
+  }
+
+  bool GivesNoOrderFor(milliseconds time) const {
+    const int orders = fleet_.CountOrders();
+    std::this_thread::sleep_for(time);
+    return fleet_.CountOrders() == orders;
+  }
+
+  void CheckRest() {
+    const auto start = steady_clock::now();
+    CHECK(WaitUntil([&] { return AsConfigured(); }));
+    for (const char* model : {Cluster::kModel, "headlines-8b", "titles-8b"}) {
+      CHECK(WaitUntil([&] { return fleet_.ChatStatus(1, model) == kHttpOk; }));
+    }
+    MESSAGE("as configured "
+            << std::chrono::duration_cast<milliseconds>(steady_clock::now() -
+                                                        start)
+                   .count()
+            << " ms after the faults, " << fleet_.CountOrders() << " orders");
+    CHECK(WaitUntil([&] { return GivesNoOrderFor(kRest); }));
+    CHECK(fleet_.MostModels() <= kRoom);
+    fleet_.CheckHistory();
+  }
+
+  std::mt19937_64 random_;
+  const std::vector<Fault> faults_;
+  std::map<Fault, std::string> targets_;
+  PlacementFleet fleet_;
+};
+
+void RunAndCheck(uint64_t seed, const std::vector<Fault>& faults) {
+  std::string names;
+  for (const Fault fault : faults) {
+    names += std::string(" ") + FaultName(fault) + ",";
+  }
+  MESSAGE("seed " << seed << ":" << names);
+  INFO("seed ", seed, ":", names);
+  Run(seed, faults).Go();
+}
+
+// The order is in the engine's socket while the engine is stopped. It takes
+// effect once the engine goes on, when the plan knows nothing of it any more.
+void GiveOrderUnderWay(PlacementFleet& fleet) {
+  fleet.cluster().Signal("engine-1", SIGSTOP);
+  fleet.AddModel("headlines-8b");
+  std::this_thread::sleep_for(kFaultTime);
+  fleet.RemoveModel("headlines-8b");
+  fleet.AddModel("captions-8b");
+  REQUIRE(WaitUntil([&] { return fleet.EngineShows(2, "captions-8b"); }));
+  fleet.cluster().Signal("engine-1", SIGCONT);
+}
+
+void CheckRoomAfterwards(const PlacementFleet& fleet) {
+  const auto end = steady_clock::now() + kAfterwards;
+  int most = 0;
+  while (steady_clock::now() < end) {
+    most = std::max(most, fleet.MostModels());
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  CHECK(most <= kRoom);
+  // It did take effect late.
+  const auto orders = fleet.OrdersOf(1);
+  REQUIRE(!orders.empty());
+  CHECK(orders[0].at("model") == "headlines-8b");
+  CHECK(fleet.ChatStatus(1, "captions-8b") == kHttpOk);
+}
+
+}  // namespace
+
+TEST_CASE("placement faults: an order under way when the next is given") {
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
+  fleet.WaitForHolder();
+  fleet.SetRoom(kRoom);
+  GiveOrderUnderWay(fleet);
+  CheckRoomAfterwards(fleet);
+  fleet.CheckHistory();
+}
+
+TEST_CASE("placement faults: a sidecar stopped before it reports a load") {
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
+  fleet.WaitForHolder();
+  fleet.SetRoom(kRoom);
+  fleet.AddModel("headlines-8b");
+  REQUIRE(WaitUntil([&] { return !fleet.cluster().OrderJournal(1).empty(); }));
+  fleet.cluster().Signal("sidecar-1", SIGSTOP);
+  std::this_thread::sleep_for(kFaultTime);
+  fleet.RemoveModel("headlines-8b");
+  fleet.AddModel("captions-8b");
+  REQUIRE(WaitUntil([&] { return fleet.EngineShows(2, "captions-8b"); }));
+  fleet.cluster().Signal("sidecar-1", SIGCONT);
+  CheckRoomAfterwards(fleet);
+  fleet.CheckHistory();
+}
+
+TEST_CASE("placement faults: each fault alone") {
+  if (tests::SeedsToRun(kSeedsInCi).long_run_) {
+    for (int fault = 0; fault < kFaultCount; ++fault) {
+      RunAndCheck(static_cast<uint64_t>(fault) + 1,
+                  {static_cast<Fault>(fault)});
+    }
+  }
+}
+
+TEST_CASE("placement faults: random pairs of faults") {
+  const tests::SeedRange seeds = tests::SeedsToRun(kSeedsInCi);
+  for (int seed = seeds.first_; seed <= seeds.last_; ++seed) {
+    const tests::FaultPair pair = tests::PairOfSeed(kFaultCount, seed);
+    RunAndCheck(
+        static_cast<uint64_t>(seed),
+        {static_cast<Fault>(pair.first_), static_cast<Fault>(pair.second_)});
+  }
+}
+
+}  // namespace bergamotscale::testing
--- a/tests/process/placement_fleet.h
+++ b/tests/process/placement_fleet.h
@@ -145,13 +145,18 @@
     cluster_.Publish(document_);
   }
 
+  // @return whether the engine's list of models has the text.
+  bool EngineShows(int number, const std::string& text) const {
+    const std::string url = cluster_.Url("engine-" + std::to_string(number));
+    const http::Reply reply = Request("GET", url + "/v1/models");
+    return reply.body_.find(text) != std::string::npos;
+  }
+
   // @return the number of engines whose list of models has the text.
   int EnginesShowing(const std::string& text) const {
     int count = 0;
     for (int number = 1; number <= options_.engines_; ++number) {
-      const std::string url = cluster_.Url("engine-" + std::to_string(number));
-      const http::Reply reply = Request("GET", url + "/v1/models");
-      count += reply.body_.find(text) != std::string::npos ? 1 : 0;
+      count += EngineShows(number, text) ? 1 : 0;
     }
     return count;
   }
@@ -249,6 +254,11 @@
     return static_cast<int>(most);
   }
 
+  // @return what an engine has carried out.
+  std::vector<nlohmann::json> OrdersOf(int number) const {
+    return cluster_.OrderJournal(number);
+  }
+
   int CountOrders() const {
     int count = 0;
     for (int number = 1; number <= options_.engines_; ++number) {
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -142,6 +142,7 @@
     reserve.request_id_ = RequestId(id);
     reserve.workspace_ = WorkspaceId("workspace");
     reserve.class_ = ClassId("class");
+    reserve.model_ = kModel;
     reserve.first_token_target_ = Millis(1000);
     reserve.deadline_left_ = Millis(10000);
     exchange->stream_.Send(wire::Encode(reserve));
@@ -179,6 +180,27 @@
     REQUIRE(http::CallAndWait(call).value().status_ == 200);
   }
 
+  // Orders the engine to unload its model, after a lease for that.
+  void AppendUnload(placement::Fence fence, Millis lifetime) {
+    const Millis wall = Clock::Wall().Now();
+    Append(placement::LeaseRequest{placement::LeaseId("a"), InstanceId("a"),
+                                   Millis(60'000), wall});
+    placement::EngineOrder order;
+    order.fence_ = fence;
+    order.sidecar_ = InstanceId("sidecar-1");
+    order.action_ = placement::EngineAction::kUnloadModel;
+    order.model_ = kModel;
+    order.wall_ = wall;
+    order.expires_ = wall + lifetime;
+    Append(order);
+  }
+
+  // @return whether the engine has its model.
+  bool HasModel() {
+    return Read("/v1/models").find('"' + kModel.value() + '"') !=
+           std::string::npos;
+  }
+
   int JournalLines(const std::string& part) {
     const std::string lines = Read("/journal");
     int count = 0;
@@ -410,6 +432,40 @@
   CHECK(bench.Read("/orders").find("by-old") == std::string::npos);
 }
 
+TEST_CASE("sidecar: a model is unloaded once its requests have ended") {
+  Bench bench(GroupKind::kEngine);
+  bench.Start();
+  const auto running = bench.Send(ChatWork("r1", "[tokens=300] hello"));
+  REQUIRE(bench.RunUntil([&] { return !running->text_.empty(); }));
+  bench.AppendUnload(placement::Fence(0), Millis(60'000));
+  REQUIRE(bench.RunUntil([&] {
+    const auto later = bench.Run(ChatWork("r2", "[tokens=1] hello"));
+    return later->refused_ &&
+           later->refused_->code_ == ErrorCode::kUnknownModel;
+  }));
+  CHECK(!running->over());
+  CHECK(bench.HasModel());
+  CHECK(bench.RunUntil([&] { return running->over(); }));
+  CHECK(running->finished_);
+  CHECK(bench.RunUntil([&] { return !bench.HasModel(); }));
+}
+
+TEST_CASE("sidecar: a model whose requests don't end is offered again") {
+  Bench bench(GroupKind::kEngine);
+  bench.Start();
+  const auto running = bench.Send(ChatWork("r1", "[tokens=2000] hello"));
+  REQUIRE(bench.RunUntil([&] { return !running->text_.empty(); }));
+  bench.AppendUnload(placement::Fence(0), Millis(500));
+  REQUIRE(bench.RunUntil([&] {
+    return bench.Run(ChatWork("r2", "[tokens=1] hello"))->refused_.has_value();
+  }));
+  CHECK(bench.RunUntil([&] {
+    return bench.Run(ChatWork("r3", "[tokens=1] hello"))->finished_.has_value();
+  }));
+  CHECK(!running->over());
+  CHECK(bench.HasModel());
+}
+
 TEST_CASE("sidecar: a stop lets the running stream end") {
   Bench bench(GroupKind::kEngine);
   bench.Start();
