Quarantine: a connection that breaks is no crash, a dead engine gets no more work

Change: a sidecar probes after a failed call before it answers, and says in the refusal whether the upstream was up. Meanwhile it grants and starts nothing. A probe that fails takes the upstream out of service until one is answered. An entry counts a broken call as a crash unless the upstream was up; the second such call of a send counts, as an upstream may be back before the probe.

Tests, failing first: "sidecar: a dead upstream doesn't fail one request after the other" (the waiting request was granted), "sidecar: a connection that breaks is told from a crash" (upstream_up_ was false). "crash report: ..." is new with its function.

An upstream that is restarted before it is probed can cost a third crash (docs/POLICY.md).

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -269,6 +269,7 @@
     const wire::Refused& message = refused.value();
     retry_after_ = std::max(retry_after_, message.retry_after_);
     order_not_run_ = message.order_not_run_;
+    upstream_up_ = message.upstream_up_;
     EndPlace(index, Error(message.code_, message.detail_), message.verdict_);
   }
 
@@ -305,8 +306,8 @@
   void Fail(const Error& error, Verdict verdict, Millis retry_after) {
     done_ = true;
     const std::shared_ptr<Impl> keep = shared_from_this();
-    hooks_.on_failed_(
-        AttemptFailure{error, verdict, retry_after, order_not_run_, failed_});
+    hooks_.on_failed_(AttemptFailure{error, verdict, retry_after,
+                                     order_not_run_, upstream_up_, failed_});
   }
 
   Traffic& traffic_;
@@ -317,6 +318,7 @@
   std::vector<Place> places_;
   std::vector<InstanceId> failed_;
   bool order_not_run_ = false;
+  bool upstream_up_ = false;
   Millis retry_after_;
   size_t bound_index_ = 0;
   int64_t next_sequence_ = 0;
--- a/src/entry/attempt.h
+++ b/src/entry/attempt.h
@@ -20,6 +20,8 @@
   Millis retry_after_;
   // Whether the log showed that no send of the order had been executed.
   bool order_not_run_ = false;
+  // Whether the upstream was found up after it had failed the call.
+  bool upstream_up_ = false;
   // Sidecars that refused or failed.
   std::vector<InstanceId> sidecars_;
 };
--- a/src/entry/crash_report.cc
+++ b/src/entry/crash_report.cc
@@ -19,6 +19,10 @@
 
 }  // namespace
 
+bool IsCrash(const FailedCalls& calls) {
+  return !calls.upstream_up_ || calls.upstreams_up_ > 1;
+}
+
 void TellOfCrash(Traffic& traffic, const CrashReport& report) {
   const bool changed =
       traffic.quarantine_.Merge(RecordOf(report), traffic.steady_.Now());
--- a/src/entry/crash_report.h
+++ b/src/entry/crash_report.h
@@ -19,6 +19,20 @@
   std::vector<InstanceId> sidecars_;
 };
 
+// The calls of one send of a request that upstreams failed.
+struct FailedCalls {
+  // Whether the last call's upstream was found up after it.
+  bool upstream_up_ = false;
+  // Calls, the last included, whose upstreams were found up.
+  int upstreams_up_ = 0;
+};
+
+// @return whether the last failed call counts as a crash. A call that breaks
+// off at an upstream that is up is a lost connection; the second one of a send
+// counts, as an upstream may have been restarted before it was probed.
+// Pure. Thread safety: safe.
+bool IsCrash(const FailedCalls& calls);
+
 // Takes the crash into quarantine and tells peers at once: the caller may send
 // the request again to another entry before the next round of gossip. Peers
 // take the worse of two records, so that the sidecar telling of the same crash
--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -279,7 +279,12 @@
       return;
     }
     may_have_run_ = true;
-    if (failure.error_.code_ == ErrorCode::kUpstreamFailed) {
+    if (failure.error_.code_ != ErrorCode::kUpstreamFailed) {
+      return;
+    }
+    failed_calls_.upstreams_up_ += failure.upstream_up_ ? 1 : 0;
+    failed_calls_.upstream_up_ = failure.upstream_up_;
+    if (IsCrash(failed_calls_)) {
       ++crashes_;
       suspect_ = true;
       TellOfCrash(traffic_, {request_.digest_, crashes_, failure.sidecars_});
@@ -370,6 +375,7 @@
   int attempts_ = 0;
   int work_attempts_ = 0;
   int crashes_ = 0;
+  FailedCalls failed_calls_;
   bool no_upstream_ = false;
   bool suspect_ = false;
   bool may_have_run_ = false;
--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -127,7 +127,7 @@
 
 bool Scheduler::Start(Ticket ticket) {
   const auto found = entries_.find(ticket);
-  if (found == entries_.end() || !found->second.granted_) {
+  if (held_ || found == entries_.end() || !found->second.granted_) {
     return false;
   }
   Entry& entry = found->second;
@@ -198,7 +198,7 @@
   if (options_.learns_) {
     limiter_.SetTarget(batch_target_.Follow(queue_, clock_.Now()));
   }
-  while (accepting_ && !leaving_) {
+  while (accepting_ && !held_ && !leaving_) {
     const std::optional<policy::QueueItem> item =
         queue_.PopNext(clock_.Now(), limiter_.Limits());
     if (!item.has_value()) {
@@ -276,6 +276,11 @@
   Pump();
 }
 
+void Scheduler::Hold(bool hold) {
+  held_ = hold;
+  Pump();
+}
+
 void Scheduler::Leave() {
   leaving_ = true;
   RefuseWaiting(ErrorCode::kLeaving);
--- a/src/sidecar/scheduler.h
+++ b/src/sidecar/scheduler.h
@@ -62,7 +62,7 @@
   // Removes a ticket that was not started, without a hook.
   void Withdraw(Ticket ticket);
   // Uses the slot of a grant.
-  // @return false if the ticket holds no slot any more.
+  // @return false if the ticket holds no slot any more, or while held.
   bool Start(Ticket ticket);
   // Notes tokens that a started ticket has written.
   void OnChunk(Ticket ticket, Tokens tokens);
@@ -81,6 +81,8 @@
 
   // While not accepting nothing is granted, and nothing new is queued.
   void SetAccepting(bool accepting);
+  // While held nothing is granted or started; what waits goes on waiting.
+  void Hold(bool hold);
   // Refuses all that wait and from then on all that come. For good.
   void Leave();
 
@@ -128,6 +130,7 @@
   std::deque<uint64_t> recent_prefixes_;
   Ticket last_ticket_ = 0;
   bool accepting_ = false;
+  bool held_ = false;
   bool leaving_ = false;
 };
 
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -73,7 +73,7 @@
                  orders_.executor(),
                  timeline,
                  metrics,
-                 [this] { OnUpstreamFailed(); },
+                 [this](ProbedHook hook) { OnUpstreamFailed(std::move(hook)); },
                  [this] { OnTurnedAway(); }},
         server_(io,
                 settings.link_options_,
@@ -209,24 +209,57 @@
 
   void PublishReady() { blackboard_.ready_.Write(upstream_up_ && !leaving_); }
 
-  // A failed call may be a crash, which a probe tells: then all that ran at
-  // the first failure are suspects.
-  void OnUpstreamFailed() {
-    if (probing_crash_) {
-      return;
+  // A failed call may be a crash or a connection that broke, which a probe
+  // tells. Nothing is started until then: a dead upstream would fail one
+  // request after the other.
+  void OnUpstreamFailed(ProbedHook hook) {
+    unprobed_.push_back(std::move(hook));
+    if (unprobed_.size() == 1 && !probing_crash_) {
+      ProbeForCrash();
     }
+  }
+
+  void ProbeForCrash() {
     probing_crash_ = true;
+    scheduler_.Hold(true);
     const std::vector<policy::RunningDigest> running =
         scheduler_.RunningDigests();
-    monitor_.Probe([this, running](const UpstreamReport& report) {
-      probing_crash_ = false;
-      if (report.state_ != UpstreamState::kUnreachable) {
-        return;
-      }
-      timeline_.Add(timeline::EventType::kUpstreamCrashed, RequestId());
+    const size_t failed_before = unprobed_.size();
+    monitor_.Probe(
+        [this, running, failed_before](const UpstreamReport& report) {
+          probing_crash_ = false;
+          OnProbedForCrash(report, running, failed_before);
+        });
+  }
+
+  // @param failed_before how many calls had failed when the probe began.
+  void OnProbedForCrash(const UpstreamReport& report,
+                        const std::vector<policy::RunningDigest>& running,
+                        size_t failed_before) {
+    const bool up = report.state_ == UpstreamState::kUp ||
+                    report.state_ == UpstreamState::kLeaving;
+    if (!up) {
       SetUpstreamUp(false);
+    }
+    if (report.state_ == UpstreamState::kUnreachable) {
+      timeline_.Add(timeline::EventType::kUpstreamCrashed, RequestId());
       SendVerdicts(scheduler_.OnCrash(running));
-    });
+    }
+    TellProbed(up, up ? failed_before : unprobed_.size());
+    if (unprobed_.empty()) {
+      scheduler_.Hold(false);
+    } else {
+      ProbeForCrash();
+    }
+  }
+
+  void TellProbed(bool up, size_t count) {
+    const auto end = unprobed_.begin() + static_cast<std::ptrdiff_t>(count);
+    const std::vector<ProbedHook> told(unprobed_.begin(), end);
+    unprobed_.erase(unprobed_.begin(), end);
+    for (const ProbedHook& hook : told) {
+      hook(up);
+    }
   }
 
   // Faster than the next probe, which tells when the upstream is back. Later,
@@ -329,6 +362,8 @@
   bool leaving_ = false;
   bool told_drained_ = false;
   bool probing_crash_ = false;
+  // Failed calls that wait for a probe, in order.
+  std::vector<ProbedHook> unprobed_;
   int silent_probes_ = 0;
   Millis silent_since_;
 };
--- a/src/sidecar/work_session.cc
+++ b/src/sidecar/work_session.cc
@@ -254,8 +254,8 @@
     RecordFailure(error, verdict);
   }
   if (error.code_ == ErrorCode::kUpstreamFailed) {
-    // Before the slot is freed, so that this request is among the suspects.
-    context_.on_upstream_failed_();
+    RefuseWhenProbed(error, verdict);
+    return;
   }
   if (IsTurnedAway(error.code_, verdict)) {
     context_.on_turned_away_();
@@ -263,6 +263,18 @@
   Refuse(error, verdict, Millis(0));
 }
 
+// The slot is kept meanwhile, so that this request is among the suspects if
+// the upstream has crashed.
+void WorkSession::RefuseWhenProbed(const Error& error, Verdict verdict) {
+  const std::weak_ptr<WorkSession> weak = weak_from_this();
+  context_.on_upstream_failed_([weak, error, verdict](bool upstream_up) {
+    if (const auto self = weak.lock()) {
+      self->upstream_up_ = upstream_up;
+      self->Refuse(error, verdict, Millis(0));
+    }
+  });
+}
+
 void WorkSession::RecordOutcome(const wire::Finished& finished) {
   orders::Outcome outcome;
   outcome.http_status_ = finished.http_status_;
@@ -307,6 +319,7 @@
   const bool knows =
       !claim_.empty() || error.code_ == ErrorCode::kKeyReusedForOtherBody;
   refused.order_not_run_ = verdict == Verdict::kNotRun && knows;
+  refused.upstream_up_ = upstream_up_;
   stream_.Send(wire::Encode(refused));
   stream_.Finish();
   End(state_ == State::kRunning ? TicketEnd::kCancelled
--- a/src/sidecar/work_session.h
+++ b/src/sidecar/work_session.h
@@ -20,6 +20,9 @@
 
 namespace bergamotscale::sidecar {
 
+// Is told whether the upstream was up after it had failed a call.
+using ProbedHook = std::function<void(bool upstream_up)>;
+
 // What the sessions of one sidecar share; outlives them.
 struct SessionContext {
   boost::asio::io_context& io_;
@@ -28,8 +31,8 @@
   orders::OrderExecutor& executor_;
   timeline::Timeline& timeline_;
   http::Metrics& metrics_;
-  // The upstream failed a call that it had begun.
-  std::function<void()> on_upstream_failed_;
+  // The upstream failed a call that it had begun. The hook is called later.
+  std::function<void(ProbedHook)> on_upstream_failed_;
   // The upstream refused work as leaving, or nothing listens there.
   std::function<void()> on_turned_away_;
 };
@@ -73,6 +76,7 @@
   void OnFinished(const wire::Finished& finished);
   static bool IsTurnedAway(ErrorCode code, Verdict verdict);
   void OnFailed(const Error& error, Verdict verdict);
+  void RefuseWhenProbed(const Error& error, Verdict verdict);
   void RecordOutcome(const wire::Finished& finished);
   void RecordFailure(const Error& error, Verdict verdict);
 
@@ -92,6 +96,8 @@
   orders::AttemptHandle attempt_ = 0;
   orders::ClaimId claim_;
   std::unique_ptr<Execution> execution_;
+  // The upstream answered a probe after it had failed the call.
+  bool upstream_up_ = false;
   int64_t next_sequence_ = 0;
   // Text of an order's answer so far, to be recorded.
   std::string text_;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -155,13 +155,16 @@
   // Of an order: the log showed that no earlier send of it was executed. The
   // verdict alone is about this attempt.
   bool order_not_run_ = false;
+  // Of a failed call: the upstream answered a probe after it.
+  bool upstream_up_ = false;
   MSGPACK_DEFINE(request_id_,
                  code_,
                  verdict_,
                  retry_after_,
                  detail_,
                  sent_,
-                 order_not_run_)
+                 order_not_run_,
+                 upstream_up_)
 };
 
 // Load of one class at a sidecar.
--- a/tests/retry_rule_test.cc
+++ b/tests/retry_rule_test.cc
@@ -1,6 +1,7 @@
 // Retries: only where a second execution can do no harm, and bounded.
 #include <doctest/doctest.h>
 
+#include "src/entry/crash_report.h"
 #include "src/entry/retry_rule.h"
 
 namespace bergamotscale::entry {
@@ -15,6 +16,13 @@
   return failed;
 }
 
+TEST_CASE("crash report: a connection that breaks once is not a crash") {
+  CHECK(IsCrash(FailedCalls{/*upstream_up_=*/false, 0}));
+  CHECK_FALSE(IsCrash(FailedCalls{/*upstream_up_=*/true, 1}));
+  CHECK(IsCrash(FailedCalls{/*upstream_up_=*/true, 2}));
+  CHECK(IsCrash(FailedCalls{/*upstream_up_=*/false, 1}));
+}
+
 TEST_CASE("retry rule: work that may have run is repeated only if idempotent") {
   FailedAttempt failed = SentAndLost();
   CHECK(ChooseRetry(failed) == RetryChoice::kGiveUp);
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -18,6 +18,7 @@
 #include "standins/platform/log_server.h"
 #include "standins/service/service_server.h"
 #include "tests/support/free_port.h"
+#include "tests/support/relay.h"
 
 namespace bergamotscale::sidecar {
 namespace {
@@ -164,6 +165,25 @@
     return exchange;
   }
 
+  // Puts a relay before the upstream, and has the sidecar learn of its state by
+  // failed calls only. Call before Start().
+  void RelayUpstream() {
+    relay_ = std::make_unique<testing::Relay>(
+        io_, link::Endpoint{kAddress, upstream_port_});
+    settings_.upstream_url_ = UrlOf(relay_->endpoint().port_);
+    settings_.health_interval_ = Millis(60'000);
+  }
+  void CutUpstream() { relay_->Cut(); }
+  // From now on connections to the upstream are accepted and closed.
+  void KillUpstream() {
+    const uint16_t port = relay_->endpoint().port_;
+    relay_.reset();
+    io_.restart();
+    io_.poll();
+    relay_ = std::make_unique<testing::Relay>(
+        io_, link::Endpoint{kAddress, testing::FreePort()}, port);
+  }
+
   std::string Read(const std::string& path) {
     http::Call call;
     call.url_ = UrlOf(upstream_port_) + path;
@@ -236,6 +256,7 @@
   std::unique_ptr<standins::EngineServer> engine_;
   std::unique_ptr<standins::ServiceServer> service_;
   std::unique_ptr<link::LinkClient> client_;
+  std::unique_ptr<testing::Relay> relay_;
 };
 
 wire::Work ChatWork(const std::string& id, const std::string& prompt) {
@@ -298,6 +319,39 @@
                        1000));
 }
 
+TEST_CASE("sidecar: a dead upstream doesn't fail one request after the other") {
+  Bench bench(GroupKind::kEngine);
+  bench.RelayUpstream();
+  bench.settings_.initial_slots_ = 1;
+  bench.Start();
+  const auto running = bench.Send(ChatWork("r1", "[tokens=2000] hello"));
+  // The top tier may go beyond the limit by one.
+  const auto beside = bench.Send(ChatWork("r2", "[tokens=2000] hello"));
+  const auto waiting = bench.Reserve("r3");
+  REQUIRE(bench.RunUntil(
+      [&] { return !running->text_.empty() && !beside->text_.empty(); }));
+  REQUIRE_FALSE(waiting->granted_);
+  bench.KillUpstream();
+  REQUIRE(bench.RunUntil([&] { return running->over() && waiting->over(); }));
+  CHECK(running->refused_->code_ == ErrorCode::kUpstreamFailed);
+  CHECK_FALSE(running->refused_->upstream_up_);
+  CHECK_FALSE(waiting->granted_);
+  CHECK(waiting->refused_->verdict_ == Verdict::kNotRun);
+}
+
+TEST_CASE("sidecar: a connection that breaks is told from a crash") {
+  Bench bench(GroupKind::kEngine);
+  bench.RelayUpstream();
+  bench.Start();
+  const auto running = bench.Send(ChatWork("r1", "[tokens=2000] hello"));
+  REQUIRE(bench.RunUntil([&] { return !running->text_.empty(); }));
+  bench.CutUpstream();
+  REQUIRE(bench.RunUntil([&] { return running->over(); }));
+  CHECK(running->refused_->verdict_ == Verdict::kMayHaveRun);
+  CHECK(running->refused_->upstream_up_);
+  CHECK(bench.Run(ChatWork("r2", "[tokens=2] a"))->finished_);
+}
+
 TEST_CASE("sidecar: an unused grant lapses as not run") {
   Bench bench(GroupKind::kEngine);
   bench.settings_.initial_slots_ = 1;
