--- a/src/entry/request_flow.cc
+++ b/src/entry/request_flow.cc
@@ -14,6 +14,7 @@
 #include "src/entry/crash_report.h"
 #include "src/entry/retry_rule.h"
 #include "src/entry/told_verdict.h"
+#include "src/policy/quarantine.h"
 
 namespace bergamotscale::entry {
 namespace {
@@ -21,8 +22,6 @@
 using timeline::EventType;
 
 constexpr Millis kReserveAgainDelay = Millis(25);
-// A suspect waits until verdicts on what ran with it have spread.
-constexpr Millis kSuspectDelay = Millis(250);
 constexpr Millis kDefaultRetryAfter = Millis(1000);
 
 }  // namespace
@@ -306,7 +305,12 @@
       return;
     }
     may_have_run_ = true;
-    if (failure.error_.code_ == ErrorCode::kUpstreamFailed) {
+    if (failure.error_.code_ != ErrorCode::kUpstreamFailed) {
+      return;
+    }
+    failed_calls_.upstreams_up_ += failure.upstream_up_ ? 1 : 0;
+    failed_calls_.upstream_up_ = failure.upstream_up_;
+    if (IsCrash(failed_calls_)) {
       ++crashes_;
       suspect_ = true;
       TellOfCrash(traffic_, {request_.digest_, crashes_, failure.sidecars_});
@@ -327,7 +331,8 @@
                            request_.id_, InstanceId(),
                            ErrorName(failure.error_.code_));
     Count("bergamot_retries");
-    StartAttemptSoon(suspect_ ? kSuspectDelay : Millis(0));
+    StartAttemptSoon(suspect_ ? policy::SuspectDelay(request_.class_.tier_)
+                              : Millis(0));
   }
 
   void ReserveAgainLater() { StartAttemptSoon(kReserveAgainDelay); }
@@ -397,6 +402,7 @@
   int attempts_ = 0;
   int work_attempts_ = 0;
   int crashes_ = 0;
+  FailedCalls failed_calls_;
   bool no_upstream_ = false;
   bool suspect_ = false;
   bool may_have_run_ = false;
--- a/src/sidecar/scheduler.h
+++ b/src/sidecar/scheduler.h
@@ -63,7 +63,7 @@
   // Removes a ticket that was not started, without a hook.
   void Withdraw(Ticket ticket);
   // Uses the slot of a grant.
-  // @return false if the ticket holds no slot any more.
+  // @return false if the ticket holds no slot any more, or while held.
   bool Start(Ticket ticket);
   // Notes tokens that a started ticket has written.
   void OnChunk(Ticket ticket, Tokens tokens);
@@ -87,6 +87,8 @@
 
   // While not accepting nothing is granted, and nothing new is queued.
   void SetAccepting(bool accepting);
+  // While held nothing is granted or started; what waits goes on waiting.
+  void Hold(bool hold);
   // Refuses all that wait and from then on all that come. For good.
   void Leave();
 
@@ -137,6 +139,7 @@
   std::deque<uint64_t> recent_prefixes_;
   Ticket last_ticket_ = 0;
   bool accepting_ = false;
+  bool held_ = false;
   bool leaving_ = false;
 };
 
