Entry: links to a bounded subset of many sidecars

Change: above `full_mesh_up_to` sidecars (64; today's fleets link to all, as before) an entry links to those sidecars of which it is among the first entries by rendezvous hashing, most of the sidecar's zone and one of another, so that each sidecar has its entries by construction; and to at least so many of each group (8, three quarters of the own zone). A group that is full or not usable is doubled, up to all, and halved again after 30 s. A member that leaves the subset gets no new work and is closed once its last work has ended. The entry that plans placement links to all, and gives what is new a second to report first. The subset needs the entries of the instance list; a list that names no other entry means all, and until the list has been read only so many of each group.

Weighed: the entry's own first sidecars alone (some sidecars would have no entry); numbered entries in turn (a change moves most links).

Placement's holder still links to all. Verdicts and demands reach entries by shared sidecars, so in a subset each hears of a part; not measured.

--- a/src/entry/attempt.cc
+++ b/src/entry/attempt.cc
@@ -41,6 +41,7 @@
       Reserve(view);
     }
     if (places_.empty()) {
+      traffic_.upstreams_.NeedMore(wanted_.group_);
       Fail(Error(ErrorCode::kNoUpstream), Verdict::kNotRun, Millis(0));
     }
   }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr Millis kLogTimeout = Millis(5000);
+// Within this, new links have sent their first status.
+constexpr Millis kFirstReports = Millis(1000);
 constexpr Millis kGossipInterval = Millis(1000);
 constexpr Millis kDrainPoll = Millis(20);
 constexpr size_t kGossipVerdicts = 32;
@@ -91,7 +93,7 @@
         membership_(control_io_,
                     settings_.instance_list_url_,
                     settings_.sidecars_,
-                    [this](const std::vector<SidecarMember>& members) {
+                    [this](const Members& members) {
                       boost::asio::post(io_, [this, members] {
                         upstreams_.SetMembers(members);
                       });
@@ -102,7 +104,8 @@
                    timeline_,
                    metrics_,
                    PlacementHooksOf()),
-        gossip_timer_(io_) {}
+        gossip_timer_(io_),
+        engines_timer_(io_) {}
 
   ~Impl() {
     Stop();
@@ -176,6 +179,7 @@
     }
     thread_.Run([this] {
       gossip_timer_.cancel();
+      engines_timer_.cancel();
       upstreams_.Close();
       guard_.Close();
     });
@@ -222,7 +226,7 @@
   PlacementHooks PlacementHooksOf() {
     PlacementHooks hooks;
     hooks.read_engines_ = [this](auto done) {
-      boost::asio::post(io_, [this, done] { done(upstreams_.EngineViews()); });
+      boost::asio::post(io_, [this, done] { ReadEngines(done); });
     };
     hooks.config_ = [this]() -> std::shared_ptr<const ConfigDocument> {
       const auto config = config_.Read();
@@ -233,6 +237,20 @@
     return hooks;
   }
 
+  // Placement weighs all engines, so its holder links to all; what is linked to
+  // for this reports first.
+  void ReadEngines(
+      const std::function<void(std::vector<placement::EngineView>)>& done) {
+    if (!upstreams_.LinkToAll()) {
+      done(upstreams_.EngineViews());
+      return;
+    }
+    engines_timer_.expires_after(ToChrono(kFirstReports));
+    engines_timer_.async_wait([this, done](const boost::system::error_code&) {
+      done(upstreams_.EngineViews());
+    });
+  }
+
   void OnConfig(const config::ConfigSnapshot& snapshot) {
     config_.Write(snapshot);
     timeline_.Add(timeline::EventType::kConfigInForce, RequestId(),
@@ -302,6 +320,7 @@
     gossip_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
         upstreams_.SpreadGossip();
+        upstreams_.AdaptSubset();
         dispatcher_.Refresh(upstreams_.Views());
         ScheduleGossip();
       }
@@ -333,6 +352,7 @@
   Membership membership_;
   PlacementController placement_;
   boost::asio::steady_timer gossip_timer_;
+  boost::asio::steady_timer engines_timer_;
   std::atomic<bool> leaving_{false};
   bool traffic_stopped_ = false;
   std::thread control_thread_;
--- a/src/entry/membership.cc
+++ b/src/entry/membership.cc
@@ -1,5 +1,6 @@
 #include "src/entry/membership.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr Millis kPollInterval = Millis(500);
 constexpr Millis kPollTimeout = Millis(2000);
 constexpr char kSidecarRole[] = "sidecar";
+constexpr char kEntryRole[] = "entry";
+constexpr char kLive[] = "live";
 
 ListedSidecar ReadListed(const json& instance) {
   ListedSidecar listed;
@@ -28,7 +31,7 @@
   member.zone_ = ZoneId(instance.at("zone").get<std::string>());
   member.endpoint_.address_ = instance.at("address").get<std::string>();
   member.endpoint_.port_ = instance.at("link_port").get<uint16_t>();
-  listed.live_ = instance.at("state").get<std::string>() == "live";
+  listed.live_ = instance.at("state").get<std::string>() == kLive;
   return listed;
 }
 
@@ -49,6 +52,27 @@
   return sidecars;
 }
 
+Result<std::vector<EntryMember>> ParseListedEntries(const std::string& body) {
+  const json list = json::parse(body, nullptr, false);
+  std::vector<EntryMember> entries;
+  try {
+    for (const json& instance : list.at("instances")) {
+      const std::string zone = instance.value("zone", std::string());
+      if (instance.at("role").get<std::string>() == kEntryRole &&
+          instance.at("state").get<std::string>() == kLive && !zone.empty()) {
+        entries.push_back(
+            {InstanceId(instance.at("id").get<std::string>()), ZoneId(zone)});
+      }
+    }
+  } catch (const json::exception& failure) {
+    return Error(ErrorCode::kMalformedBody, failure.what());
+  }
+  std::sort(
+      entries.begin(), entries.end(),
+      [](const EntryMember& a, const EntryMember& b) { return a.id_ < b.id_; });
+  return entries;
+}
+
 std::vector<SidecarMember> JoinMembers(
     const std::vector<SidecarMember>& fixed,
     const std::vector<ListedSidecar>& listed) {
@@ -84,7 +108,7 @@
         on_change_(std::move(on_change)) {}
 
   void Start() {
-    on_change_(fixed_);
+    on_change_({JoinMembers(fixed_, {}), {}, url_.empty()});
     if (!url_.empty()) {
       Poll();
     }
@@ -126,7 +150,12 @@
       LOG(WARNING) << "instance list: " << listed.error().Message();
       return;
     }
-    on_change_(JoinMembers(fixed_, listed.value()));
+    const Result<std::vector<EntryMember>> entries = ParseListedEntries(body);
+    if (!entries.ok()) {
+      LOG(WARNING) << "instance list: " << entries.error().Message();
+      return;
+    }
+    on_change_({JoinMembers(fixed_, listed.value()), entries.value(), true});
   }
 
   void SchedulePoll() {
--- a/src/entry/membership.h
+++ b/src/entry/membership.h
@@ -24,6 +24,11 @@
 // @return kMalformedBody if it is no such list. Thread safety: safe.
 Result<std::vector<ListedSidecar>> ParseInstanceList(const std::string& body);
 
+// Reads the live entries in the same body, in the order of ids; an entry
+// without a zone is left out.
+// @return kMalformedBody if it is no such list. Thread safety: safe.
+Result<std::vector<EntryMember>> ParseListedEntries(const std::string& body);
+
 // @return the members to use: those listed as live, and the fixed ones that
 // the list doesn't show as leaving. Thread safety: safe.
 std::vector<SidecarMember> JoinMembers(
@@ -35,7 +40,7 @@
 // Thread safety: use on the io_context's thread, on which the hook is called.
 class Membership {
  public:
-  using ChangeHook = std::function<void(const std::vector<SidecarMember>&)>;
+  using ChangeHook = std::function<void(const Members&)>;
 
   // @param url of the list; if empty, the fixed members are all there are.
   // @param fixed members of the settings, used unless the list shows
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -12,6 +12,8 @@
 using settings::FieldReader;
 using Need = FieldReader::Need;
 
+// A choice of upstreams for the reservations of a request.
+constexpr int kMinSidecars = 4;
 constexpr Millis kMaxTimeout = Millis(600000);
 // With two lifetimes of an order, loads are still remembered.
 constexpr Millis kMaxWeightWindow = Millis(480000);
@@ -69,6 +71,21 @@
   });
 }
 
+void ReadSubset(FieldReader& reader, SubsetSettings* subset) {
+  constexpr int kMaxFullMesh = 100000;
+  constexpr int kMinEntries = 2;
+  constexpr int kMaxEntries = 64;
+  constexpr int kMaxSidecars = 1000;
+  reader.Object("subset", Need::kOptional, [&](FieldReader& item) {
+    item.Integer("full_mesh_up_to", Need::kOptional, 1, kMaxFullMesh,
+                 &subset->full_mesh_up_to_);
+    item.Integer("entries_per_sidecar", Need::kOptional, kMinEntries,
+                 kMaxEntries, &subset->entries_per_sidecar_);
+    item.Integer("sidecars_per_group", Need::kOptional, kMinSidecars,
+                 kMaxSidecars, &subset->sidecars_per_group_);
+  });
+}
+
 }  // namespace
 
 void ReadEntrySettings(FieldReader& reader, EntrySettings* settings) {
@@ -85,6 +102,7 @@
   ReadLimits(reader, &settings->limits_);
   link::ReadLinkOptions(reader, &settings->link_);
   ReadPlacement(reader, &settings->placement_);
+  ReadSubset(reader, &settings->subset_);
   reader.Integer("reservations", Need::kOptional, 1, kMaxReservations,
                  &settings->reservations_);
   reader.Integer("timeline_events", Need::kOptional, 1, kMaxEvents,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -20,6 +20,30 @@
   link::Endpoint endpoint_;
 };
 
+// An entry as the instance list names it.
+struct EntryMember {
+  InstanceId id_;
+  ZoneId zone_;
+};
+
+// The instances to work with, each list in the order of ids.
+struct Members {
+  std::vector<SidecarMember> sidecars_;
+  std::vector<EntryMember> entries_;
+  // False while there is a list that has not been read yet.
+  bool entries_known_ = true;
+};
+
+// How many links an entry keeps to sidecars. See PeerSubset.
+struct SubsetSettings {
+  // So many sidecars are all linked to.
+  int full_mesh_up_to_ = 64;
+  // With more, each sidecar has links from so many entries or more,
+  int entries_per_sidecar_ = 4;
+  // and each entry to so many sidecars of a group or more.
+  int sidecars_per_group_ = 8;
+};
+
 // Bounds on callers' connections.
 struct CallerLimits {
   int max_connections_ = 4096;
@@ -56,6 +80,7 @@
   CallerLimits limits_;
   link::LinkOptions link_;
   PlacementSettings placement_;
+  SubsetSettings subset_;
   int reservations_ = 3;
   int timeline_events_ = 20000;
   // Time between failing readiness and refusing new connections on a stop.
--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -6,6 +6,8 @@
 
 #include <glog/logging.h>
 
+#include "src/entry/peer_subset.h"
+
 namespace bergamotscale::entry {
 namespace {
 
@@ -15,6 +17,9 @@
 // How often the ages of all reports are brought up to date.
 constexpr Millis kAgeInterval = Millis(50);
 
+// Links to all members outlast two readings of the engines by this.
+constexpr Millis kLinkToAllExtra = Millis(5000);
+
 }  // namespace
 
 class UpstreamTable::Impl {
@@ -29,6 +34,8 @@
     Millis reported_;
     bool has_report_ = false;
     bool listed_ = true;
+    bool in_subset_ = true;
+    std::vector<link::Stream> work_;  // some may have ended
     int placed_since_ = 0;
     size_t view_ = 0;  // index in views_
   };
@@ -40,9 +47,12 @@
        GossipHooks gossip)
       : io_(io),
         link_options_(settings.link_),
+        link_to_all_for_(settings.placement_.plan_interval_ * 2 +
+                         kLinkToAllExtra),
         steady_(std::move(steady)),
         timeline_(timeline),
-        gossip_(std::move(gossip)) {}
+        gossip_(std::move(gossip)),
+        subset_(settings.instance_, settings.zone_, settings.subset_) {}
 
   void AddPeer(const SidecarMember& member) {
     auto peer = std::make_unique<Peer>();
@@ -130,6 +140,7 @@
     peer.reported_ = steady_.Now();
     peer.has_report_ = true;
     peer.placed_since_ = 0;
+    HasWork(peer);  // forgets streams that have ended
     RefreshView(peer);
   }
 
@@ -148,9 +159,9 @@
     view.group_ = peer.member_.group_;
     view.zone_ = peer.member_.zone_;
     view.report_age_ = now - peer.reported_;
-    view.usable_ = peer.listed_ && peer.has_report_ && peer.client_->usable() &&
-                   peer.status_.accepting_ && !peer.status_.leaving_ &&
-                   view.report_age_ < kReportLifetime;
+    view.usable_ = peer.listed_ && peer.in_subset_ && peer.has_report_ &&
+                   peer.client_->usable() && peer.status_.accepting_ &&
+                   !peer.status_.leaving_ && view.report_age_ < kReportLifetime;
     view.running_ = peer.status_.running_;
     view.slots_ = peer.status_.slots_;
     view.placed_since_ = peer.placed_since_;
@@ -187,21 +198,86 @@
     refreshed_ = now;
   }
 
-  // Forgets members that are no longer listed and whose link is gone.
-  void DropUnlisted() {
-    for (auto peer = peers_.begin(); peer != peers_.end();) {
-      const bool gone =
-          !peer->second->listed_ && !peer->second->client_->usable();
-      peer = gone ? peers_.erase(peer) : std::next(peer);
+  // Starts links to new members of the subset; the others get no new work.
+  void ApplySubset() {
+    for (auto& [id, peer] : peers_) {
+      peer->listed_ = false;
+      peer->in_subset_ = false;
+    }
+    for (const SidecarMember& member : members_.sidecars_) {
+      const bool wanted = link_to_all_ || subset_.Contains(member.id_);
+      const auto found = peers_.find(member.id_);
+      if (found != peers_.end()) {
+        found->second->listed_ = true;
+        found->second->in_subset_ = wanted;
+        FollowMove(member);
+      } else if (wanted) {
+        AddPeer(member);
+      }
     }
     rebuild_ = true;
+    DropUnused();
+  }
+
+  // Links anew to a member whose address has changed.
+  void FollowMove(const SidecarMember& member) {
+    Peer& peer = *peers_[member.id_];
+    if (!(peer.member_.endpoint_ == member.endpoint_)) {
+      const bool in_subset = peer.in_subset_;
+      peer.client_->Close();
+      AddPeer(member);
+      peers_[member.id_]->in_subset_ = in_subset;
+    }
+  }
+
+  static bool HasWork(Peer& peer) {
+    std::vector<link::Stream>& work = peer.work_;
+    work.erase(std::remove_if(
+                   work.begin(), work.end(),
+                   [](const link::Stream& stream) { return !stream.open(); }),
+               work.end());
+    return !work.empty();
+  }
+
+  // Forgets members that are no longer listed and whose link is gone, and those
+  // out of the subset that have no work.
+  void DropUnused() {
+    const size_t before = peers_.size();
+    for (auto peer = peers_.begin(); peer != peers_.end();) {
+      Peer& each = *peer->second;
+      const bool gone = !each.listed_ && !each.client_->usable();
+      const bool idle = each.listed_ && !each.in_subset_ && !HasWork(each);
+      if (idle) {
+        each.client_->Close();
+      }
+      peer = gone || idle ? peers_.erase(peer) : std::next(peer);
+    }
+    rebuild_ = rebuild_ || peers_.size() != before;
+  }
+
+  void WidenFullGroups(Millis now) {
+    std::map<GroupId, bool> has_room;
+    for (const policy::UpstreamView& view : views_) {
+      const bool room = view.usable_ && view.running_ < view.slots_;
+      has_room[view.group_] = has_room[view.group_] || room;
+    }
+    for (const auto& [group, room] : has_room) {
+      if (!room) {
+        subset_.Widen(group, now);
+      }
+    }
   }
 
   boost::asio::io_context& io_;
   const link::LinkOptions link_options_;
+  const Millis link_to_all_for_;
   const Clock steady_;
   timeline::Timeline* const timeline_;
   const GossipHooks gossip_;
+  PeerSubset subset_;
+  Members members_;
+  bool link_to_all_ = false;
+  Millis link_to_all_until_;
   std::map<InstanceId, std::unique_ptr<Peer>> peers_;
   std::vector<policy::UpstreamView> views_;
   Millis refreshed_;
@@ -221,24 +297,49 @@
 
 UpstreamTable::~UpstreamTable() = default;
 
-void UpstreamTable::SetMembers(const std::vector<SidecarMember>& members) {
-  for (auto& [id, peer] : impl_->peers_) {
-    peer->listed_ = false;
+void UpstreamTable::SetMembers(const Members& members) {
+  if (impl_->subset_.SetMembers(members)) {
+    impl_->members_ = members;
+    impl_->ApplySubset();
+  } else {
+    impl_->DropUnused();
   }
-  for (const SidecarMember& member : members) {
-    const auto found = impl_->peers_.find(member.id_);
-    if (found == impl_->peers_.end()) {
-      impl_->AddPeer(member);
-      continue;
-    }
-    const bool moved = !(found->second->member_.endpoint_ == member.endpoint_);
-    if (moved) {
-      found->second->client_->Close();
-      impl_->AddPeer(member);
-    }
-    impl_->peers_[member.id_]->listed_ = true;
+}
+
+void UpstreamTable::NeedMore(const GroupId& group) {
+  if (impl_->subset_.Widen(group, impl_->steady_.Now())) {
+    impl_->ApplySubset();
   }
-  impl_->DropUnlisted();
+}
+
+bool UpstreamTable::LinkToAll() {
+  impl_->link_to_all_until_ = impl_->steady_.Now() + impl_->link_to_all_for_;
+  const size_t before = impl_->peers_.size();
+  if (!std::exchange(impl_->link_to_all_, true)) {
+    impl_->ApplySubset();
+  }
+  return impl_->peers_.size() > before;
+}
+
+void UpstreamTable::AdaptSubset() {
+  const Millis now = impl_->steady_.Now();
+  impl_->RefreshViews();
+  const size_t before = impl_->subset_.size();
+  impl_->WidenFullGroups(now);
+  const bool narrowed = impl_->subset_.Narrow(now);
+  const bool ended = impl_->link_to_all_ && now >= impl_->link_to_all_until_;
+  if (ended) {
+    impl_->link_to_all_ = false;
+  }
+  if (ended || narrowed || impl_->subset_.size() != before) {
+    impl_->ApplySubset();
+  } else {
+    impl_->DropUnused();
+  }
+}
+
+size_t UpstreamTable::links() const {
+  return impl_->peers_.size();
 }
 
 const std::vector<policy::UpstreamView>& UpstreamTable::Views() {
@@ -259,6 +360,11 @@
                      peer->status_.loaded_,
                      {}});
   }
+  for (const SidecarMember& member : impl_->members_.sidecars_) {
+    if (impl_->peers_.count(member.id_) == 0) {
+      views.push_back({member.id_, member.group_, false, {}, {}, {}});
+    }
+  }
   return views;
 }
 
@@ -268,9 +374,15 @@
   if (found == impl_->peers_.end()) {
     return ErrorCode::kUpstreamUnreachable;
   }
-  ++found->second->placed_since_;
-  impl_->RefreshView(*found->second);
-  return found->second->client_->Open(wire::kWorkPath, std::move(hooks));
+  Impl::Peer& peer = *found->second;
+  ++peer.placed_since_;
+  impl_->RefreshView(peer);
+  Result<link::Stream> stream =
+      peer.client_->Open(wire::kWorkPath, std::move(hooks));
+  if (stream.ok()) {
+    peer.work_.push_back(stream.value());
+  }
+  return stream;
 }
 
 void UpstreamTable::SpreadGossip() {
--- a/src/entry/upstream_table.h
+++ b/src/entry/upstream_table.h
@@ -26,9 +26,9 @@
   std::function<void(const wire::Gossip& gossip)> take_;
 };
 
-// Keeps a link and a status stream to each member. A member that leaves the
-// list gets no new work; its link stays until it is lost, so that its running
-// answers end whole.
+// Keeps a link and a status stream to each member of its subset (PeerSubset).
+// A member that leaves the list or the subset gets no new work. Its link stays
+// until it is lost, or, if it is still listed, until its last answer has ended.
 // Thread safety: use on the io_context's thread only.
 class UpstreamTable {
  public:
@@ -41,14 +41,30 @@
   UpstreamTable(const UpstreamTable&) = delete;
   UpstreamTable& operator=(const UpstreamTable&) = delete;
 
-  // Replaces the members; links to new ones are started.
-  void SetMembers(const std::vector<SidecarMember>& members);
+  // Replaces the members; links to new ones of the subset are started.
+  void SetMembers(const Members& members);
+
+  // Links to more members of a group for a time, if there are any.
+  void NeedMore(const GroupId& group);
+
+  // Links to all members, for two intervals of placement's plans and 5 s from
+  // now on.
+  // @return whether links were added, whose status is not yet known.
+  bool LinkToAll();
+
+  // Widens the subset for groups without a free slot, and narrows it again.
+  // Call about once a second.
+  void AdaptSubset();
+
+  // @return members that are linked to or were and still have work.
+  size_t links() const;
 
   // @return what dispatch weighs, in the order of ids. Valid until the next
   // call of another method.
   const std::vector<policy::UpstreamView>& Views();
 
-  // @return what placement weighs: models of the last reports.
+  // @return what placement weighs: models of the last reports. Members that
+  // are not linked to are not usable.
   std::vector<placement::EngineView> EngineViews() const;
 
   // Opens a work stream to a member of Views(), and counts the placement.
--- a/tools/measure_capacity.sh
+++ b/tools/measure_capacity.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Measures what docs/CAPACITY.md is worked out from: memory, processor time and
 # messages of each role at several sizes, and the slope of each, by least
-# squares. Usage: tools/measure_capacity.sh [PART...]; parts: sidecars entries
-# requests tokens document changes orders. Takes about six minutes in all.
+# squares. Usage: tools/measure_capacity.sh [PART...]; parts: sidecars subset
+# entries requests tokens document changes orders. Takes about six minutes in all.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 source tools/local_settings.sh
@@ -30,7 +30,7 @@
 
 stop_all() {
   local name
-  for name in entry-1 sidecar-e1 sidecar-s1 engine-1 service-1 peers log-1; do
+  for name in entry-1 sidecar-e1 sidecar-s1 engine-1 service-1 peers log-1 entry-2 list-1; do
     stop "$name"
   done
 }
@@ -121,39 +121,77 @@
   done
 }
 
-# The entry against sidecars that only send their status.
+# Gives the entry so many sidecars at 127.1.x.y, in turn in three zones.
+write_many_sidecars() {  # COUNT
+  awk -v n="$1" -v port="$peers_port" '
+    /"sidecars": \[/ {
+      print
+      for (i = 0; i < n; i++)
+        printf "%s{\"id\": \"sidecar-%d\", \"group\": \"keywording\", \"availability_zone\": \"zone-%s\", \"address\": \"127.1.%d.%d\", \"port\": %d}\n",
+               i ? "," : "", i, substr("abc", i % 3 + 1, 1), i / 250, i % 250 + 1, port
+      skip = 1; next
+    }
+    /^  \]/ {skip = 0}
+    !skip {print}' "$folder/entry-1.json" >"$folder/entry-many.json"
+  mv "$folder/entry-many.json" "$folder/entry-1.json"
+}
+
+# The entry against so many sidecars that only send their status.
+sample_sidecars() {  # PART COUNT
+  build/bin/capacity_peers "--sidecars=$2" "--port=$peers_port" \
+    >"$folder/peers.out" 2>&1 &
+  pids[peers]=$!
+  start entry-1 bergamot_entry
+  wait_for entry-1 /readyz
+  sleep 3
+  sample "$1" "$2" entry-1 sleep "$seconds"
+  stop_all
+  echo "$1 $2: peers $(cat "$folder/peers.out")"
+}
+
 measure_sidecars() {
   local count
   for count in 10 100 200 400; do
     write_local_settings "$folder" "$LOCAL_BASE_PORT"
     build/bin/bergamotctl load --print_config >"$folder/config.json"
-    awk -v n="$count" -v port="$peers_port" '
-      /"sidecars": \[/ {
-        print
-        for (i = 0; i < n; i++)
-          printf "%s{\"id\": \"sidecar-%d\", \"group\": \"keywording\", \"availability_zone\": \"zone-a\", \"address\": \"127.1.%d.%d\", \"port\": %d}\n",
-                 i ? "," : "", i, i / 250, i % 250 + 1, port
-        skip = 1; next
-      }
-      /^  \]/ {skip = 0}
-      !skip {print}' "$folder/entry-1.json" >"$folder/entry-many.json"
-    mv "$folder/entry-many.json" "$folder/entry-1.json"
+    write_many_sidecars "$count"
     start_log_with "$folder/config.json"
-    build/bin/capacity_peers "--sidecars=$count" "--port=$peers_port" \
-      >"$folder/peers.out" 2>&1 &
-    pids[peers]=$!
-    start entry-1 bergamot_entry
-    wait_for entry-1 /readyz
-    sleep 3
-    sample sidecars "$count" entry-1 sleep "$seconds"
-    stop entry-1
-    stop peers
-    stop log-1
-    echo "sidecars $count: peers $(cat "$folder/peers.out")"
+    sample_sidecars sidecars "$count"
   done
   report sidecars "sidecars, each sending its status 10 times a second"
 }
 
+# Names 20 entries, so that the entry keeps to its subset of the sidecars.
+list_entries() {
+  local i
+  start list-1 fake_instance_list
+  wait_for list-1 /healthz
+  for i in $(seq 20); do
+    curl -sf -o /dev/null "$(url_of list-1)/instances" -d \
+      "{\"id\": \"entry-$i\", \"role\": \"entry\", \"zone\": \"$(zone_of "$i")\", \"address\": \"127.0.0.1\"}"
+  done
+  sed -i "s|\"log_url\"|\"instance_list_url\": \"$(url_of list-1)\",\n  \"log_url\"|" \
+    "$folder/entry-1.json"
+}
+
+# As measure_sidecars, with a list of entries. A second entry holds the lease on
+# placement, whose holder links to all.
+measure_subset() {
+  local count
+  for count in 10 100 200 400; do
+    ENTRIES=2 write_local_settings "$folder" "$LOCAL_BASE_PORT"
+    build/bin/bergamotctl load --print_config >"$folder/config.json"
+    write_many_sidecars "$count"
+    start_log_with "$folder/config.json"
+    list_entries
+    start entry-2 bergamot_entry
+    wait_for entry-2 /readyz
+    sleep 3
+    sample_sidecars subset "$count"
+  done
+  report subset "sidecars listed beside 20 entries"
+}
+
 # A sidecar against entries that only listen to its status.
 measure_entries() {
   local count
@@ -290,7 +328,7 @@
 
 parts=("$@")
 [ "${#parts[@]}" -gt 0 ] ||
-  parts=(sidecars entries requests tokens document changes orders)
+  parts=(sidecars subset entries requests tokens document changes orders)
 for part in "${parts[@]}"; do
   "measure_$part"
 done
