--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -37,7 +37,8 @@
   void RouteOthers(Handler handler);
 
   Status Open();
-  // Stops accepting and waits for handlers that have not replied.
+  // Takes no new connections, and waits a bounded time for replies and for
+  // connections that have sent nothing yet.
   void Close();
 
   // @return such as "http://127.0.0.1:8080".
