--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -1,6 +1,7 @@
 #include "src/http/listener.h"
 
 #include <chrono>
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -11,17 +12,12 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-#include "src/http/listening_socket.h"
-
 namespace bergamotscale::http {
 namespace {
 
 constexpr int64_t kMillisPerSecond = 1000;
 constexpr std::chrono::milliseconds kDrainLimit{2000};
 constexpr std::chrono::milliseconds kWriteGrace{30};
-// Connections without a request for this long are closed by a stop.
-constexpr std::chrono::milliseconds kIdleTime{500};
-constexpr std::chrono::milliseconds kDrainLookDelay{10};
 
 struct RouteKey {
   std::string method_;
@@ -52,14 +48,16 @@
   void End() {
     const std::lock_guard<std::mutex> lock(mutex_);
     --count_;
+    none_.notify_all();
   }
-  bool none() const {
-    const std::lock_guard<std::mutex> lock(mutex_);
-    return count_ == 0;
+  void WaitForNone(std::chrono::milliseconds limit) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    none_.wait_for(lock, limit, [this] { return count_ == 0; });
   }
 
  private:
-  mutable std::mutex mutex_;
+  std::mutex mutex_;
+  std::condition_variable none_;
   int count_ = 0;
 };
 
@@ -67,8 +65,7 @@
 
 class Listener::Impl {
  public:
-  Impl(std::string url, uint16_t port)
-      : url_(std::move(url)), port_(port), listener_(url_) {
+  explicit Impl(std::string url) : url_(std::move(url)), listener_(url_) {
     listener_.support(
         [this](web::http::http_request request) { Handle(request); });
   }
@@ -96,36 +93,7 @@
     }
   }
 
-  // Takes no new connections and waits for the callers of the present ones:
-  // until they are gone, or have sent nothing for a while.
-  void Drain() const {
-    using SteadyClock = std::chrono::steady_clock;
-    for (const int socket : FindPortSockets(port_).listening_) {
-      const Status dropping = DropNewConnections(socket);
-      LOG_IF(WARNING, !dropping.ok()) << url_ << ": can't drop connections";
-    }
-    const auto give_up = SteadyClock::now() + kDrainLimit;
-    auto last_request = SteadyClock::now();
-    auto last_connection = last_request;
-    bool drained = false;
-    while (!drained && SteadyClock::now() < give_up) {
-      std::this_thread::sleep_for(kDrainLookDelay);
-      const auto now = SteadyClock::now();
-      const PortSockets sockets = FindPortSockets(port_);
-      if (!open_requests_->none()) {
-        last_request = now;
-      }
-      if (sockets.connected_ + sockets.to_accept_ > 0) {
-        last_connection = now;
-      }
-      const bool unused = now - last_connection >= kWriteGrace;
-      const bool idle = now - last_request >= kIdleTime;
-      drained = open_requests_->none() && (unused || idle);
-    }
-  }
-
   std::string url_;
-  const uint16_t port_;
   web::http::experimental::listener::http_listener listener_;
   std::map<RouteKey, Handler> routes_;
   Handler others_;
@@ -136,9 +104,8 @@
 };
 
 Listener::Listener(std::string address, uint16_t port)
-    : impl_(std::make_unique<Impl>(
-          "http://" + address + ":" + std::to_string(port),
-          port)) {}
+    : impl_(std::make_unique<Impl>("http://" + address + ":" +
+                                   std::to_string(port))) {}
 
 Listener::~Listener() {
   Close();
@@ -171,7 +138,7 @@
   impl_->is_open_ = false;
   // The library's close tears down sockets under its own running operations,
   // which can crash, so replies are let out first.
-  impl_->Drain();
+  impl_->open_requests_->WaitForNone(kDrainLimit);
   std::this_thread::sleep_for(kWriteGrace);
   try {
     impl_->listener_.close().wait();
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -37,8 +37,7 @@
   void RouteOthers(Handler handler);
 
   Status Open();
-  // Takes no new connections, and waits a bounded time for replies and for
-  // connections that have sent nothing yet.
+  // Stops accepting and waits for handlers that have not replied.
   void Close();
 
   // @return such as "http://127.0.0.1:8080".
--- a/src/http/listening_socket.h
+++ b/src/http/listening_socket.h
@@ -2,9 +2,6 @@
 #ifndef BERGAMOTSCALE_SRC_HTTP_LISTENING_SOCKET_H_
 #define BERGAMOTSCALE_SRC_HTTP_LISTENING_SOCKET_H_
 
-#include <cstdint>
-#include <vector>
-
 #include "bergamotscale/result.h"
 
 namespace bergamotscale::http {
@@ -18,17 +15,6 @@
 // Thread safety: safe.
 Status DropNewConnections(int socket);
 
-// Open TCP sockets of this process that are bound to a local port.
-struct PortSockets {
-  std::vector<int> listening_;  // descriptors
-  int connected_ = 0;
-  int to_accept_ = 0;  // connections that wait to be accepted
-};
-
-// Looks at each descriptor of the process. Thread safety: safe; another thread
-// may close a descriptor meanwhile.
-PortSockets FindPortSockets(uint16_t port);
-
 }  // namespace bergamotscale::http
 
 #endif  // BERGAMOTSCALE_SRC_HTTP_LISTENING_SOCKET_H_
