--- a/src/entry/upstream_table.cc
+++ b/src/entry/upstream_table.cc
@@ -367,7 +367,10 @@
   }
   for (const SidecarMember& member : impl_->members_.sidecars_) {
     if (impl_->peers_.count(member.id_) == 0) {
-      views.push_back({member.id_, member.group_, false, {}, {}, {}});
+      placement::EngineView unknown;
+      unknown.sidecar_ = member.id_;
+      unknown.group_ = member.group_;
+      views.push_back(std::move(unknown));
     }
   }
   return views;
