Placement: a load that an engine takes up late holds its room

An engine that goes on before the sidecar's call runs out of time answers it, but the plan's mark of the order may have timed out by then, and the model shows only once it is loaded; in between its room looks free.

Ruled out: the order being given up (the call didn't run out of time); a longer mark in the plan (the pause may be longer too).

Change: a load that is answered after its expiry is reported as taking room until the engine shows it, like one whose call ran out of time.

--- a/src/sidecar/engine_orders.cc
+++ b/src/sidecar/engine_orders.cc
@@ -118,12 +118,14 @@
     metrics_.Add("bergamot_engine_orders_applied");
   }
 
+  bool IsLate(const EngineOrder& order) const {
+    return order.expires_ > Millis(0) && wall_.Now() >= order.expires_;
+  }
+
   // An order that may be under way in the engine is not given up: the engine
   // is asked until it answers, or is seen to be another process.
   bool IsExpired(const EngineOrder& order) const {
-    const bool late =
-        order.expires_ > Millis(0) && wall_.Now() >= order.expires_;
-    return late && !under_way_;
+    return IsLate(order) && !under_way_;
   }
 
   void DropExpired() {
@@ -213,7 +215,7 @@
     }
   }
 
-  // A call that ran out of time may take effect later.
+  // A call that ran out of time, or was answered late, may take effect later.
   void NoteUnderWay(const EngineOrder& order,
                     const Result<http::Reply>& reply) {
     const bool timed_out =
@@ -222,7 +224,9 @@
     const bool process_gone =
         !reply.ok() && reply.error().code_ == ErrorCode::kUpstreamUnreachable;
     const bool refused = answered && reply.value().status_ >= kHttpFirstError;
-    if (timed_out && order.action_ == placement::EngineAction::kLoadModel) {
+    // The plan may know of it no more.
+    const bool unplanned = timed_out || (answered && !refused && IsLate(order));
+    if (unplanned && order.action_ == placement::EngineAction::kLoadModel) {
       hooks_.set_offer_(order.model_, ModelOffer::kLoading);
     } else if (under_way_ && (process_gone || refused)) {
       hooks_.set_offer_(order.model_, ModelOffer::kOffered);
--- a/tests/process/placement_faults_test.cc
+++ b/tests/process/placement_faults_test.cc
@@ -19,6 +19,7 @@
 constexpr int kRoom = 2;
 // Past the lease, and past the sidecar's patience with an order to its engine.
 constexpr milliseconds kFaultTime(6000);
+constexpr milliseconds kBeforeCallTimeout(4800);
 constexpr milliseconds kAfterwards(3000);
 // Many plans.
 constexpr milliseconds kRest(1500);
@@ -258,6 +259,24 @@
   fleet.CheckHistory();
 }
 
+// The engine goes on before the sidecar's call runs out of time, but after the
+// plan's mark of the order has.
+TEST_CASE("placement faults: an order that an engine takes up late") {
+  PlacementFleet fleet(PlacementOptions(2, kManyFetches));
+  fleet.WaitForHolder();
+  fleet.SetRoom(kRoom);
+  const auto start = steady_clock::now();
+  fleet.cluster().Signal("engine-1", SIGSTOP);
+  fleet.AddModel("headlines-8b");
+  std::this_thread::sleep_for(milliseconds(2500));
+  fleet.RemoveModel("headlines-8b");
+  fleet.AddModel("captions-8b");
+  std::this_thread::sleep_until(start + kBeforeCallTimeout);
+  fleet.cluster().Signal("engine-1", SIGCONT);
+  CheckRoomAfterwards(fleet);
+  fleet.CheckHistory();
+}
+
 TEST_CASE("placement faults: a sidecar stopped before it reports a load") {
   PlacementFleet fleet(PlacementOptions(2, kManyFetches));
   fleet.WaitForHolder();
