--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -16,6 +16,7 @@
 #include "src/entry/placement_controller.h"
 #include "src/entry/router.h"
 #include "src/entry/traffic.h"
+#include "src/gossip/soft_state.h"
 #include "src/http/caller_guard.h"
 #include "src/http/http_thread.h"
 #include "src/http/listener.h"
@@ -278,17 +279,10 @@
         gossip.document_ = config->text_;
       }
     }
-    for (const policy::SuspicionRecord& record :
-         quarantine_.Records(steady_.Now(), kGossipVerdicts)) {
-      gossip.crash_verdicts_.push_back(
-          wire::CrashVerdict{record.digest_, record.crashes_, record.convicted_,
-                             record.expires_in_, record.source_});
-    }
-    for (const policy::WorkspaceDemand& demand :
-         admission_.Demands(steady_.Now())) {
-      gossip.demands_.push_back(
-          wire::WorkspaceDemand{demand.workspace_, demand.per_second_});
-    }
+    const Millis now = steady_.Now();
+    gossip.crash_verdicts_ =
+        gossip::ToWire(quarantine_.Records(now, kGossipVerdicts));
+    gossip.demands_ = gossip::ToWire(admission_.Demands(now));
     return gossip;
   }
 
@@ -300,17 +294,11 @@
                         gossip.document_);
       });
     }
-    std::vector<policy::WorkspaceDemand> demands;
-    for (const wire::WorkspaceDemand& demand : gossip.demands_) {
-      demands.push_back({demand.workspace_, demand.per_second_});
-    }
-    admission_.TakeDemands(demands, steady_.Now());
+    const Millis now = steady_.Now();
+    admission_.TakeDemands(gossip::FromWire(gossip.demands_), now);
     bool changed = false;
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
-      const policy::SuspicionRecord record{
-          verdict.digest_, verdict.crashes_, verdict.convicted_,
-          verdict.expires_in_, verdict.source_};
-      changed |= quarantine_.Merge(record, steady_.Now());
+      changed |= quarantine_.Merge(gossip::FromWire(verdict), now);
     }
     if (changed) {
       upstreams_.SpreadGossip();
--- /dev/null
+++ b/src/gossip/soft_state.cc
@@ -0,0 +1,41 @@
+#include "src/gossip/soft_state.h"
+
+namespace bergamotscale::gossip {
+
+std::vector<wire::CrashVerdict> ToWire(
+    const std::vector<policy::SuspicionRecord>& records) {
+  std::vector<wire::CrashVerdict> verdicts;
+  verdicts.reserve(records.size());
+  for (const policy::SuspicionRecord& record : records) {
+    verdicts.push_back({record.digest_, record.crashes_, record.convicted_,
+                        record.expires_in_, record.source_});
+  }
+  return verdicts;
+}
+
+std::vector<wire::WorkspaceDemand> ToWire(
+    const std::vector<policy::WorkspaceDemand>& demands) {
+  std::vector<wire::WorkspaceDemand> told;
+  told.reserve(demands.size());
+  for (const policy::WorkspaceDemand& demand : demands) {
+    told.push_back({demand.workspace_, demand.per_second_});
+  }
+  return told;
+}
+
+policy::SuspicionRecord FromWire(const wire::CrashVerdict& verdict) {
+  return {verdict.digest_, verdict.crashes_, verdict.convicted_,
+          verdict.expires_in_, verdict.source_};
+}
+
+std::vector<policy::WorkspaceDemand> FromWire(
+    const std::vector<wire::WorkspaceDemand>& demands) {
+  std::vector<policy::WorkspaceDemand> heard;
+  heard.reserve(demands.size());
+  for (const wire::WorkspaceDemand& demand : demands) {
+    heard.push_back({demand.workspace_, demand.per_second_});
+  }
+  return heard;
+}
+
+}  // namespace bergamotscale::gossip
--- /dev/null
+++ b/src/gossip/soft_state.h
@@ -0,0 +1,27 @@
+// Soft state that peers exchange, between its form on the wire and the
+// policy's.
+#ifndef BERGAMOTSCALE_SRC_GOSSIP_SOFT_STATE_H_
+#define BERGAMOTSCALE_SRC_GOSSIP_SOFT_STATE_H_
+
+#include <vector>
+
+#include "src/policy/demand_table.h"
+#include "src/policy/quarantine.h"
+#include "src/wire/messages.h"
+
+namespace bergamotscale::gossip {
+
+// Each keeps order and values. Thread safety: safe.
+
+std::vector<wire::CrashVerdict> ToWire(
+    const std::vector<policy::SuspicionRecord>& records);
+std::vector<wire::WorkspaceDemand> ToWire(
+    const std::vector<policy::WorkspaceDemand>& demands);
+
+policy::SuspicionRecord FromWire(const wire::CrashVerdict& verdict);
+std::vector<policy::WorkspaceDemand> FromWire(
+    const std::vector<wire::WorkspaceDemand>& demands);
+
+}  // namespace bergamotscale::gossip
+
+#endif  // BERGAMOTSCALE_SRC_GOSSIP_SOFT_STATE_H_
--- a/src/sidecar/scheduler.cc
+++ b/src/sidecar/scheduler.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "src/gossip/soft_state.h"
+
 namespace bergamotscale::sidecar {
 namespace {
 
@@ -18,25 +20,6 @@
   return limiter;
 }
 
-wire::CrashVerdict VerdictOf(const policy::SuspicionRecord& record) {
-  wire::CrashVerdict verdict;
-  verdict.digest_ = record.digest_;
-  verdict.crashes_ = record.crashes_;
-  verdict.convicted_ = record.convicted_;
-  verdict.expires_in_ = record.expires_in_;
-  verdict.source_ = record.source_;
-  return verdict;
-}
-
-std::vector<wire::CrashVerdict> VerdictsOf(
-    const std::vector<policy::SuspicionRecord>& records) {
-  std::vector<wire::CrashVerdict> verdicts;
-  verdicts.reserve(records.size());
-  std::transform(records.begin(), records.end(), std::back_inserter(verdicts),
-                 VerdictOf);
-  return verdicts;
-}
-
 }  // namespace
 
 Scheduler::Scheduler(SchedulerOptions options, Clock clock)
@@ -346,17 +329,12 @@
 
 std::vector<wire::CrashVerdict> Scheduler::OnCrash(
     const std::vector<policy::RunningDigest>& running) {
-  return VerdictsOf(
+  return gossip::ToWire(
       quarantine_.OnCrash(running, clock_.Now(), options_.crash_source_));
 }
 
 void Scheduler::Merge(const wire::CrashVerdict& verdict) {
-  policy::SuspicionRecord record;
-  record.digest_ = verdict.digest_;
-  record.crashes_ = verdict.crashes_;
-  record.convicted_ = verdict.convicted_;
-  record.expires_in_ = verdict.expires_in_;
-  record.source_ = verdict.source_;
+  const policy::SuspicionRecord record = gossip::FromWire(verdict);
   if (quarantine_.Merge(record, clock_.Now()) && record.crashes_ > 0) {
     MarkSuspects(record.digest_);
   }
@@ -372,7 +350,7 @@
 }
 
 std::vector<wire::CrashVerdict> Scheduler::Verdicts(size_t limit) const {
-  return VerdictsOf(quarantine_.Records(clock_.Now(), limit));
+  return gossip::ToWire(quarantine_.Records(clock_.Now(), limit));
 }
 
 void Scheduler::RememberPrefixes(const Entry& entry) {
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 
 #include "bergamotscale/clock.h"
+#include "src/gossip/soft_state.h"
 #include "src/link/link.h"
 #include "src/policy/demand_table.h"
 #include "src/sidecar/orders_feed.h"
@@ -320,29 +321,18 @@
     for (const wire::CrashVerdict& verdict : gossip.crash_verdicts_) {
       scheduler_.Merge(verdict);
     }
-    TakeDemands(gossip);
+    demands_.Take(gossip.from_, gossip::FromWire(gossip.demands_),
+                  clock_.Now());
     if (!gossip.document_.empty()) {
       hooks_.on_config_gossip_(gossip);
     }
   }
 
-  void TakeDemands(const wire::Gossip& gossip) {
-    std::vector<policy::WorkspaceDemand> demands;
-    demands.reserve(gossip.demands_.size());
-    for (const wire::WorkspaceDemand& demand : gossip.demands_) {
-      demands.push_back({demand.workspace_, demand.per_second_});
-    }
-    demands_.Take(gossip.from_, std::move(demands), clock_.Now());
-  }
-
   // Tells each entry how much all of them see of the workspaces.
   void SendDemands() {
     wire::Gossip gossip;
     gossip.from_ = settings_.instance_;
-    for (const policy::WorkspaceDemand& demand : demands_.Sums(clock_.Now())) {
-      gossip.demands_.push_back(
-          wire::WorkspaceDemand{demand.workspace_, demand.per_second_});
-    }
+    gossip.demands_ = gossip::ToWire(demands_.Sums(clock_.Now()));
     if (!gossip.demands_.empty()) {
       hub_.Broadcast(gossip);
     }
