Dispatch: a suspect goes only where its model is loaded

Cause: the one place of a suspect was chosen among all usable upstreams of its group, without a look at their models. As long as every engine had every model that was right; since models are unloaded, the sidecar refuses the request, or it waits where it can't run. Found by reading.

Ruled out: the choice of other requests, which looks at the models.

Change: CanServe() holds the conditions for both.

Before: 'dispatch: a suspect goes only where its model is loaded' failed for 18 of 20 digests; after: passes, with the 12 other tests of dispatch.

--- a/src/policy/dispatcher.cc
+++ b/src/policy/dispatcher.cc
@@ -84,6 +84,14 @@
   return 0;
 }
 
+// @return whether a request may be placed at the upstream at all.
+bool CanServe(const UpstreamView& view, const DispatchRequest& request) {
+  const bool has_model =
+      request.model_.empty() || Contains(view.models_, request.model_);
+  return view.usable_ && view.group_ == request.group_ && has_model &&
+         !Contains(request.avoid_, view.sidecar_);
+}
+
 }  // namespace
 
 Millis SuspectPatience(Millis deadline) {
@@ -158,11 +166,7 @@
                                 const DispatchRequest& request,
                                 const std::vector<UpstreamView>& views) {
   const UpstreamView& view = views[index];
-  const bool has_model =
-      request.model_.empty() || Contains(view.models_, request.model_);
-  if (!view.usable_ || view.group_ != request.group_ || !has_model ||
-      Contains(request.avoid_, view.sidecar_) ||
-      (only_kept_ && !kept_.MayRun(view))) {
+  if (!CanServe(view, request) || (only_kept_ && !kept_.MayRun(view))) {
     return;
   }
   for (const Candidate& known : candidates_) {
@@ -390,8 +394,7 @@
   const std::hash<InstanceId> hash;
   for (size_t i = 0; i < views.size(); ++i) {
     const UpstreamView& view = views[i];
-    if (!view.usable_ || view.group_ != request.group_ ||
-        Contains(request.avoid_, view.sidecar_)) {
+    if (!CanServe(view, request)) {
       continue;
     }
     const uint64_t weight = Mix(hash(view.sidecar_) ^ request.digest_);
--- a/tests/dispatch_zones_test.cc
+++ b/tests/dispatch_zones_test.cc
@@ -96,5 +96,18 @@
   CHECK(next != first);
 }
 
+TEST_CASE("dispatch: a suspect goes only where its model is loaded") {
+  std::vector<UpstreamView> views = Views();
+  const ModelId model("quotes-8b");
+  views[3].models_ = {model};
+  DispatchRequest request = Request();
+  request.suspect_ = true;
+  request.model_ = model;
+  for (uint64_t digest = 1; digest <= 20; ++digest) {
+    request.digest_ = digest;
+    CHECK(DispatcherInA().Choose(request, views) == std::vector<int>{3});
+  }
+}
+
 }  // namespace
 }  // namespace bergamotscale::policy
