--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -382,9 +382,10 @@
       gossip.config_offset_ = config->offset_;
       gossip.document_ = config->text_;
     }
-    // This is not sent before the first interval is over.
-    gossip.needs_document_ = config == nullptr;
-    hub_.BroadcastConfig(gossip, clock_.Now());
+    const Millis now = clock_.Now();
+    gossip.needs_document_ =
+        config == nullptr && now - started_ >= kGossipInterval;
+    hub_.BroadcastConfig(gossip, now);
   }
 
   boost::asio::io_context& io_;
@@ -404,6 +405,7 @@
   Ticker gossip_;
   policy::DemandTable demands_;
   const Clock clock_ = Clock::Steady();
+  const Millis started_ = clock_.Now();
   std::vector<ModelId> models_;
   std::vector<wire::LoadedModel> loaded_;
   Millis models_reported_;
