--- a/include/bergamotscale/clock.h
+++ b/include/bergamotscale/clock.h
@@ -20,6 +20,10 @@
   // @return a clock that never goes back; its zero is arbitrary.
   static Clock Steady();
 
+  // @return a clock that never goes back and that counts the time during which
+  // the machine was suspended. Leases and ages are measured by it.
+  static Clock Boot();
+
   // @return milliseconds since 1970-01-01 UTC; it may step.
   static Clock Wall();
 
--- a/src/console/console.cc
+++ b/src/console/console.cc
@@ -19,7 +19,7 @@
 #include "src/console/web_request.h"
 #include "src/http/guarded_listener.h"
 #include "src/http/listener.h"
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
 
 namespace bergamotscale::console {
@@ -298,7 +298,7 @@
   }
 
   const ConsoleSettings settings_;
-  http::Metrics metrics_;
+  metrics::Metrics metrics_;
   log::LogClient client_;
   config::ConfigFollower follower_;
   config::ConfigPublisher publisher_;
--- a/src/core/clock.cc
+++ b/src/core/clock.cc
@@ -1,5 +1,7 @@
 #include "bergamotscale/clock.h"
 
+#include <time.h>
+
 #include <chrono>
 #include <utility>
 
@@ -14,6 +16,14 @@
           .count());
 }
 
+Millis ReadBootClock() {
+  constexpr int64_t kMillisPerSecond = 1000;
+  constexpr int64_t kNanosPerMilli = 1'000'000;
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Millis(now.tv_sec * kMillisPerSecond + now.tv_nsec / kNanosPerMilli);
+}
+
 }  // namespace
 
 Clock::Clock(Source source) : source_(std::move(source)) {}
@@ -22,6 +32,10 @@
   return Clock(&ReadStdClock<std::chrono::steady_clock>);
 }
 
+Clock Clock::Boot() {
+  return Clock(&ReadBootClock);
+}
+
 Clock Clock::Wall() {
   return Clock(&ReadStdClock<std::chrono::system_clock>);
 }
--- a/src/entry/entry.cc
+++ b/src/entry/entry.cc
@@ -323,7 +323,7 @@
   boost::asio::io_context& io_;  // the traffic thread's
   boost::asio::io_context control_io_;
   WorkGuard control_work_{control_io_.get_executor()};
-  http::Metrics metrics_;
+  metrics::Metrics metrics_;
   timeline::Timeline timeline_;
   Slot<config::ConfigSnapshot> config_;
   UpstreamTable upstreams_;
--- a/src/entry/placement_controller.cc
+++ b/src/entry/placement_controller.cc
@@ -73,7 +73,7 @@
        log::LogClient& client,
        const EntrySettings& settings,
        timeline::Timeline& timeline,
-       http::Metrics& metrics,
+       metrics::Metrics& metrics,
        PlacementHooks hooks)
       : io_(io),
         client_(client),
@@ -294,7 +294,7 @@
   log::LogClient& client_;
   const PlacementSettings settings_;
   timeline::Timeline& timeline_;
-  http::Metrics& metrics_;
+  metrics::Metrics& metrics_;
   const PlacementHooks hooks_;
   const Clock steady_ = Clock::Steady();
   const Clock wall_ = Clock::Wall();
@@ -316,7 +316,7 @@
                                          log::LogClient& client,
                                          const EntrySettings& settings,
                                          timeline::Timeline& timeline,
-                                         http::Metrics& metrics,
+                                         metrics::Metrics& metrics,
                                          PlacementHooks hooks)
     : impl_(std::make_shared<Impl>(io,
                                    client,
--- a/src/entry/placement_controller.h
+++ b/src/entry/placement_controller.h
@@ -11,7 +11,7 @@
 
 #include "bergamotscale/config_document.h"
 #include "src/entry/settings.h"
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
 #include "src/placement/placement_plan.h"
 #include "src/timeline/timeline.h"
@@ -40,7 +40,7 @@
                       log::LogClient& client,
                       const EntrySettings& settings,
                       timeline::Timeline& timeline,
-                      http::Metrics& metrics,
+                      metrics::Metrics& metrics,
                       PlacementHooks hooks);
   // Stops.
   ~PlacementController();
--- a/src/entry/traffic.h
+++ b/src/entry/traffic.h
@@ -6,7 +6,7 @@
 
 #include "bergamotscale/clock.h"
 #include "src/entry/upstream_table.h"
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 #include "src/policy/admission.h"
 #include "src/policy/copy_gate.h"
 #include "src/policy/dispatcher.h"
@@ -29,7 +29,7 @@
   policy::Quarantine& quarantine_;
   policy::RetryBudget& retries_;
   policy::CopyGate& copies_;
-  http::Metrics& metrics_;
+  metrics::Metrics& metrics_;
   timeline::Timeline& timeline_;
 };
 
--- /dev/null
+++ b/src/gateway/control.cc
@@ -0,0 +1,253 @@
+#include "src/gateway/control.h"
+
+#include <utility>
+#include <vector>
+
+#include "src/keyed_log/follower.h"
+
+namespace bergamotscale::gateway {
+namespace {
+
+using keyed_log::Record;
+
+// Tells the loss and the return of a log, once each.
+class Availability {
+ public:
+  Availability(std::string name, DecisionLog* log)
+      : name_(std::move(name)), log_(log) {}
+
+  void OnFailure(const Error& error, Millis now) {
+    if (!lost_) {
+      lost_ = true;
+      lost_at_ = now;
+      log_->Write(LogLine("dependency_lost")
+                      .Add("name", name_)
+                      .Add("reason", error.Message()));
+    }
+  }
+  void OnSuccess(Millis now) {
+    if (lost_) {
+      lost_ = false;
+      log_->Write(LogLine("dependency_regained")
+                      .Add("name", name_)
+                      .Add("after_ms", (now - lost_at_).count()));
+    }
+  }
+
+ private:
+  const std::string name_;
+  DecisionLog* const log_;
+  bool lost_ = false;
+  Millis lost_at_;
+};
+
+}  // namespace
+
+class Control::Impl {
+ public:
+  Impl(boost::asio::io_context& io,
+       Clock boot,
+       ControlSources sources,
+       ControlOptions options,
+       ControlState* state,
+       DecisionLog* log,
+       std::function<void()> on_change)
+      : boot_(boot),
+        sources_(std::move(sources)),
+        state_(state),
+        log_(log),
+        on_change_(std::move(on_change)),
+        directory_(options.lapse_grace_),
+        config_(io,
+                boot,
+                sources_.config_,
+                keyed_log::FollowerOptions(),
+                ConfigHooks()),
+        upstreams_(io,
+                   boot,
+                   sources_.upstreams_,
+                   UpstreamOptions(options),
+                   UpstreamHooks()) {}
+
+  void Start() {
+    config_.Start();
+    upstreams_.Start();
+  }
+
+ private:
+  static keyed_log::FollowerOptions UpstreamOptions(
+      const ControlOptions& options) {
+    keyed_log::FollowerOptions follower;
+    follower.wait_ = Millis(0);
+    follower.pause_ = options.upstreams_pause_;
+    return follower;
+  }
+
+  keyed_log::FollowerHooks ConfigHooks() {
+    keyed_log::FollowerHooks hooks;
+    hooks.on_snapshot_ = [this](const std::vector<Record>& records) {
+      for (const Record& record : records) {
+        TakeConfig(record);
+      }
+    };
+    hooks.on_record_ = [this](const Record& record) { TakeConfig(record); };
+    hooks.on_confirmed_ = [this](Millis as_of) {
+      config_available_.OnSuccess(boot_.Now());
+      if (state_->table_.Read() != nullptr) {
+        state_->table_as_of_ = as_of.count();
+      }
+    };
+    hooks.on_unavailable_ = [this](const Error& error) {
+      config_available_.OnFailure(error, boot_.Now());
+    };
+    return hooks;
+  }
+
+  void TakeConfig(const Record& record) {
+    if (record.key_ != sources_.config_key_ || !record.value_.has_value()) {
+      return;
+    }
+    Result<route::RouteTable::Content> content =
+        sources_.read_table_(*record.value_);
+    if (!content.ok()) {
+      log_->Write(LogLine("config_unreadable")
+                      .Add("offset", record.offset_.value())
+                      .Add("reason", content.error().Message()));
+      return;
+    }
+    const auto known = state_->table_.Read();
+    const int64_t version = content.value().version_;
+    if (known != nullptr && version <= known->version()) {
+      return;
+    }
+    auto table =
+        std::make_shared<const route::RouteTable>(std::move(content).value());
+    log_->Write(
+        LogLine("config_in_force")
+            .Add("version", version)
+            .Add("routes", static_cast<int64_t>(table->routes().size())));
+    state_->table_.Write(std::move(table));
+    on_change_();
+  }
+
+  keyed_log::FollowerHooks UpstreamHooks() {
+    keyed_log::FollowerHooks hooks;
+    hooks.on_snapshot_ = [this](const std::vector<Record>& records) {
+      directory_.OnBack(boot_.Now());
+      TakeUpstreams(records);
+    };
+    hooks.on_record_ = [this](const Record& record) {
+      // The registry is back before its records are judged.
+      directory_.OnBack(boot_.Now());
+      TakeUpstream(record);
+    };
+    hooks.on_confirmed_ = [this](Millis as_of) {
+      upstreams_available_.OnSuccess(boot_.Now());
+      OnUpstreamsRead(as_of);
+    };
+    hooks.on_unavailable_ = [this](const Error& error) {
+      directory_.OnAway();
+      upstreams_available_.OnFailure(error, boot_.Now());
+    };
+    return hooks;
+  }
+
+  void TakeUpstreams(const std::vector<Record>& records) {
+    std::vector<route::UpstreamEntry> entries;
+    for (const Record& record : records) {
+      if (!record.value_.has_value()) {
+        continue;
+      }
+      Result<route::UpstreamEntry> entry =
+          sources_.read_upstream_(record.key_, *record.value_);
+      if (entry.ok()) {
+        entries.push_back(std::move(entry).value());
+      } else {
+        LogUnreadable(record, entry.error());
+      }
+    }
+    directory_.Replace(entries, boot_.Now());
+    changed_ = true;
+  }
+
+  void TakeUpstream(const Record& record) {
+    const InstanceId id(record.key_);
+    if (!record.value_.has_value()) {
+      const bool left = directory_.Remove(id, boot_.Now());
+      changed_ = changed_ || left;
+      log_->Write(LogLine("upstream_removed")
+                      .Add("upstream", record.key_)
+                      .Add("kept_as_lapsed", left ? 0 : 1));
+      return;
+    }
+    Result<route::UpstreamEntry> entry =
+        sources_.read_upstream_(record.key_, *record.value_);
+    if (!entry.ok()) {
+      LogUnreadable(record, entry.error());
+      return;
+    }
+    if (directory_.Put(entry.value())) {
+      changed_ = true;
+      log_->Write(LogLine("upstream_changed")
+                      .Add("upstream", record.key_)
+                      .Add("group", entry.value().group_.value())
+                      .Add("draining", entry.value().draining_ ? 1 : 0));
+    }
+  }
+
+  void LogUnreadable(const Record& record, const Error& error) {
+    log_->Write(LogLine("upstream_unreadable")
+                    .Add("upstream", record.key_)
+                    .Add("reason", error.Message()));
+  }
+
+  void OnUpstreamsRead(Millis as_of) {
+    const Millis now = boot_.Now();
+    directory_.OnBack(now);
+    if (directory_.Expire(now)) {
+      changed_ = true;
+      log_->Write(LogLine("lapsed_upstreams_dropped"));
+    }
+    state_->upstreams_as_of_ = as_of.count();
+    if (changed_) {
+      changed_ = false;
+      state_->upstreams_.Write(directory_.Entries());
+      on_change_();
+    }
+  }
+
+  const Clock boot_;
+  const ControlSources sources_;
+  ControlState* const state_;
+  DecisionLog* const log_;
+  const std::function<void()> on_change_;
+  route::Directory directory_;
+  Availability config_available_{"configuration log", log_};
+  Availability upstreams_available_{"upstream registry", log_};
+  bool changed_ = false;
+  keyed_log::Follower config_;
+  keyed_log::Follower upstreams_;
+};
+
+Control::Control(boost::asio::io_context& io,
+                 Clock boot,
+                 ControlSources sources,
+                 ControlOptions options,
+                 ControlState* state,
+                 DecisionLog* log,
+                 std::function<void()> on_change)
+    : impl_(std::make_unique<Impl>(io,
+                                   std::move(boot),
+                                   std::move(sources),
+                                   options,
+                                   state,
+                                   log,
+                                   std::move(on_change))) {}
+
+Control::~Control() = default;
+
+void Control::Start() {
+  impl_->Start();
+}
+
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/src/gateway/decision_log.cc
@@ -0,0 +1,121 @@
+#include "src/gateway/decision_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <mutex>
+#include <utility>
+
+namespace bergamotscale::gateway {
+namespace {
+
+// Lines wait up to this size; some seconds of a busy instance.
+constexpr size_t kMaxPending = 256 * 1024;
+// Written at once from this size on, to keep the buffer small.
+constexpr size_t kFlushSize = 16 * 1024;
+
+bool NeedsQuotes(std::string_view value) {
+  return value.empty() ||
+         value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
+
+// Values may be bytes of callers: nothing in them ends the line.
+void AppendQuoted(std::string_view value, std::string* text) {
+  *text += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      *text += '\\';
+    }
+    *text += static_cast<unsigned char>(c) < ' ' ? '?' : c;
+  }
+  *text += '"';
+}
+
+}  // namespace
+
+LogLine::LogLine(std::string_view event) : text_("event=") {
+  text_ += event;
+}
+
+LogLine& LogLine::Add(std::string_view name, std::string_view value) {
+  text_ += ' ';
+  text_ += name;
+  text_ += '=';
+  if (NeedsQuotes(value)) {
+    AppendQuoted(value, &text_);
+  } else {
+    text_ += value;
+  }
+  return *this;
+}
+
+LogLine& LogLine::Add(std::string_view name, int64_t value) {
+  return Add(name, std::string_view(std::to_string(value)));
+}
+
+struct DecisionLog::Impl {
+  Impl(int fd, Clock wall) : fd_(fd), wall_(std::move(wall)) {
+    const int flags = fcntl(fd, F_GETFL, 0);
+    if (flags >= 0) {
+      fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+
+  void Append(const std::string& text) {
+    pending_ += "t=" + std::to_string(wall_.Now().count()) + " " + text + "\n";
+  }
+
+  // Precondition: the mutex is held.
+  void FlushLocked() {
+    while (!pending_.empty()) {
+      const ssize_t written = write(fd_, pending_.data(), pending_.size());
+      if (written <= 0) {
+        return;
+      }
+      pending_.erase(0, static_cast<size_t>(written));
+    }
+    if (untold_ > 0) {
+      Append(LogLine("log_lines_dropped").Add("lines", untold_).text());
+      untold_ = 0;
+    }
+  }
+
+  const int fd_;
+  const Clock wall_;
+  mutable std::mutex mutex_;
+  std::string pending_;
+  int64_t dropped_ = 0;
+  int64_t untold_ = 0;
+};
+
+DecisionLog::DecisionLog(int fd, Clock wall)
+    : impl_(std::make_unique<Impl>(fd, std::move(wall))) {}
+
+DecisionLog::~DecisionLog() {
+  Flush();
+}
+
+void DecisionLog::Write(const LogLine& line) {
+  const std::lock_guard<std::mutex> lock(impl_->mutex_);
+  if (impl_->pending_.size() + line.text().size() > kMaxPending) {
+    ++impl_->dropped_;
+    ++impl_->untold_;
+    return;
+  }
+  impl_->Append(line.text());
+  if (impl_->pending_.size() > kFlushSize) {
+    impl_->FlushLocked();
+  }
+}
+
+void DecisionLog::Flush() {
+  const std::lock_guard<std::mutex> lock(impl_->mutex_);
+  impl_->FlushLocked();
+}
+
+int64_t DecisionLog::dropped() const {
+  const std::lock_guard<std::mutex> lock(impl_->mutex_);
+  return impl_->dropped_;
+}
+
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/src/gateway/event_splitter.cc
@@ -0,0 +1,58 @@
+#include "src/gateway/event_splitter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamotscale::gateway {
+namespace {
+
+// @return the position behind the last empty line; 0 if there is none.
+size_t EndOfLastEvent(std::string_view text) {
+  size_t end = 0;
+  for (const std::string_view gap :
+       {std::string_view("\n\n"), std::string_view("\n\r\n")}) {
+    const size_t found = text.rfind(gap);
+    if (found != std::string_view::npos) {
+      end = std::max(end, found + gap.size());
+    }
+  }
+  return end;
+}
+
+// @return the value of the last line "id: VALUE"; empty if there is none.
+std::string_view LastId(std::string_view events) {
+  constexpr std::string_view kField = "id:";
+  size_t at = events.rfind(kField);
+  while (at != std::string_view::npos && at != 0 && events[at - 1] != '\n') {
+    at = events.rfind(kField, at - 1);
+  }
+  if (at == std::string_view::npos) {
+    return {};
+  }
+  std::string_view value = events.substr(at + kField.size());
+  value = value.substr(0, value.find_first_of("\r\n"));
+  if (!value.empty() && value.front() == ' ') {
+    value.remove_prefix(1);
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string EventSplitter::Take(std::string_view bytes) {
+  rest_ += bytes;
+  const size_t end = EndOfLastEvent(rest_);
+  std::string whole = rest_.substr(0, end);
+  rest_.erase(0, end);
+  const std::string_view id = LastId(whole);
+  if (!id.empty()) {
+    last_id_ = std::string(id);
+  }
+  return whole;
+}
+
+std::string EventSplitter::TakeRest() {
+  return std::exchange(rest_, std::string());
+}
+
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,49 @@
+// An entry for opaque requests, which go straight to upstream instances.
+#ifndef BERGAMOTSCALE_SRC_GATEWAY_GATEWAY_H_
+#define BERGAMOTSCALE_SRC_GATEWAY_GATEWAY_H_
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+
+#include "bergamotscale/result.h"
+#include "src/gateway/control.h"
+#include "src/gateway/dialect.h"
+#include "src/gateway/settings.h"
+
+namespace bergamotscale::gateway {
+
+struct GatewayParts {
+  GatewaySettings settings_;
+  Dialect dialect_;
+  // Makes the sources of control, which run on the given context.
+  std::function<ControlSources(boost::asio::io_context&)> make_sources_;
+  // Reads the settings again, on SIGHUP.
+  std::function<Result<GatewaySettings>()> reload_;
+};
+
+// Runs traffic on the calling thread and control on one of its own.
+class Gateway {
+ public:
+  explicit Gateway(GatewayParts parts);
+  ~Gateway();
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+
+  // Serves until SIGTERM or SIGINT, then stops: not ready at once, new
+  // connections for a few seconds more, then what is in flight up to the
+  // grace. @return an error if it could not start.
+  Status Run();
+
+  // Does what SIGTERM does. Thread safety: safe.
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::gateway
+
+#endif  // BERGAMOTSCALE_SRC_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/gateway/peer_message.cc
@@ -0,0 +1,62 @@
+#include "src/gateway/peer_message.h"
+
+#include <exception>
+#include <tuple>
+
+#include <msgpack.hpp>
+
+namespace bergamotscale::gateway {
+namespace {
+
+using LoadRow = std::tuple<uint64_t, int, double>;
+using SuspicionRow = std::tuple<uint64_t, int, bool, int64_t, uint64_t>;
+using Rows = std::tuple<int64_t,
+                        int64_t,
+                        std::vector<std::string>,
+                        std::vector<LoadRow>,
+                        std::vector<SuspicionRow>>;
+
+}  // namespace
+
+std::string WritePeerMessage(const PeerMessage& message) {
+  Rows rows;
+  std::get<0>(rows) = message.incarnation_;
+  std::get<1>(rows) = message.number_;
+  std::get<2>(rows) = message.heard_;
+  for (const InstanceLoad& load : message.loads_) {
+    std::get<3>(rows).emplace_back(load.id_hash_, load.running_,
+                                   load.unread_tokens_);
+  }
+  for (const policy::SuspicionRecord& record : message.suspicions_) {
+    std::get<4>(rows).emplace_back(record.digest_, record.crashes_,
+                                   record.convicted_,
+                                   record.expires_in_.count(), record.source_);
+  }
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, rows);
+  return {buffer.data(), buffer.size()};
+}
+
+Result<PeerMessage> ReadPeerMessage(std::string_view bytes) {
+  try {
+    const Rows rows =
+        msgpack::unpack(bytes.data(), bytes.size()).get().as<Rows>();
+    PeerMessage message;
+    message.incarnation_ = std::get<0>(rows);
+    message.number_ = std::get<1>(rows);
+    message.heard_ = std::get<2>(rows);
+    for (const auto& [id_hash, running, unread] : std::get<3>(rows)) {
+      message.loads_.push_back({id_hash, running, unread});
+    }
+    for (const auto& [digest, crashes, convicted, expires, source] :
+         std::get<4>(rows)) {
+      message.suspicions_.push_back(
+          {digest, crashes, convicted, Millis(expires), source});
+    }
+    return message;
+  } catch (const std::exception& error) {
+    return Error(ErrorCode::kProtocolError, error.what());
+  }
+}
+
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/src/gateway/peers.cc
@@ -0,0 +1,254 @@
+#include "src/gateway/peers.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/core/chrono_time.h"
+#include "src/gateway/peer_message.h"
+
+namespace bergamotscale::gateway {
+namespace {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+// With few peers, a load is told this often; about a prompt's reading time.
+constexpr Millis kInterval = Millis(100);
+// With many peers the pace falls, so that a gateway's datagrams stay at most
+// one in this time.
+constexpr Millis kLeastSpacing = Millis(10);
+// A peer that has not been heard for this long is no member any more.
+constexpr Millis kPeerLifetime = Millis(3'000);
+// First addresses that are not members are tried this often.
+constexpr Millis kFirstInterval = Millis(1'000);
+// Larger datagrams would be split by the network.
+constexpr size_t kMaxHeard = 32;
+
+std::string TextOf(const udp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+bool ParseEndpoint(const std::string& text, udp::endpoint* endpoint) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return false;
+  }
+  error_code error;
+  const auto address =
+      boost::asio::ip::make_address_v4(text.substr(0, colon), error);
+  const int port = std::atoi(text.c_str() + colon + 1);
+  if (error || port <= 0 || port > UINT16_MAX) {
+    return false;
+  }
+  *endpoint = udp::endpoint(address, static_cast<uint16_t>(port));
+  return true;
+}
+
+}  // namespace
+
+class Peers::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io,
+       Clock boot,
+       udp::endpoint own,
+       std::vector<udp::endpoint> first,
+       PeerHooks hooks)
+      : boot_(std::move(boot)),
+        own_(std::move(own)),
+        first_(std::move(first)),
+        hooks_(std::move(hooks)),
+        socket_(io),
+        timer_(io),
+        incarnation_(Clock::Wall().Now().count()) {}
+
+  Status Start() {
+    error_code error;
+    socket_.open(udp::v4(), error);
+    if (!error) {
+      socket_.bind(own_, error);
+    }
+    if (error) {
+      return Error(ErrorCode::kInternal, "peers: " + error.message());
+    }
+    socket_.non_blocking(true, error);
+    Receive();
+    SendNow();
+    Schedule();
+    return Done{};
+  }
+
+  void Stop() {
+    stopped_ = true;
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+  void SendNow() {
+    if (stopped_) {
+      return;
+    }
+    ForgetSilent();
+    const std::string bytes = WritePeerMessage(Message());
+    for (const auto& [endpoint, peer] : peers_) {
+      SendTo(endpoint, bytes);
+    }
+    const Millis now = boot_.Now();
+    if (now - first_tried_ < kFirstInterval && number_ > 1) {
+      return;
+    }
+    first_tried_ = now;
+    for (const udp::endpoint& endpoint : first_) {
+      if (endpoint != own_ && peers_.count(endpoint) == 0) {
+        SendTo(endpoint, bytes);
+      }
+    }
+  }
+
+  void SetFirst(std::vector<udp::endpoint> first) { first_ = std::move(first); }
+
+ private:
+  struct Peer {
+    Millis heard_at_;
+    int64_t incarnation_ = 0;
+    int64_t number_ = 0;
+  };
+
+  // A datagram that can't be sent now is lost, as others are on their way.
+  void SendTo(const udp::endpoint& endpoint, const std::string& bytes) {
+    error_code ignored;
+    socket_.send_to(boost::asio::buffer(bytes), endpoint, 0, ignored);
+  }
+
+  PeerMessage Message() {
+    PeerMessage message;
+    message.incarnation_ = incarnation_;
+    message.number_ = ++number_;
+    for (const auto& [endpoint, peer] : peers_) {
+      if (message.heard_.size() < kMaxHeard) {
+        message.heard_.push_back(TextOf(endpoint));
+      }
+    }
+    message.loads_ = hooks_.own_loads_();
+    message.suspicions_ = hooks_.suspicions_();
+    return message;
+  }
+
+  void ForgetSilent() {
+    const Millis now = boot_.Now();
+    for (auto it = peers_.begin(); it != peers_.end();) {
+      const bool silent = now - it->second.heard_at_ > kPeerLifetime;
+      it = silent ? peers_.erase(it) : std::next(it);
+    }
+    hooks_.on_members_(static_cast<int>(peers_.size()) + 1);
+  }
+
+  void Schedule() {
+    const Millis spaced = kLeastSpacing * static_cast<int64_t>(peers_.size());
+    timer_.expires_after(ToChrono(std::max(kInterval, spaced)));
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error && !self->stopped_) {
+        self->SendNow();
+        self->Schedule();
+      }
+    });
+  }
+
+  void Receive() {
+    socket_.async_receive_from(
+        boost::asio::buffer(buffer_), from_,
+        [self = shared_from_this()](const error_code& error, size_t size) {
+          if (self->stopped_) {
+            return;
+          }
+          if (!error) {
+            self->Take(std::string_view(self->buffer_.data(), size));
+          }
+          self->Receive();
+        });
+  }
+
+  void Take(std::string_view bytes) {
+    const Result<PeerMessage> read = ReadPeerMessage(bytes);
+    // Datagrams that are no messages are somebody else's.
+    if (!read.ok() || from_ == own_) {
+      return;
+    }
+    const PeerMessage& message = read.value();
+    Peer& peer = peers_[from_];
+    const bool late = message.incarnation_ < peer.incarnation_ ||
+                      (message.incarnation_ == peer.incarnation_ &&
+                       message.number_ <= peer.number_);
+    if (late) {
+      return;
+    }
+    peer = {boot_.Now(), message.incarnation_, message.number_};
+    hooks_.on_loads_(TextOf(from_), message.loads_);
+    for (const policy::SuspicionRecord& record : message.suspicions_) {
+      hooks_.on_suspicion_(record);
+    }
+    Greet(message.heard_);
+  }
+
+  // Peers that a peer hears are told of this gateway, and so answer.
+  void Greet(const std::vector<std::string>& heard) {
+    for (const std::string& text : heard) {
+      udp::endpoint endpoint;
+      if (ParseEndpoint(text, &endpoint) && endpoint != own_ &&
+          peers_.count(endpoint) == 0 &&
+          std::find(first_.begin(), first_.end(), endpoint) == first_.end()) {
+        first_.push_back(endpoint);
+        if (first_.size() > kMaxHeard) {
+          first_.erase(first_.begin());
+        }
+      }
+    }
+  }
+
+  const Clock boot_;
+  const udp::endpoint own_;
+  std::vector<udp::endpoint> first_;
+  const PeerHooks hooks_;
+  udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  const int64_t incarnation_;
+  int64_t number_ = 0;
+  Millis first_tried_;
+  std::map<udp::endpoint, Peer> peers_;
+  std::array<char, 64 * 1024> buffer_{};
+  udp::endpoint from_;
+  bool stopped_ = false;
+};
+
+Peers::Peers(boost::asio::io_context& io,
+             Clock boot,
+             udp::endpoint own,
+             std::vector<udp::endpoint> first,
+             PeerHooks hooks)
+    : impl_(std::make_shared<Impl>(io,
+                                   std::move(boot),
+                                   std::move(own),
+                                   std::move(first),
+                                   std::move(hooks))) {}
+
+Peers::~Peers() {
+  impl_->Stop();
+}
+
+Status Peers::Start() {
+  return impl_->Start();
+}
+
+void Peers::SendNow() {
+  impl_->SendNow();
+}
+
+void Peers::SetFirst(std::vector<udp::endpoint> first) {
+  impl_->SetFirst(std::move(first));
+}
+
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,46 @@
+#include "src/gateway/settings.h"
+
+namespace bergamotscale::gateway {
+namespace {
+
+using settings::FieldReader;
+
+constexpr Millis kLongestBound = Millis(600'000);
+constexpr int kMaxDescriptors = 1'000'000;
+
+void ReadRetries(FieldReader& reader, policy::RetryBounds* bounds) {
+  reader.Number("ratio", FieldReader::Need::kRequired, 0, 10, &bounds->ratio_);
+  reader.Number("extra", FieldReader::Need::kRequired, 0, 1e6, &bounds->extra_);
+  reader.Duration("window_ms", FieldReader::Need::kRequired, Millis(100),
+                  kLongestBound, &bounds->window_);
+}
+
+}  // namespace
+
+void ReadGatewaySettings(FieldReader& reader, GatewaySettings* settings) {
+  constexpr auto kRequired = FieldReader::Need::kRequired;
+  constexpr auto kOptional = FieldReader::Need::kOptional;
+  std::string zone;
+  reader.String("instance", kRequired, &settings->instance_);
+  reader.String("zone", kRequired, &zone);
+  settings->zone_ = ZoneId(zone);
+  reader.String("listen_callers", kRequired, &settings->listen_callers_);
+  reader.String("listen_ready", kRequired, &settings->listen_ready_);
+  reader.String("listen_operators", kOptional, &settings->listen_operators_);
+  reader.String("listen_peers", kOptional, &settings->listen_peers_);
+  reader.Strings("first_peers", kOptional, &settings->first_peers_);
+  reader.String("log_address", kRequired, &settings->log_address_);
+  reader.Duration("revoke_ms", kOptional, Millis(100), kLongestBound,
+                  &settings->revoke_);
+  reader.Duration("config_apply_ms", kOptional, Millis(100), kLongestBound,
+                  &settings->config_apply_);
+  reader.Duration("stop_grace_ms", kOptional, Millis(100), kLongestBound,
+                  &settings->stop_grace_);
+  reader.Integer("max_descriptors", kOptional, 64, kMaxDescriptors,
+                 &settings->max_descriptors_);
+  reader.Object("retries", kOptional, [settings](FieldReader& nested) {
+    ReadRetries(nested, &settings->retries_);
+  });
+}
+
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/src/gateway/upstream_set.cc
@@ -0,0 +1,389 @@
+#include "src/gateway/upstream_set.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include <xxhash.h>
+#include <boost/asio/post.hpp>
+
+#include "src/policy/instance_health.h"
+
+namespace bergamotscale::gateway {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// A connection within a region takes a few milliseconds; a lost opening packet
+// is sent again after a second, so a longer wait for one that is lost does not
+// pay.
+constexpr Millis kConnectTimeout = Millis(400);
+// An idle connection is closed this long before the instance would close it,
+// so that no request meets its close.
+constexpr Millis kKeepAliveMargin = Millis(1'000);
+// Idle connections that have gone silent are not noticed, so old ones are not
+// trusted with a request.
+constexpr Millis kMaxIdle = Millis(4'000);
+// A peer's loads say little once they are this old.
+constexpr Millis kPeerLoadLifetime = Millis(1'000);
+
+struct IdleConnection {
+  std::unique_ptr<web::ClientConnection> connection_;
+  Millis since_;
+  Millis until_;
+};
+
+struct Instance {
+  route::UpstreamEntry entry_;
+  uint64_t id_hash_ = 0;
+  policy::InstanceHealth health_;
+  std::deque<IdleConnection> idle_;  // newest last
+  int running_ = 0;
+  double unread_tokens_ = 0;
+  bool listed_ = true;
+};
+
+struct PeerLoads {
+  std::vector<InstanceLoad> loads_;
+  Millis taken_;
+};
+
+uint64_t HashOf(const InstanceId& id) {
+  return XXH3_64bits(id.value().data(), id.value().size());
+}
+
+bool Contains(const std::vector<UpstreamKey>& keys, const UpstreamKey& key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
+}  // namespace
+
+class UpstreamSet::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, Clock boot, ZoneId own_zone)
+      : io_(io),
+        boot_(std::move(boot)),
+        own_zone_(std::move(own_zone)),
+        random_(std::random_device{}()) {}
+
+  void Update(const std::vector<route::UpstreamEntry>& entries) {
+    for (auto& [id, instance] : instances_) {
+      instance.listed_ = false;
+    }
+    for (const route::UpstreamEntry& entry : entries) {
+      Instance& instance = instances_[entry.id_];
+      const bool other = instance.entry_.started_at_ != entry.started_at_ ||
+                         instance.entry_.ip_ != entry.ip_ ||
+                         instance.entry_.port_ != entry.port_;
+      if (other) {
+        // Nothing known of an earlier incarnation holds.
+        instance = Instance();
+      }
+      instance.entry_ = entry;
+      instance.id_hash_ = HashOf(entry.id_);
+      instance.listed_ = true;
+      if (entry.draining_) {
+        instance.idle_.clear();
+      }
+    }
+    for (auto it = instances_.begin(); it != instances_.end();) {
+      it = it->second.listed_ ? std::next(it) : instances_.erase(it);
+    }
+  }
+
+  bool Choose(const GroupId& group,
+              const policy::PlaceRequest& request,
+              const std::vector<UpstreamKey>& tried,
+              Choice* choice) {
+    const Millis now = boot_.Now();
+    std::vector<policy::PlaceView> views;
+    std::vector<const Instance*> candidates;
+    for (auto& [id, instance] : instances_) {
+      if (instance.entry_.group_ != group || instance.entry_.draining_) {
+        continue;
+      }
+      views.push_back(View(instance, now));
+      views.back().avoid_ =
+          Contains(tried, KeyOf(instance)) || instance.health_.IsPaused(now);
+      candidates.push_back(&instance);
+    }
+    const int best = policy::Place(views, request, random_());
+    if (best < 0) {
+      return false;
+    }
+    const Instance& chosen = *candidates[static_cast<size_t>(best)];
+    choice->upstream_ = KeyOf(chosen);
+    choice->unread_tokens_ = policy::UnreadTokens(views, request, best);
+    choice->running_ = views[static_cast<size_t>(best)].running_;
+    return true;
+  }
+
+  bool HasGroup(const GroupId& group) const {
+    return std::any_of(instances_.begin(), instances_.end(),
+                       [&group](const auto& item) {
+                         return item.second.entry_.group_ == group &&
+                                !item.second.entry_.draining_;
+                       });
+  }
+
+  void Connect(const UpstreamKey& key,
+               bool fresh,
+               std::function<void(ConnectionResult)> done) {
+    Instance* instance = Find(key);
+    if (instance == nullptr) {
+      Later(std::move(done), ConnectionResult{nullptr, false, "not listed"});
+      return;
+    }
+    if (!fresh && TakeIdle(instance, &done)) {
+      return;
+    }
+    boost::system::error_code error;
+    const auto address =
+        boost::asio::ip::make_address_v4(instance->entry_.ip_, error);
+    if (error) {
+      Later(std::move(done), ConnectionResult{nullptr, false, "bad address"});
+      return;
+    }
+    ++opened_;
+    auto connection = std::make_shared<std::unique_ptr<web::ClientConnection>>(
+        std::make_unique<web::ClientConnection>(
+            io_, tcp::endpoint(address, instance->entry_.port_)));
+    (*connection)
+        ->Connect(
+            kConnectTimeout,
+            [weak = weak_from_this(), key, connection,
+             done = std::move(done)](const boost::system::error_code& failed) {
+              ConnectionResult result;
+              if (!failed) {
+                result.connection_ = std::move(*connection);
+              } else {
+                result.reason_ = failed.message();
+                if (const auto self = weak.lock()) {
+                  self->OnUnreachable(key);
+                }
+              }
+              done(std::move(result));
+            });
+  }
+
+  void GiveBack(const UpstreamKey& key,
+                std::unique_ptr<web::ClientConnection> connection) {
+    Instance* instance = Find(key);
+    if (instance == nullptr || instance->entry_.draining_ ||
+        !connection->usable()) {
+      return;
+    }
+    const Millis now = boot_.Now();
+    Millis keep = kMaxIdle;
+    if (connection->keep_alive() > Millis(0)) {
+      keep = std::min(keep, connection->keep_alive() - kKeepAliveMargin);
+    }
+    if (keep <= Millis(0)) {
+      return;
+    }
+    web::ClientConnection* raw = connection.get();
+    instance->idle_.push_back({std::move(connection), now, now + keep});
+    raw->WatchIdle([weak = weak_from_this(), key, raw] {
+      if (const auto self = weak.lock()) {
+        self->DropIdle(key, raw);
+      }
+    });
+  }
+
+  Instance* Find(const UpstreamKey& key) {
+    const auto found = instances_.find(key.id_);
+    const bool same = found != instances_.end() &&
+                      found->second.entry_.started_at_ == key.started_at_;
+    return same ? &found->second : nullptr;
+  }
+
+  void OnUnreachable(const UpstreamKey& key) {
+    if (Instance* instance = Find(key)) {
+      instance->health_.OnUnreachable(boot_.Now());
+      instance->idle_.clear();
+    }
+  }
+
+  void NoteOutcome(Instance* instance, CallOutcome outcome) {
+    const Millis now = boot_.Now();
+    switch (outcome) {
+      case CallOutcome::kServed:
+        instance->health_.OnSuccess(now);
+        break;
+      case CallOutcome::kRejected:
+      case CallOutcome::kFailed:
+      case CallOutcome::kBroken:
+        instance->health_.OnFailure(now);
+        break;
+      case CallOutcome::kUnreachable:  // noted when it was found
+      case CallOutcome::kAbandoned:
+        break;
+    }
+  }
+
+  std::vector<InstanceLoad> OwnLoads() const {
+    std::vector<InstanceLoad> loads;
+    for (const auto& [id, instance] : instances_) {
+      if (instance.running_ > 0) {
+        loads.push_back(
+            {instance.id_hash_, instance.running_, instance.unread_tokens_});
+      }
+    }
+    return loads;
+  }
+
+  boost::asio::io_context& io_;
+  const Clock boot_;
+  const ZoneId own_zone_;
+  std::mt19937_64 random_;
+  std::map<InstanceId, Instance> instances_;
+  std::unordered_map<std::string, PeerLoads> peers_;
+  int64_t opened_ = 0;
+
+ private:
+  static UpstreamKey KeyOf(const Instance& instance) {
+    return {instance.entry_.id_, instance.entry_.started_at_};
+  }
+
+  policy::PlaceView View(const Instance& instance, Millis now) const {
+    policy::PlaceView view;
+    view.id_hash_ = instance.id_hash_;
+    view.same_zone_ = instance.entry_.zone_ == own_zone_;
+    view.slots_ = instance.entry_.slots_;
+    view.running_ = instance.running_;
+    view.unread_tokens_ = instance.unread_tokens_;
+    view.failure_share_ = instance.health_.FailureShare(now);
+    for (const auto& [peer, loads] : peers_) {
+      if (now - loads.taken_ > kPeerLoadLifetime) {
+        continue;
+      }
+      for (const InstanceLoad& load : loads.loads_) {
+        if (load.id_hash_ == instance.id_hash_) {
+          view.running_ += load.running_;
+          view.unread_tokens_ += load.unread_tokens_;
+        }
+      }
+    }
+    return view;
+  }
+
+  void Later(std::function<void(ConnectionResult)> done,
+             ConnectionResult result) {
+    auto shared = std::make_shared<ConnectionResult>(std::move(result));
+    boost::asio::post(
+        io_, [done = std::move(done), shared] { done(std::move(*shared)); });
+  }
+
+  // Newest first: those have been silent for the shortest time.
+  bool TakeIdle(Instance* instance,
+                std::function<void(ConnectionResult)>* done) {
+    const Millis now = boot_.Now();
+    while (!instance->idle_.empty()) {
+      IdleConnection idle = std::move(instance->idle_.back());
+      instance->idle_.pop_back();
+      if (now < idle.until_ && idle.connection_->usable()) {
+        Later(std::move(*done),
+              ConnectionResult{std::move(idle.connection_), true, ""});
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void DropIdle(const UpstreamKey& key, const web::ClientConnection* which) {
+    Instance* instance = Find(key);
+    if (instance == nullptr) {
+      return;
+    }
+    auto& idle = instance->idle_;
+    idle.erase(std::remove_if(idle.begin(), idle.end(),
+                              [which](const IdleConnection& item) {
+                                return item.connection_.get() == which;
+                              }),
+               idle.end());
+  }
+};
+
+UpstreamSet::UpstreamSet(boost::asio::io_context& io,
+                         Clock boot,
+                         ZoneId own_zone)
+    : impl_(std::make_shared<Impl>(io, std::move(boot), std::move(own_zone))) {}
+
+UpstreamSet::~UpstreamSet() = default;
+
+void UpstreamSet::Update(const std::vector<route::UpstreamEntry>& entries) {
+  impl_->Update(entries);
+}
+
+bool UpstreamSet::Choose(const GroupId& group,
+                         const policy::PlaceRequest& request,
+                         const std::vector<UpstreamKey>& tried,
+                         Choice* choice) {
+  return impl_->Choose(group, request, tried, choice);
+}
+
+bool UpstreamSet::IsUsable(const UpstreamKey& upstream) const {
+  const Instance* instance = impl_->Find(upstream);
+  return instance != nullptr && !instance->entry_.draining_;
+}
+
+bool UpstreamSet::HasGroup(const GroupId& group) const {
+  return impl_->HasGroup(group);
+}
+
+void UpstreamSet::Connect(const UpstreamKey& upstream,
+                          bool fresh,
+                          std::function<void(ConnectionResult)> done) {
+  impl_->Connect(upstream, fresh, std::move(done));
+}
+
+void UpstreamSet::GiveBack(const UpstreamKey& upstream,
+                           std::unique_ptr<web::ClientConnection> connection) {
+  impl_->GiveBack(upstream, std::move(connection));
+}
+
+void UpstreamSet::Begin(const Choice& choice) {
+  if (Instance* instance = impl_->Find(choice.upstream_)) {
+    ++instance->running_;
+    instance->unread_tokens_ += choice.unread_tokens_;
+  }
+}
+
+void UpstreamSet::PromptRead(const Choice& choice) {
+  if (Instance* instance = impl_->Find(choice.upstream_)) {
+    instance->unread_tokens_ =
+        std::max(0.0, instance->unread_tokens_ - choice.unread_tokens_);
+  }
+}
+
+void UpstreamSet::End(const Choice& choice,
+                      bool prompt_was_read,
+                      CallOutcome outcome) {
+  Instance* instance = impl_->Find(choice.upstream_);
+  if (instance == nullptr) {
+    return;
+  }
+  if (!prompt_was_read) {
+    PromptRead(choice);
+  }
+  instance->running_ = std::max(0, instance->running_ - 1);
+  impl_->NoteOutcome(instance, outcome);
+}
+
+std::vector<InstanceLoad> UpstreamSet::OwnLoads() const {
+  return impl_->OwnLoads();
+}
+
+void UpstreamSet::TakePeerLoads(const std::string& peer,
+                                std::vector<InstanceLoad> loads) {
+  impl_->peers_[peer] = PeerLoads{std::move(loads), impl_->boot_.Now()};
+}
+
+int64_t UpstreamSet::connections_opened() const {
+  return impl_->opened_;
+}
+
+}  // namespace bergamotscale::gateway
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -13,7 +13,7 @@
 #include "bergamotscale/result.h"
 #include "bergamotscale/units.h"
 #include "bergamotscale/verdict.h"
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 
 namespace bergamotscale::http {
 
@@ -51,7 +51,7 @@
 // What /healthz, /readyz and /metrics of a process tell.
 struct SideHooks {
   std::function<bool()> ready_;
-  const Metrics* metrics_ = nullptr;  // may be null
+  const metrics::Metrics* metrics_ = nullptr;  // may be null
   // @return the time line as JSON lines; may be empty.
   std::function<std::string()> timeline_;
   // Runs a step that takes long, off the HTTP library's threads; without it
--- a/src/http/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -1,4 +1,4 @@
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 
 #include <array>
 #include <map>
@@ -12,7 +12,7 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
-namespace bergamotscale::http {
+namespace bergamotscale::metrics {
 namespace {
 
 namespace acc = boost::accumulators;
@@ -120,4 +120,4 @@
   return text.str();
 }
 
-}  // namespace bergamotscale::http
+}  // namespace bergamotscale::metrics
--- a/src/http/metrics.h
+++ b/src/metrics/metrics.h
@@ -1,12 +1,12 @@
 // Counters and distributions, shown as text at /metrics.
-#ifndef BERGAMOTSCALE_SRC_HTTP_METRICS_H_
-#define BERGAMOTSCALE_SRC_HTTP_METRICS_H_
+#ifndef BERGAMOTSCALE_SRC_METRICS_METRICS_H_
+#define BERGAMOTSCALE_SRC_METRICS_METRICS_H_
 
 #include <cstdint>
 #include <memory>
 #include <string>
 
-namespace bergamotscale::http {
+namespace bergamotscale::metrics {
 
 // Thread safety: safe.
 class Metrics {
@@ -38,6 +38,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace bergamotscale::http
+}  // namespace bergamotscale::metrics
 
-#endif  // BERGAMOTSCALE_SRC_HTTP_METRICS_H_
+#endif  // BERGAMOTSCALE_SRC_METRICS_METRICS_H_
--- /dev/null
+++ b/src/policy/placer.cc
@@ -0,0 +1,91 @@
+#include "src/policy/placer.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <xxhash.h>
+
+namespace bergamotscale::policy {
+namespace {
+
+// Weight of an instance as home of a shared part (rendezvous hashing).
+uint64_t HomeWeight(uint64_t shared_hash, uint64_t id_hash) {
+  const uint64_t pair[2] = {shared_hash, id_hash};
+  return XXH3_64bits(pair, sizeof(pair));
+}
+
+// @return how many instances go before this one as home of the shared part.
+int HomeRank(const std::vector<PlaceView>& views,
+             uint64_t shared_hash,
+             size_t index) {
+  const uint64_t weight = HomeWeight(shared_hash, views[index].id_hash_);
+  return static_cast<int>(
+      std::count_if(views.begin(), views.end(), [&](const PlaceView& other) {
+        return HomeWeight(shared_hash, other.id_hash_) > weight;
+      }));
+}
+
+// A slot more than there are delays a request by a whole one; for engines the
+// running requests only slow the batch.
+double QueueCost(const PlaceView& view,
+                 const PlaceRequest& request,
+                 const PlacerOptions& options) {
+  if (!request.engine_) {
+    const double load =
+        static_cast<double>(view.running_) / std::max(view.slots_, 1);
+    constexpr double kFullTokens = 1'000;
+    constexpr double kOtherZoneTokens = 100;
+    return load * kFullTokens + (view.same_zone_ ? 0 : kOtherZoneTokens);
+  }
+  const double over = std::max(0, view.running_ - view.slots_);
+  constexpr double kQueuedTokens = 500;
+  return view.unread_tokens_ + view.running_ * options.running_tokens_ +
+         over * kQueuedTokens;
+}
+
+}  // namespace
+
+double UnreadTokens(const std::vector<PlaceView>& views,
+                    const PlaceRequest& request,
+                    int index,
+                    const PlacerOptions& options) {
+  const auto own = static_cast<double>(request.own_.count());
+  const auto shared = static_cast<double>(request.shared_.count());
+  if (request.shared_hash_ == 0) {
+    return own + shared;
+  }
+  const int rank =
+      HomeRank(views, request.shared_hash_, static_cast<size_t>(index));
+  return rank < options.homes_ ? own : own + shared;
+}
+
+int Place(const std::vector<PlaceView>& views,
+          const PlaceRequest& request,
+          uint64_t random,
+          const PlacerOptions& options) {
+  int best = -1;
+  double best_cost = std::numeric_limits<double>::max();
+  const auto shared = static_cast<double>(request.shared_.count());
+  for (size_t step = 0; step < views.size(); ++step) {
+    const size_t i = (step + random) % views.size();
+    const PlaceView& view = views[i];
+    if (view.avoid_) {
+      continue;
+    }
+    double cost = QueueCost(view, request, options) +
+                  view.failure_share_ * options.failure_tokens_;
+    if (request.shared_hash_ != 0) {
+      const int rank = HomeRank(views, request.shared_hash_, i);
+      cost += rank >= options.homes_
+                  ? shared
+                  : shared * rank * options.second_home_share_;
+    }
+    if (cost < best_cost) {
+      best_cost = cost;
+      best = static_cast<int>(i);
+    }
+  }
+  return best;
+}
+
+}  // namespace bergamotscale::policy
--- /dev/null
+++ b/src/policy/shared_retry_budget.cc
@@ -0,0 +1,55 @@
+#include "src/policy/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace bergamotscale::policy {
+namespace {
+
+// Entries see windows shifted against one another, and sends arrive later than
+// they are counted; the rest is kept for both.
+constexpr double kUsedShare = 0.8;
+
+void ForgetBefore(std::deque<Millis>* times, Millis limit) {
+  while (!times->empty() && times->front() < limit) {
+    times->pop_front();
+  }
+}
+
+}  // namespace
+
+SharedRetryBudget::SharedRetryBudget(RetryBounds bounds) : bounds_(bounds) {}
+
+void SharedRetryBudget::SetMembers(int members) {
+  members_ = std::max(members, 1);
+}
+
+void SharedRetryBudget::SetBounds(RetryBounds bounds) {
+  bounds_ = bounds;
+}
+
+void SharedRetryBudget::Forget(Window* window, Millis now) const {
+  ForgetBefore(&window->requests_, now - bounds_.window_);
+  ForgetBefore(&window->retries_, now - bounds_.window_);
+}
+
+void SharedRetryBudget::OnRequest(const GroupId& group, Millis now) {
+  Window& window = windows_[group];
+  Forget(&window, now);
+  window.requests_.push_back(now);
+}
+
+bool SharedRetryBudget::TryRetry(const GroupId& group, Millis now) {
+  Window& window = windows_[group];
+  Forget(&window, now);
+  const double allowed =
+      kUsedShare *
+      (bounds_.ratio_ * static_cast<double>(window.requests_.size()) +
+       bounds_.extra_ / members_);
+  if (static_cast<double>(window.retries_.size()) + 1 > allowed) {
+    return false;
+  }
+  window.retries_.push_back(now);
+  return true;
+}
+
+}  // namespace bergamotscale::policy
--- /dev/null
+++ b/src/route/route_table.cc
@@ -0,0 +1,127 @@
+#include "src/route/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <unordered_map>
+#include <utility>
+
+namespace bergamotscale::route {
+namespace {
+
+std::string NormalHost(std::string_view host) {
+  const std::string_view name = host.substr(0, host.find(':'));
+  std::string normal(name);
+  std::transform(normal.begin(), normal.end(), normal.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return normal;
+}
+
+// No host has a space in it, so that the two parts can't run together.
+std::string PrefixKey(const std::string& host, std::string_view prefix) {
+  std::string key = host;
+  key += ' ';
+  key += prefix;
+  return key;
+}
+
+// FNV-1a: equal on all instances, and the ids are random already.
+uint64_t HashOf(std::string_view text) {
+  constexpr uint64_t kOffsetBasis = 14695981039346656037U;
+  constexpr uint64_t kPrime = 1099511628211U;
+  uint64_t hash = kOffsetBasis;
+  for (const char c : text) {
+    hash = (hash ^ static_cast<unsigned char>(c)) * kPrime;
+  }
+  return hash ^ (hash >> 32);
+}
+
+}  // namespace
+
+struct RouteTable::Impl {
+  explicit Impl(Content content) : content_(std::move(content)) {
+    for (size_t i = 0; i < content_.routes_.size(); ++i) {
+      const Route& route = content_.routes_[i];
+      by_prefix_[PrefixKey(NormalHost(route.host_), route.path_prefix_)] = i;
+    }
+    for (const WorkspaceKeys& workspace : content_.workspaces_) {
+      for (const std::string& key : workspace.keys_) {
+        by_key_[key] = &workspace.holder_;
+      }
+    }
+  }
+
+  const Content content_;
+  std::unordered_map<std::string, size_t> by_prefix_;
+  std::unordered_map<std::string, const KeyHolder*> by_key_;
+};
+
+RouteTable::RouteTable(Content content)
+    : impl_(std::make_unique<const Impl>(std::move(content))) {}
+
+RouteTable::~RouteTable() = default;
+
+int64_t RouteTable::version() const {
+  return impl_->content_.version_;
+}
+
+const CallerLimits& RouteTable::limits() const {
+  return impl_->content_.limits_;
+}
+
+const std::vector<Route>& RouteTable::routes() const {
+  return impl_->content_.routes_;
+}
+
+const Route* RouteTable::FindRoute(std::string_view host,
+                                   std::string_view target) const {
+  const std::string_view path = target.substr(0, target.find('?'));
+  const std::string normal = NormalHost(host);
+  for (size_t end = path.rfind('/'); end != std::string_view::npos;
+       end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+    const auto found =
+        impl_->by_prefix_.find(PrefixKey(normal, path.substr(0, end + 1)));
+    if (found != impl_->by_prefix_.end()) {
+      return &impl_->content_.routes_[found->second];
+    }
+  }
+  return nullptr;
+}
+
+bool RouteTable::NeedsKey(const Route& route) const {
+  return impl_->content_.has_workspaces_ && route.needs_key_;
+}
+
+const KeyHolder* RouteTable::FindKey(const std::string& key) const {
+  const auto found = impl_->by_key_.find(key);
+  return found == impl_->by_key_.end() ? nullptr : found->second;
+}
+
+const Service* RouteTable::FindService(const GroupId& name) const {
+  for (const Service& service : impl_->content_.services_) {
+    if (service.name_ == name) {
+      return &service;
+    }
+  }
+  return nullptr;
+}
+
+const GroupId& ChooseGroup(const Route& route, std::string_view request_id) {
+  int64_t total = 0;
+  for (const WeightedGroup& group : route.groups_) {
+    total += group.weight_;
+  }
+  if (total <= 0) {
+    return route.groups_.front().group_;
+  }
+  int64_t point =
+      static_cast<int64_t>(HashOf(request_id) % static_cast<uint64_t>(total));
+  for (const WeightedGroup& group : route.groups_) {
+    point -= group.weight_;
+    if (point < 0) {
+      return group.group_;
+    }
+  }
+  return route.groups_.back().group_;
+}
+
+}  // namespace bergamotscale::route
--- /dev/null
+++ b/src/route/route_table.h
@@ -0,0 +1,129 @@
+// Which opaque requests are allowed, and to which group of upstreams they go.
+#ifndef BERGAMOTSCALE_SRC_ROUTE_ROUTE_TABLE_H_
+#define BERGAMOTSCALE_SRC_ROUTE_ROUTE_TABLE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bergamotscale/ids.h"
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::route {
+
+// How often a request may be executed, and the form of its answer.
+enum class CallKind {
+  kIdempotent,  // may be executed more than once
+  kAtMostOnce,  // at most one execution
+  kStream,      // a stream of events; at most once unless resumable
+};
+
+// A group of upstreams with its share of a route's requests.
+struct WeightedGroup {
+  GroupId group_;
+  int weight_ = 1;
+};
+
+struct Route {
+  std::string name_;
+  std::string host_;
+  std::string path_prefix_;  // begins and ends with a slash
+  CallKind kind_ = CallKind::kAtMostOnce;
+  bool resumable_ = false;
+  bool needs_key_ = true;
+  // From arrival: when the request is given up, and when its answer (of a
+  // stream, its first event) is due.
+  Millis timeout_ = Millis(30'000);
+  Millis target_ = Millis(1'000);
+  // The longest pause between events of an answer that is on time.
+  Millis gap_target_ = Millis(1'000);
+  int priority_ = 0;  // 0 is the most urgent
+  int max_attempts_ = 1;
+  std::vector<WeightedGroup> groups_;
+
+  // @return whether a request may be executed again after it may have run.
+  bool repeatable() const {
+    return kind_ == CallKind::kIdempotent ||
+           (kind_ == CallKind::kStream && resumable_);
+  }
+};
+
+// What is known of a group of upstreams.
+struct Service {
+  GroupId name_;
+  int max_connections_ = 0;  // of one instance, by all callers; 0: not known
+  // Tokens that an instance keeps; 0 for services that are no engines.
+  Tokens memory_;
+};
+
+// What a caller may send, and how long it may take.
+struct CallerLimits {
+  Bytes max_header_ = Bytes(16'384);
+  Bytes max_body_ = Bytes(4'194'304);
+  Millis header_timeout_ = Millis(3'000);
+  Millis idle_timeout_ = Millis(15'000);
+};
+
+struct KeyHolder {
+  WorkspaceId workspace_;
+  // Goes before the priority of the route.
+  std::optional<int> priority_;
+};
+
+struct WorkspaceKeys {
+  KeyHolder holder_;
+  std::vector<std::string> keys_;
+};
+
+// One version of the configuration of opaque requests, immutable.
+// Thread safety: safe.
+class RouteTable {
+ public:
+  struct Content {
+    int64_t version_ = 0;
+    std::vector<Route> routes_;
+    std::vector<Service> services_;
+    std::vector<WorkspaceKeys> workspaces_;
+    CallerLimits limits_;
+    // Whether any route may ask for a key.
+    bool has_workspaces_ = false;
+  };
+
+  explicit RouteTable(Content content);
+  ~RouteTable();
+  RouteTable(const RouteTable&) = delete;
+  RouteTable& operator=(const RouteTable&) = delete;
+
+  int64_t version() const;
+  const CallerLimits& limits() const;
+  const std::vector<Route>& routes() const;
+
+  // @param host as sent, with or without a port; case does not matter.
+  // @param target the request target, with or without a query.
+  // @return the route with the longest prefix, or null. Lifetime: the table's.
+  const Route* FindRoute(std::string_view host, std::string_view target) const;
+
+  // @return whether requests on the route need a key of a workspace.
+  bool NeedsKey(const Route& route) const;
+
+  // @return who holds the key, or null. Lifetime: the table's.
+  const KeyHolder* FindKey(const std::string& key) const;
+
+  // @return the service of that name, or null. Lifetime: the table's.
+  const Service* FindService(const GroupId& name) const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<const Impl> impl_;
+};
+
+// @return the group that serves a request, chosen by the groups' weights.
+// Equal requests get equal groups. Precondition: the route has groups.
+const GroupId& ChooseGroup(const Route& route, std::string_view request_id);
+
+}  // namespace bergamotscale::route
+
+#endif  // BERGAMOTSCALE_SRC_ROUTE_ROUTE_TABLE_H_
--- a/src/sidecar/engine_orders.cc
+++ b/src/sidecar/engine_orders.cc
@@ -33,7 +33,7 @@
   Impl(boost::asio::io_context& io,
        log::LogClient& client,
        timeline::Timeline& timeline,
-       http::Metrics& metrics,
+       metrics::Metrics& metrics,
        InstanceId sidecar,
        std::string engine_url,
        EngineOrderHooks hooks)
@@ -259,7 +259,7 @@
   boost::asio::io_context& io_;
   log::LogClient& client_;
   timeline::Timeline& timeline_;
-  http::Metrics& metrics_;
+  metrics::Metrics& metrics_;
   const Clock wall_ = Clock::Wall();
   const Clock steady_ = Clock::Steady();
   boost::asio::steady_timer timer_;
@@ -283,7 +283,7 @@
 EngineOrders::EngineOrders(boost::asio::io_context& io,
                            log::LogClient& client,
                            timeline::Timeline& timeline,
-                           http::Metrics& metrics,
+                           metrics::Metrics& metrics,
                            InstanceId sidecar,
                            std::string engine_url,
                            EngineOrderHooks hooks)
--- a/src/sidecar/engine_orders.h
+++ b/src/sidecar/engine_orders.h
@@ -9,7 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "bergamotscale/ids.h"
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
 #include "src/sidecar/traffic.h"
 #include "src/timeline/timeline.h"
@@ -34,7 +34,7 @@
   EngineOrders(boost::asio::io_context& io,
                log::LogClient& client,
                timeline::Timeline& timeline,
-               http::Metrics& metrics,
+               metrics::Metrics& metrics,
                InstanceId sidecar,
                std::string engine_url,
                EngineOrderHooks hooks);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -222,7 +222,7 @@
   std::function<void()> on_drained_;
   Blackboard blackboard_;
   timeline::Timeline timeline_;
-  http::Metrics metrics_;
+  metrics::Metrics metrics_;
   IoThread control_thread_;
   log::LogClient log_client_;
   log::LogClient config_log_client_;  // answers on the control thread
--- a/src/sidecar/traffic.cc
+++ b/src/sidecar/traffic.cc
@@ -61,7 +61,7 @@
        log::LogClient& log_client,
        Blackboard& blackboard,
        timeline::Timeline& timeline,
-       http::Metrics& metrics,
+       metrics::Metrics& metrics,
        TrafficHooks hooks)
       : io_(io),
         settings_(settings),
@@ -428,7 +428,7 @@
                  log::LogClient& log_client,
                  Blackboard& blackboard,
                  timeline::Timeline& timeline,
-                 http::Metrics& metrics,
+                 metrics::Metrics& metrics,
                  TrafficHooks hooks)
     : impl_(std::make_unique<Impl>(io,
                                    settings,
--- a/src/sidecar/traffic.h
+++ b/src/sidecar/traffic.h
@@ -11,7 +11,7 @@
 #include "bergamotscale/result.h"
 #include "src/config/config_follower.h"
 #include "src/core/blackboard.h"
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
 #include "src/sidecar/settings.h"
 #include "src/timeline/timeline.h"
@@ -62,7 +62,7 @@
           log::LogClient& log_client,
           Blackboard& blackboard,
           timeline::Timeline& timeline,
-          http::Metrics& metrics,
+          metrics::Metrics& metrics,
           TrafficHooks hooks);
   ~Traffic();
   Traffic(const Traffic&) = delete;
--- a/src/sidecar/work_session.h
+++ b/src/sidecar/work_session.h
@@ -9,7 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 #include "src/link/link.h"
 #include "src/orders/order_executor.h"
 #include "src/sidecar/execution.h"
@@ -30,7 +30,7 @@
   Scheduler& scheduler_;
   orders::OrderExecutor& executor_;
   timeline::Timeline& timeline_;
-  http::Metrics& metrics_;
+  metrics::Metrics& metrics_;
   // The upstream failed a call that it had begun. The hook is called later.
   std::function<void(ProbedHook)> on_upstream_failed_;
   // The upstream refused work as leaving, or nothing listens there.
--- /dev/null
+++ b/src/web/listener.cc
@@ -0,0 +1,182 @@
+#include "src/web/listener.h"
+
+#include <cstdlib>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "src/core/chrono_time.h"
+
+namespace bergamotscale::web {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Pause when no descriptor is left for a connection, or sessions are many.
+constexpr Millis kAcceptPause = Millis(10);
+// Connections that the kernel holds before they are accepted.
+constexpr int kBacklog = 1'024;
+
+}  // namespace
+
+Result<tcp::endpoint> ParseEndpoint(const std::string& text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string::npos) {
+    return Error(ErrorCode::kInvalidSettings, text + ": expected IP:PORT");
+  }
+  error_code error;
+  const auto address =
+      boost::asio::ip::make_address_v4(text.substr(0, colon), error);
+  const int port = std::atoi(text.c_str() + colon + 1);
+  if (error || port < 0 || port > UINT16_MAX) {
+    return Error(ErrorCode::kInvalidSettings, text + ": expected IP:PORT");
+  }
+  return tcp::endpoint(address, static_cast<uint16_t>(port));
+}
+
+class Listener::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(boost::asio::io_context& io, SessionHooks hooks, size_t max_sessions)
+      : acceptor_(io),
+        pause_(io),
+        hooks_(std::move(hooks)),
+        max_sessions_(max_sessions) {}
+
+  Status Start(const tcp::endpoint& address) {
+    error_code error;
+    acceptor_.open(tcp::v4(), error);
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(address, error);
+    }
+    if (!error) {
+      acceptor_.listen(kBacklog, error);
+    }
+    if (error) {
+      return Error(ErrorCode::kInternal, "listen on " +
+                                             address.address().to_string() +
+                                             ": " + error.message());
+    }
+    Accept();
+    return Done{};
+  }
+
+  void StopAccepting() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+  }
+
+  // Closing a session takes it out of the map.
+  void CloseIdle() {
+    std::vector<CallerSession*> all;
+    for (const auto& [number, session] : sessions_) {
+      all.push_back(session.get());
+    }
+    for (CallerSession* session : all) {
+      session->CloseIfIdle();
+    }
+  }
+
+  size_t sessions() const { return sessions_.size(); }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([self = shared_from_this()](const error_code& error,
+                                                       tcp::socket socket) {
+      self->OnAccepted(error, std::move(socket));
+    });
+  }
+
+  void OnAccepted(const error_code& error, tcp::socket socket) {
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    if (!error) {
+      Open(std::move(socket));
+    }
+    if (error || sessions_.size() >= max_sessions_) {
+      AcceptLater();
+    } else {
+      Accept();
+    }
+  }
+
+  void AcceptLater() {
+    pause_.expires_after(ToChrono(kAcceptPause));
+    pause_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (error || !self->acceptor_.is_open()) {
+        return;
+      }
+      if (self->sessions_.size() >= self->max_sessions_) {
+        self->AcceptLater();
+      } else {
+        self->Accept();
+      }
+    });
+  }
+
+  void Open(tcp::socket socket) {
+    const uint64_t number = ++next_;
+    SessionHooks hooks = hooks_;
+    hooks.on_closed_ = [weak = weak_from_this(), number] {
+      const auto self = weak.lock();
+      if (self == nullptr) {
+        return;
+      }
+      // The session is at work: it is let go of once that is done.
+      const auto found = self->sessions_.find(number);
+      if (found != self->sessions_.end()) {
+        boost::asio::post(self->pause_.get_executor(),
+                          [gone = std::shared_ptr<CallerSession>(
+                               std::move(found->second))] {});
+        self->sessions_.erase(found);
+      }
+    };
+    auto session =
+        std::make_unique<CallerSession>(std::move(socket), std::move(hooks));
+    CallerSession* raw = session.get();
+    sessions_[number] = std::move(session);
+    raw->Start();
+  }
+
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  const SessionHooks hooks_;
+  const size_t max_sessions_;
+  std::unordered_map<uint64_t, std::unique_ptr<CallerSession>> sessions_;
+  uint64_t next_ = 0;
+};
+
+Listener::Listener(boost::asio::io_context& io,
+                   SessionHooks hooks,
+                   size_t max_sessions)
+    : impl_(std::make_shared<Impl>(io, std::move(hooks), max_sessions)) {}
+
+Listener::~Listener() {
+  impl_->StopAccepting();
+}
+
+Status Listener::Start(const tcp::endpoint& address) {
+  return impl_->Start(address);
+}
+
+void Listener::StopAccepting() {
+  impl_->StopAccepting();
+}
+
+void Listener::CloseIdle() {
+  impl_->CloseIdle();
+}
+
+size_t Listener::sessions() const {
+  return impl_->sessions();
+}
+
+}  // namespace bergamotscale::web
--- /dev/null
+++ b/src/web/listener.h
@@ -0,0 +1,47 @@
+// Accepts callers' connections and keeps their sessions.
+#ifndef BERGAMOTSCALE_SRC_WEB_LISTENER_H_
+#define BERGAMOTSCALE_SRC_WEB_LISTENER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "bergamotscale/result.h"
+#include "src/web/caller_session.h"
+
+namespace bergamotscale::web {
+
+// @return the endpoint of "IP:PORT", or kInvalidSettings. Thread safety: safe.
+Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text);
+
+// Thread safety: use from the thread of its io_context.
+class Listener {
+ public:
+  // @param hooks for the sessions; on_closed_ is taken by the listener.
+  // @param max_sessions open at once; further connections wait in the kernel.
+  Listener(boost::asio::io_context& io,
+           SessionHooks hooks,
+           size_t max_sessions);
+  ~Listener();
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  Status Start(const boost::asio::ip::tcp::endpoint& address);
+  // Closes the listening socket; sessions go on.
+  void StopAccepting();
+  // Closes the sessions that are between requests.
+  void CloseIdle();
+  // @return open sessions.
+  size_t sessions() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace bergamotscale::web
+
+#endif  // BERGAMOTSCALE_SRC_WEB_LISTENER_H_
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -3,7 +3,7 @@
 
 #include <doctest/doctest.h>
 
-#include "src/http/metrics.h"
+#include "src/metrics/metrics.h"
 
 namespace bergamotscale::http {
 namespace {
