Placing: by the parts that instances are believed to keep, told among entries

Cause: half of the tokens that engines read were shared parts read again; each entry placed by rendezvous alone and counted a part as cached before anyone had read it. Change: a belief of each instance's parts, fed by own sends and by peers' datagrams, goes into the cost of placing.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -62,12 +62,11 @@
   for (size_t i = 0; i + 1 < prompt.parts_.size(); ++i) {
     const uint64_t pair[2] = {hash, prompt.parts_[i].id_};
     hash = XXH3_64bits(pair, sizeof(pair));
-    request.shared_ += prompt.parts_[i].tokens_;
+    request.shared_.push_back({hash, prompt.parts_[i].tokens_});
   }
-  request.shared_hash_ = hash;
-  request.own_ = prompt.prompt_ > request.shared_
-                     ? prompt.prompt_ - request.shared_
-                     : Tokens(0);
+  const Tokens shared = request.SharedTokens();
+  request.own_ =
+      prompt.prompt_ > shared ? prompt.prompt_ - shared : Tokens(0);
   return request;
 }
 
@@ -217,7 +216,7 @@
       Hold();
       return;
     }
-    context_.upstreams_.Begin(choice_);
+    context_.upstreams_.Begin(choice_, place_);
     at_upstream_ = true;
     prompt_read_ = false;
     // A connection that was idle may have gone silent, which a call that must
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -181,6 +181,10 @@
                              std::vector<InstanceLoad> loads) {
       upstreams_.TakePeerLoads(peer, std::move(loads));
     };
+    hooks.recent_prompts_ = [this] { return upstreams_.RecentPrompts(); };
+    hooks.on_prompts_ = [this](const std::vector<SentPrompt>& prompts) {
+      upstreams_.TakePeerPrompts(prompts);
+    };
     hooks.on_suspicion_ = [this](const policy::SuspicionRecord& record) {
       return quarantine_.Merge(record, boot_.Now());
     };
@@ -199,6 +203,12 @@
   }
 
   void OnControlChange() {
+    const auto table = state_.table_.Read();
+    if (table != nullptr) {
+      for (const route::Service& service : table->services()) {
+        upstreams_.SetMemory(service.name_, service.memory_);
+      }
+    }
     const auto upstreams = state_.upstreams_.Read();
     if (upstreams != nullptr) {
       upstreams_.Update(*upstreams);
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -2,6 +2,7 @@
 
 #include <exception>
 #include <tuple>
+#include <utility>
 
 #include <msgpack.hpp>
 
@@ -10,11 +11,14 @@
 
 using LoadRow = std::tuple<uint64_t, int, double>;
 using SuspicionRow = std::tuple<uint64_t, int, bool, int64_t, uint64_t>;
+using PartRow = std::tuple<uint64_t, int64_t>;
+using PromptRow = std::tuple<uint64_t, std::vector<PartRow>>;
 using Rows = std::tuple<int64_t,
                         int64_t,
                         std::vector<std::string>,
                         std::vector<LoadRow>,
-                        std::vector<SuspicionRow>>;
+                        std::vector<SuspicionRow>,
+                        std::vector<PromptRow>>;
 
 }  // namespace
 
@@ -32,6 +36,13 @@
                                    record.convicted_,
                                    record.expires_in_.count(), record.source_);
   }
+  for (const SentPrompt& prompt : message.prompts_) {
+    std::vector<PartRow> parts;
+    for (const policy::SharedPart& part : prompt.shared_) {
+      parts.emplace_back(part.prefix_hash_, part.tokens_.count());
+    }
+    std::get<5>(rows).emplace_back(prompt.id_hash_, std::move(parts));
+  }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, rows);
   return {buffer.data(), buffer.size()};
@@ -53,6 +64,14 @@
       message.suspicions_.push_back(
           {digest, crashes, convicted, Millis(expires), source});
     }
+    for (const auto& [id_hash, parts] : std::get<5>(rows)) {
+      SentPrompt prompt;
+      prompt.id_hash_ = id_hash;
+      for (const auto& [prefix_hash, tokens] : parts) {
+        prompt.shared_.push_back({prefix_hash, Tokens(tokens)});
+      }
+      message.prompts_.push_back(std::move(prompt));
+    }
     return message;
   } catch (const std::exception& error) {
     return Error(ErrorCode::kProtocolError, error.what());
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -21,6 +21,7 @@
   std::vector<std::string> heard_;
   std::vector<InstanceLoad> loads_;
   std::vector<policy::SuspicionRecord> suspicions_;
+  std::vector<SentPrompt> prompts_;
 };
 
 // @return the message as msgpack bytes. Thread safety: safe.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -135,6 +135,7 @@
     }
     message.loads_ = hooks_.own_loads_();
     message.suspicions_ = hooks_.suspicions_();
+    message.prompts_ = hooks_.recent_prompts_();
     return message;
   }
 
@@ -188,6 +189,7 @@
     }
     peer = {boot_.Now(), message.incarnation_, message.number_};
     hooks_.on_loads_(TextOf(from_), message.loads_);
+    hooks_.on_prompts_(message.prompts_);
     for (const policy::SuspicionRecord& record : message.suspicions_) {
       hooks_.on_suspicion_(record);
     }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -20,8 +20,10 @@
 struct PeerHooks {
   std::function<std::vector<InstanceLoad>()> own_loads_;
   std::function<std::vector<policy::SuspicionRecord>()> suspicions_;
+  std::function<std::vector<SentPrompt>()> recent_prompts_;
   std::function<void(const std::string& peer, std::vector<InstanceLoad>)>
       on_loads_;
+  std::function<void(const std::vector<SentPrompt>&)> on_prompts_;
   // @return whether the record was news.
   std::function<bool(const policy::SuspicionRecord&)> on_suspicion_;
   // The number of gateways that are heard, this one included.
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 #include <boost/asio/post.hpp>
 
+#include "src/policy/cache_belief.h"
 #include "src/policy/instance_health.h"
 
 namespace bergamotscale::gateway {
@@ -29,6 +30,10 @@
 constexpr Millis kMaxIdle = Millis(4'000);
 // A peer's loads say little once they are this old.
 constexpr Millis kPeerLoadLifetime = Millis(1'000);
+// Prompts that were sent are told to peers for so long, a few datagrams.
+constexpr Millis kPromptToldFor = Millis(350);
+// Shorter shared parts are not worth telling.
+constexpr Tokens kLeastToldTokens = Tokens(500);
 
 struct IdleConnection {
   std::unique_ptr<web::ClientConnection> connection_;
@@ -46,13 +51,21 @@
   bool listed_ = true;
 };
 
+struct RecentPrompt {
+  SentPrompt prompt_;
+  Millis sent_;
+};
+
 struct PeerLoads {
   std::vector<InstanceLoad> loads_;
   Millis taken_;
 };
 
-uint64_t HashOf(const InstanceId& id) {
-  return XXH3_64bits(id.value().data(), id.value().size());
+// Names the incarnation, as a restarted instance keeps nothing.
+uint64_t HashOf(const route::UpstreamEntry& entry) {
+  return XXH3_64bits_withSeed(entry.id_.value().data(),
+                              entry.id_.value().size(),
+                              static_cast<uint64_t>(entry.started_at_));
 }
 
 bool Contains(const std::vector<UpstreamKey>& keys, const UpstreamKey& key) {
@@ -80,17 +93,24 @@
                          instance.entry_.port_ != entry.port_;
       if (other) {
         // Nothing known of an earlier incarnation holds.
+        belief_.Forget(instance.id_hash_);
         instance = Instance();
       }
       instance.entry_ = entry;
-      instance.id_hash_ = HashOf(entry.id_);
+      instance.id_hash_ = HashOf(entry);
+      belief_.SetCapacity(instance.id_hash_, memory_[entry.group_]);
       instance.listed_ = true;
       if (entry.draining_) {
         instance.idle_.clear();
       }
     }
     for (auto it = instances_.begin(); it != instances_.end();) {
-      it = it->second.listed_ ? std::next(it) : instances_.erase(it);
+      if (it->second.listed_) {
+        ++it;
+      } else {
+        belief_.Forget(it->second.id_hash_);
+        it = instances_.erase(it);
+      }
     }
   }
 
@@ -106,6 +126,8 @@
         continue;
       }
       views.push_back(View(instance, now));
+      views.back().missing_tokens_ = static_cast<double>(
+          belief_.Missing(instance.id_hash_, request.shared_).count());
       views.back().avoid_ =
           Contains(tried, KeyOf(instance)) || instance.health_.IsPaused(now);
       candidates.push_back(&instance);
@@ -116,7 +138,9 @@
     }
     const Instance& chosen = *candidates[static_cast<size_t>(best)];
     choice->upstream_ = KeyOf(chosen);
-    choice->unread_tokens_ = policy::UnreadTokens(views, request, best);
+    choice->unread_tokens_ =
+        views[static_cast<size_t>(best)].missing_tokens_ +
+        static_cast<double>(request.own_.count());
     choice->running_ = views[static_cast<size_t>(best)].running_;
     return true;
   }
@@ -224,6 +248,27 @@
     }
   }
 
+  void NotePrompt(const Instance& instance,
+                  const policy::PlaceRequest& request) {
+    if (request.SharedTokens() < kLeastToldTokens) {
+      return;
+    }
+    belief_.OnSent(instance.id_hash_, request.shared_);
+    recent_.push_back({{instance.id_hash_, request.shared_}, boot_.Now()});
+  }
+
+  std::vector<SentPrompt> RecentPrompts() {
+    const Millis now = boot_.Now();
+    while (!recent_.empty() && now - recent_.front().sent_ > kPromptToldFor) {
+      recent_.pop_front();
+    }
+    std::vector<SentPrompt> prompts;
+    for (const RecentPrompt& recent : recent_) {
+      prompts.push_back(recent.prompt_);
+    }
+    return prompts;
+  }
+
   std::vector<InstanceLoad> OwnLoads() const {
     std::vector<InstanceLoad> loads;
     for (const auto& [id, instance] : instances_) {
@@ -241,6 +286,9 @@
   std::mt19937_64 random_;
   std::map<InstanceId, Instance> instances_;
   std::unordered_map<std::string, PeerLoads> peers_;
+  policy::CacheBelief belief_;
+  std::map<GroupId, Tokens> memory_;
+  std::deque<RecentPrompt> recent_;
   int64_t opened_ = 0;
 
  private:
@@ -345,8 +393,24 @@
   impl_->GiveBack(upstream, std::move(connection));
 }
 
-void UpstreamSet::Begin(const Choice& choice) {
+void UpstreamSet::SetMemory(const GroupId& group, Tokens memory) {
+  impl_->memory_[group] = memory;
+}
+
+std::vector<SentPrompt> UpstreamSet::RecentPrompts() {
+  return impl_->RecentPrompts();
+}
+
+void UpstreamSet::TakePeerPrompts(const std::vector<SentPrompt>& prompts) {
+  for (const SentPrompt& prompt : prompts) {
+    impl_->belief_.OnSent(prompt.id_hash_, prompt.shared_);
+  }
+}
+
+void UpstreamSet::Begin(const Choice& choice,
+                        const policy::PlaceRequest& request) {
   if (Instance* instance = impl_->Find(choice.upstream_)) {
+    impl_->NotePrompt(*instance, request);
     ++instance->running_;
     instance->unread_tokens_ += choice.unread_tokens_;
   }
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -25,6 +25,12 @@
   double unread_tokens_ = 0;
 };
 
+// A prompt that was sent to an instance, as told to peers.
+struct SentPrompt {
+  uint64_t id_hash_ = 0;
+  std::vector<policy::SharedPart> shared_;
+};
+
 // Names an incarnation of an instance.
 struct UpstreamKey {
   InstanceId id_;
@@ -61,6 +67,8 @@
 
   // Replaces what is known. Instances that are gone get no more requests.
   void Update(const std::vector<route::UpstreamEntry>& entries);
+  // @param memory tokens that an instance of the group keeps.
+  void SetMemory(const GroupId& group, Tokens memory);
 
   struct Choice {
     UpstreamKey upstream_;
@@ -91,13 +99,18 @@
                 std::unique_ptr<web::ClientConnection> connection);
 
   // Counts a request at the instance, from before it is sent to its end.
-  void Begin(const Choice& choice);
+  void Begin(const Choice& choice, const policy::PlaceRequest& request);
   // The prompt has been read: the first bytes of the answer came.
   void PromptRead(const Choice& choice);
   void End(const Choice& choice, bool prompt_was_read, CallOutcome outcome);
 
   // @return the load that this gateway puts on each instance.
   std::vector<InstanceLoad> OwnLoads() const;
+  // @return the prompts with long shared parts that were sent lately. They are
+  // returned a few times, as datagrams may be lost.
+  std::vector<SentPrompt> RecentPrompts();
+  // Takes the prompts that a peer has sent.
+  void TakePeerPrompts(const std::vector<SentPrompt>& prompts);
   // Takes the load that a peer puts on instances. It counts until the next one
   // or until it is old.
   void TakePeerLoads(const std::string& peer, std::vector<InstanceLoad> loads);
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -43,20 +43,22 @@
          over * kQueuedTokens;
 }
 
+// @return whether any instance keeps most of the shared parts.
+bool IsKeptAnywhere(const std::vector<PlaceView>& views, double shared) {
+  return std::any_of(views.begin(), views.end(),
+                     [shared](const PlaceView& view) {
+                       return !view.avoid_ && view.missing_tokens_ * 2 < shared;
+                     });
+}
+
 }  // namespace
 
-double UnreadTokens(const std::vector<PlaceView>& views,
-                    const PlaceRequest& request,
-                    int index,
-                    const PlacerOptions& options) {
-  const auto own = static_cast<double>(request.own_.count());
-  const auto shared = static_cast<double>(request.shared_.count());
-  if (request.shared_hash_ == 0) {
-    return own + shared;
+Tokens PlaceRequest::SharedTokens() const {
+  Tokens sum;
+  for (const SharedPart& part : shared_) {
+    sum += part.tokens_;
   }
-  const int rank =
-      HomeRank(views, request.shared_hash_, static_cast<size_t>(index));
-  return rank < options.homes_ ? own : own + shared;
+  return sum;
 }
 
 int Place(const std::vector<PlaceView>& views,
@@ -65,20 +67,19 @@
           const PlacerOptions& options) {
   int best = -1;
   double best_cost = std::numeric_limits<double>::max();
-  const auto shared = static_cast<double>(request.shared_.count());
+  const auto shared = static_cast<double>(request.SharedTokens().count());
+  const bool new_home = shared > 0 && !IsKeptAnywhere(views, shared);
   for (size_t step = 0; step < views.size(); ++step) {
     const size_t i = (step + random) % views.size();
     const PlaceView& view = views[i];
     if (view.avoid_) {
       continue;
     }
-    double cost = QueueCost(view, request, options) +
+    double cost = QueueCost(view, request, options) + view.missing_tokens_ +
                   view.failure_share_ * options.failure_tokens_;
-    if (request.shared_hash_ != 0) {
-      const int rank = HomeRank(views, request.shared_hash_, i);
-      cost += rank >= options.homes_
-                  ? shared
-                  : shared * rank * options.second_home_share_;
+    if (new_home) {
+      const uint64_t last = request.shared_.back().prefix_hash_;
+      cost += HomeRank(views, last, i) * shared * options.next_home_share_;
     }
     if (cost < best_cost) {
       best_cost = cost;
--- a/src/policy/placer.h
+++ b/src/policy/placer.h
@@ -7,6 +7,7 @@
 
 #include "bergamotscale/ids.h"
 #include "bergamotscale/units.h"
+#include "src/policy/cache_belief.h"
 
 namespace bergamotscale::policy {
 
@@ -19,6 +20,8 @@
   int running_ = 0;
   // Prompt tokens sent there that have not been answered with a first event.
   double unread_tokens_ = 0;
+  // Tokens of the request's shared parts that are not believed to be cached.
+  double missing_tokens_ = 0;
   // 0 for an instance that answers well, towards 1 for one that fails.
   double failure_share_ = 0;
   bool avoid_ = false;  // tried already, or its connections fail
@@ -26,22 +29,22 @@
 
 // What placing needs to know of a request.
 struct PlaceRequest {
-  // Hash of the prompt's shared parts; 0 if it has none.
-  uint64_t shared_hash_ = 0;
-  Tokens shared_;
+  // The parts of the prompt that other requests share, in order.
+  std::vector<SharedPart> shared_;
   Tokens own_;
   // Whether upstreams of the group are engines.
   bool engine_ = false;
+
+  // @return the tokens of all shared parts.
+  Tokens SharedTokens() const;
 };
 
 // The weights of placing, in prompt tokens.
 struct PlacerOptions {
-  // Instances on which a shared part is expected to be cached. All shared parts
-  // on so many instances fit into the memory of the group.
-  int homes_ = 2;
-  // What the second home costs against the first, as a share of the shared
-  // part: keeps a part at one place while that has room.
-  double second_home_share_ = 0.1;
+  // What the next home costs against the one before it for a part that no
+  // instance keeps, as a share of the part: entries that have not heard of one
+  // another's choice yet make the same.
+  double next_home_share_ = 0.1;
   // What a running request costs a new one: its steps delay reading prompts.
   double running_tokens_ = 30;
   // What an instance costs that fails all requests.
@@ -49,9 +52,9 @@
 };
 
 // @return the index of the instance with the least expected wait: prompts
-// ahead of the request there, its own prompt less what is cached, the batch.
-// This answers prompts that share long parts: they meet at their homes until
-// those have more work ahead than reading the part again elsewhere would take.
+// ahead of the request there, what it reads of its own prompt, the batch.
+// This answers prompts that share long parts: they meet where the parts are
+// kept until there is more work ahead than reading the parts again elsewhere.
 // Equal instances are told apart by `random`. -1 if there is none that is not
 // avoided. Thread safety: safe.
 int Place(const std::vector<PlaceView>& views,
@@ -59,13 +62,6 @@
           uint64_t random,
           const PlacerOptions& options = {});
 
-// @return the prompt tokens that an instance reads for the request: without
-// the shared part if the instance is a home of it.
-double UnreadTokens(const std::vector<PlaceView>& views,
-                    const PlaceRequest& request,
-                    int index,
-                    const PlacerOptions& options = {});
-
 }  // namespace bergamotscale::policy
 
 #endif  // BERGAMOTSCALE_SRC_POLICY_PLACER_H_
--- a/src/route/route_table.cc
+++ b/src/route/route_table.cc
@@ -72,6 +72,10 @@
   return impl_->content_.routes_;
 }
 
+const std::vector<Service>& RouteTable::services() const {
+  return impl_->content_.services_;
+}
+
 const Route* RouteTable::FindRoute(std::string_view host,
                                    std::string_view target) const {
   const std::string_view path = target.substr(0, target.find('?'));
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -100,6 +100,7 @@
   int64_t version() const;
   const CallerLimits& limits() const;
   const std::vector<Route>& routes() const;
+  const std::vector<Service>& services() const;
 
   // @param host as sent, with or without a port; case does not matter.
   // @param target the request target, with or without a query.
