Queueing: less urgent prompts wait in the entry while an engine has much to read

Cause: engines read prompts in the order in which they come, whatever their urgency. Ruled out: the number of running requests (it delays events by tens of ms only).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -65,8 +65,7 @@
     request.shared_.push_back({hash, prompt.parts_[i].tokens_});
   }
   const Tokens shared = request.SharedTokens();
-  request.own_ =
-      prompt.prompt_ > shared ? prompt.prompt_ - shared : Tokens(0);
+  request.own_ = prompt.prompt_ > shared ? prompt.prompt_ - shared : Tokens(0);
   return request;
 }
 
@@ -115,6 +114,10 @@
     const route::Service* service = table_->FindService(group_);
     place_ = PlaceRequestOf(facts_.prompt_,
                             service != nullptr && service->memory_ > Tokens(0));
+    if (place_.engine_) {
+      room_rule_.tightest_target_ =
+          table_->TightestTargetBefore(group_, priority_);
+    }
     splitter_.set_last_id(facts_.last_event_);
     context_.retries_.OnRequest(group_, Now());
     StartDeadline();
@@ -216,6 +219,45 @@
       Hold();
       return;
     }
+    if (!HasRoom()) {
+      WaitForRoom();
+      return;
+    }
+    TakeUpstream();
+  }
+
+  // @return whether so little is ahead at the chosen engine that more urgent
+  // requests behind this one can still be on time.
+  bool HasRoom() const {
+    const double allowed =
+        policy::TokensAllowedAhead(room_rule_, choice_.unread_tokens_);
+    return allowed < 0 || began_answer_ || choice_.unread_ahead_ <= allowed;
+  }
+
+  void WaitForRoom() {
+    policy::WaitingRequest waiting;
+    waiting.priority_ = priority_;
+    waiting.due_ = arrived_ + route_->target_;
+    room_id_ = context_.room_.Wait(
+        waiting, [self = shared_from_this()] { return self->TryRoom(); });
+    in_room_ = true;
+  }
+
+  // @return whether the request no longer waits.
+  bool TryRoom() {
+    if (ended_) {
+      return true;
+    }
+    if (!context_.upstreams_.Choose(group_, place_, tried_, &choice_) ||
+        !HasRoom()) {
+      return false;
+    }
+    in_room_ = false;
+    TakeUpstream();
+    return true;
+  }
+
+  void TakeUpstream() {
     context_.upstreams_.Begin(choice_, place_);
     at_upstream_ = true;
     prompt_read_ = false;
@@ -341,6 +383,7 @@
         .Add("send", int64_t{sends_})
         .Add("reused", int64_t{reused ? 1 : 0})
         .Add("running", int64_t{choice_.running_})
+        .Add("unread_ahead", static_cast<int64_t>(choice_.unread_ahead_))
         .Add("unread_tokens", static_cast<int64_t>(choice_.unread_tokens_))
         .Add("config", table_->version())
         .Add("config_age_ms", TableAge().count())
@@ -406,7 +449,9 @@
   bool OnBody(std::string bytes) {
     if (!prompt_read_) {
       prompt_read_ = true;
+      first_byte_ = Now();
       context_.upstreams_.PromptRead(choice_);
+      context_.room_.Kick();
     }
     if (!Streams()) {
       body_ += bytes;
@@ -491,6 +536,7 @@
         .Add("status", int64_t{head_.status_})
         .Add("upstream", choice_.upstream_.id_.value())
         .Add("sends", int64_t{sends_})
+        .Add("first_byte_ms", (first_byte_ - arrived_).count())
         .Write();
     context_.metrics_.Add("bergamot_gateway_answered");
     context_.metrics_.Observe("bergamot_gateway_answer_ms", route_->name_,
@@ -645,6 +691,7 @@
     }
     at_upstream_ = false;
     context_.upstreams_.End(choice_, prompt_read_, outcome);
+    context_.room_.Kick();
     if (connection_ != nullptr) {
       if (connection_->usable()) {
         context_.upstreams_.GiveBack(choice_.upstream_, std::move(connection_));
@@ -659,6 +706,9 @@
     }
     ended_ = true;
     LeaveUpstream(CallOutcome::kAbandoned);
+    if (in_room_) {
+      context_.room_.Leave(room_id_);
+    }
     deadline_timer_.cancel();
     pause_timer_.cancel();
     responder_.reset();
@@ -687,10 +737,14 @@
   EventSplitter splitter_;
   std::string body_;
   Millis sent_at_;
+  Millis first_byte_;
   int first_status_ = 0;
   int sends_ = 0;
   int executions_ = 0;  // sends that may have run
   int unreachable_ = 0;
+  policy::RoomRule room_rule_;
+  uint64_t room_id_ = 0;
+  bool in_room_ = false;
   bool at_upstream_ = false;
   bool prompt_read_ = false;
   bool sent_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include "src/gateway/control_state.h"
 #include "src/gateway/decision_log.h"
 #include "src/gateway/dialect.h"
+#include "src/gateway/room_queue.h"
 #include "src/gateway/upstream_set.h"
 #include "src/metrics/metrics.h"
 #include "src/policy/quarantine.h"
@@ -36,6 +37,7 @@
   const ControlState& control_;
   FreshnessBounds freshness_;
   UpstreamSet& upstreams_;
+  RoomQueue& room_;
   policy::SharedRetryBudget& retries_;
   policy::Quarantine& quarantine_;
   metrics::Metrics& metrics_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -60,6 +60,7 @@
         reload_(std::move(parts.reload_)),
         log_(STDOUT_FILENO, Clock::Wall()),
         upstreams_(io_, boot_, settings_.zone_),
+        room_(io_, boot_),
         retries_(settings_.retries_),
         context_{io_,
                  boot_,
@@ -68,6 +69,7 @@
                  FreshnessBounds{settings_.revoke_ - kRevokeMargin,
                                  settings_.config_apply_ - kDenialMargin},
                  upstreams_,
+                 room_,
                  retries_,
                  quarantine_,
                  metrics_,
@@ -180,6 +182,7 @@
     hooks.on_loads_ = [this](const std::string& peer,
                              std::vector<InstanceLoad> loads) {
       upstreams_.TakePeerLoads(peer, std::move(loads));
+      room_.Kick();
     };
     hooks.recent_prompts_ = [this] { return upstreams_.RecentPrompts(); };
     hooks.on_prompts_ = [this](const std::vector<SentPrompt>& prompts) {
@@ -406,6 +409,7 @@
   metrics::Metrics metrics_;
   ControlState state_;
   UpstreamSet upstreams_;
+  RoomQueue room_;
   policy::SharedRetryBudget retries_;
   policy::Quarantine quarantine_;
   ExchangeContext context_;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -16,8 +16,9 @@
 using boost::asio::ip::udp;
 using boost::system::error_code;
 
-// With few peers, a load is told this often; about a prompt's reading time.
-constexpr Millis kInterval = Millis(100);
+// With few peers, a load is told this often; less than the time in which an
+// engine reads a prompt.
+constexpr Millis kInterval = Millis(25);
 // With many peers the pace falls, so that a gateway's datagrams stay at most
 // one in this time.
 constexpr Millis kLeastSpacing = Millis(10);
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -138,10 +138,10 @@
     }
     const Instance& chosen = *candidates[static_cast<size_t>(best)];
     choice->upstream_ = KeyOf(chosen);
-    choice->unread_tokens_ =
-        views[static_cast<size_t>(best)].missing_tokens_ +
-        static_cast<double>(request.own_.count());
+    choice->unread_tokens_ = views[static_cast<size_t>(best)].missing_tokens_ +
+                             static_cast<double>(request.own_.count());
     choice->running_ = views[static_cast<size_t>(best)].running_;
+    choice->unread_ahead_ = views[static_cast<size_t>(best)].unread_tokens_;
     return true;
   }
 
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -74,7 +74,9 @@
     UpstreamKey upstream_;
     // What the instance is expected to read of the prompt.
     double unread_tokens_ = 0;
-    int running_ = 0;  // requests known there before this one
+    // What was known there before this request.
+    int running_ = 0;
+    double unread_ahead_ = 0;
   };
 
   // @param tried instances that the request has been at.
--- a/src/route/route_table.cc
+++ b/src/route/route_table.cc
@@ -100,6 +100,24 @@
   return found == impl_->by_key_.end() ? nullptr : found->second;
 }
 
+Millis RouteTable::TightestTargetBefore(const GroupId& group,
+                                        int priority) const {
+  Millis tightest;
+  for (const Route& route : impl_->content_.routes_) {
+    const bool serves = std::any_of(route.groups_.begin(), route.groups_.end(),
+                                    [&group](const WeightedGroup& weighted) {
+                                      return weighted.group_ == group;
+                                    });
+    if (!serves || route.priority_ >= priority) {
+      continue;
+    }
+    if (tightest == Millis(0) || route.target_ < tightest) {
+      tightest = route.target_;
+    }
+  }
+  return tightest;
+}
+
 const Service* RouteTable::FindService(const GroupId& name) const {
   for (const Service& service : impl_->content_.services_) {
     if (service.name_ == name) {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -113,6 +113,10 @@
   // @return who holds the key, or null. Lifetime: the table's.
   const KeyHolder* FindKey(const std::string& key) const;
 
+  // @return the tightest target of the group's routes that go before this
+  // priority; zero if there is none.
+  Millis TightestTargetBefore(const GroupId& group, int priority) const;
+
   // @return the service of that name, or null. Lifetime: the table's.
   const Service* FindService(const GroupId& name) const;
 
