--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -556,22 +556,41 @@
     End();
   }
 
-  // The connection ended before the whole answer was here. A process that
-  // crashes does this to all that it runs.
+  // The connection ended before the whole answer was here.
   void OnBroken(const web::CallEnd& end) {
     const std::string reason =
         end.malformed_ ? "the answer is no HTTP" : end.error_.message();
     LeaveUpstream(CallOutcome::kBroken);
     if (!end.malformed_) {
-      NoteCrash();
+      NoteIfCrashed();
     }
     AfterFailure(Verdict::kMayHaveRun, reason.c_str(), false);
   }
 
-  void NoteCrash() {
+  // An upstream that crashed takes no connection either; one that only broke
+  // this connection does, and its request is not to blame.
+  void NoteIfCrashed() {
+    const UpstreamKey upstream = choice_.upstream_;
+    context_.upstreams_.Connect(
+        upstream, true,
+        [self = shared_from_this(), upstream](ConnectionResult result) {
+          if (result.connection_ == nullptr) {
+            self->NoteCrash(upstream);
+          } else {
+            self->context_.upstreams_.GiveBack(upstream,
+                                               std::move(result.connection_));
+          }
+        });
+  }
+
+  void NoteCrash(const UpstreamKey& upstream) {
+    Log("crash_suspected")
+        .Add("upstream", upstream.id_.value())
+        .Add("was_suspect", int64_t{was_suspect_ ? 1 : 0})
+        .Write();
     const auto changed = context_.quarantine_.OnCrash(
         {policy::RunningDigest{digest_, was_suspect_}}, Now(),
-        policy::CrashSourceOf(choice_.upstream_.id_));
+        policy::CrashSourceOf(upstream.id_));
     was_suspect_ = true;
     if (!changed.empty()) {
       context_.spread_suspicion_();
@@ -602,7 +621,8 @@
     splitter_.TakeRest();
     const bool convicted = context_.quarantine_.Check(digest_, Now()) ==
                            policy::Suspicion::kConvicted;
-    const bool again = !caller_left_ && !convicted &&
+    const bool can_go_on = !began_answer_ || !splitter_.last_id().empty();
+    const bool again = !caller_left_ && !convicted && can_go_on &&
                        ChooseNextStep(failed) == NextStep::kSendAgain &&
                        context_.retries_.TryRetry(group_, Now());
     Log(again ? "send_again" : "send_failed")
--- /dev/null
+++ b/tests/gateway_parts_test.cc
@@ -0,0 +1,166 @@
+// The parts of a gateway that need no sockets.
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "src/gateway/decision_log.h"
+#include "src/gateway/event_splitter.h"
+#include "src/gateway/peer_message.h"
+#include "src/gateway/repeat_rule.h"
+#include "src/gateway/settings.h"
+#include "src/web/listener.h"
+#include "tests/property.h"
+
+namespace bergamotscale::gateway {
+namespace {
+
+TEST_CASE("events: whole ones pass, the rest is kept, bytes stay the same") {
+  EventSplitter splitter;
+  CHECK(splitter.Take("id: 1\ndata: a").empty());
+  CHECK(splitter.last_id().empty());
+  CHECK(splitter.Take("b\n\nid: 2\nda") == "id: 1\ndata: ab\n\n");
+  CHECK(splitter.last_id() == "1");
+  CHECK(splitter.Take("ta: c\n\nid: 3\ndata: d\n\nid:") ==
+        "id: 2\ndata: c\n\nid: 3\ndata: d\n\n");
+  CHECK(splitter.last_id() == "3");
+  CHECK(splitter.TakeRest() == "id:");
+  CHECK(splitter.TakeRest().empty());
+}
+
+TEST_CASE("events: an id within the data is no id") {
+  EventSplitter splitter;
+  splitter.Take("id: 4\ndata: id: 9\n\n");
+  CHECK(splitter.last_id() == "4");
+}
+
+TEST_CASE("events: any split gives the same bytes and the same last id") {
+  testing::CheckProperty("splits of a stream", [](std::vector<uint8_t> cuts) {
+    const std::string stream =
+        "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n: x";
+    EventSplitter splitter;
+    std::string passed;
+    size_t at = 0;
+    for (const uint8_t cut : cuts) {
+      const size_t size = std::min<size_t>(cut % 7, stream.size() - at);
+      passed += splitter.Take(std::string_view(stream).substr(at, size));
+      at += size;
+    }
+    passed += splitter.Take(std::string_view(stream).substr(at));
+    RC_ASSERT(splitter.last_id() == "3");
+    RC_ASSERT(passed + splitter.TakeRest() == stream);
+  });
+}
+
+FailedSend MakeFailed(Verdict verdict, bool repeatable, int max_attempts) {
+  FailedSend failed;
+  failed.verdict_ = verdict;
+  failed.repeatable_ = repeatable;
+  failed.executions_ = verdict == Verdict::kNotRun ? 0 : 1;
+  failed.max_attempts_ = max_attempts;
+  failed.sends_ = 1;
+  failed.time_left_ = Millis(1'000);
+  return failed;
+}
+
+TEST_CASE("repeat rule: what may have run is repeated only where allowed") {
+  CHECK(ChooseNextStep(MakeFailed(Verdict::kMayHaveRun, false, 3)) ==
+        NextStep::kGiveUp);
+  CHECK(ChooseNextStep(MakeFailed(Verdict::kMayHaveRun, true, 1)) ==
+        NextStep::kGiveUp);
+  CHECK(ChooseNextStep(MakeFailed(Verdict::kMayHaveRun, true, 2)) ==
+        NextStep::kSendAgain);
+  CHECK(ChooseNextStep(MakeFailed(Verdict::kNotRun, false, 1)) ==
+        NextStep::kSendAgain);
+}
+
+TEST_CASE("repeat rule: neither without time nor for ever") {
+  FailedSend failed = MakeFailed(Verdict::kNotRun, true, 9);
+  failed.time_left_ = kLeastTimeLeft - Millis(1);
+  CHECK(ChooseNextStep(failed) == NextStep::kGiveUp);
+  failed = MakeFailed(Verdict::kNotRun, true, 9);
+  failed.sends_ = kMaxSends;
+  CHECK(ChooseNextStep(failed) == NextStep::kGiveUp);
+}
+
+TEST_CASE("peer message: all of it comes back, and garbage is refused") {
+  PeerMessage message;
+  message.incarnation_ = 5;
+  message.number_ = 6;
+  message.heard_ = {"10.0.0.1:7"};
+  message.loads_ = {{11, 2, 3.5}};
+  message.suspicions_ = {{12, 1, false, Millis(13), 14}};
+  message.prompts_ = {{15, {{16, Tokens(17)}}}};
+  const auto read = ReadPeerMessage(WritePeerMessage(message));
+  REQUIRE(read.ok());
+  CHECK(read.value().heard_ == message.heard_);
+  CHECK(read.value().loads_[0].unread_tokens_ == 3.5);
+  CHECK(read.value().suspicions_[0].expires_in_ == Millis(13));
+  CHECK(read.value().prompts_[0].shared_[0].tokens_ == Tokens(17));
+  CHECK_FALSE(ReadPeerMessage("").ok());
+  CHECK_FALSE(ReadPeerMessage("\xc1garbage").ok());
+  CHECK_FALSE(ReadPeerMessage(std::string(3, '\x01')).ok());
+}
+
+TEST_CASE("decision log: values can't end a line") {
+  CHECK(LogLine("x").Add("a", "1").Add("b", int64_t{-2}).text() ==
+        "event=x a=1 b=-2");
+  CHECK(LogLine("x").Add("a", "1\nevent=y").text() ==
+        "event=x a=\"1?event=y\"");
+  CHECK(LogLine("x").Add("a", "").text() == "event=x a=\"\"");
+}
+
+TEST_CASE("decision log: a reader that does not read blocks nothing") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  DecisionLog log(ends[1], Clock([] { return Millis(1); }));
+  const std::string value(1'000, 'v');
+  for (int i = 0; i < 2'000; ++i) {
+    log.Write(LogLine("e").Add("v", value));
+  }
+  CHECK(log.dropped() > 0);
+  // Once it reads, the lines come whole and the loss is told.
+  std::string read_bytes;
+  std::array<char, 65536> buffer{};
+  fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  for (int i = 0; i < 100; ++i) {
+    const ssize_t got = read(ends[0], buffer.data(), buffer.size());
+    if (got > 0) {
+      read_bytes.append(buffer.data(), static_cast<size_t>(got));
+    }
+    log.Flush();
+  }
+  CHECK(read_bytes.find("event=log_lines_dropped lines=") != std::string::npos);
+  CHECK(read_bytes.back() == '\n');
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST_CASE("gateway settings: each fault is named") {
+  GatewaySettings settings;
+  const Status read = settings::ReadDocument(
+      R"({"instance": 5, "zone": "z", "revoke_ms": -1, "other": true})", "file",
+      [&settings](settings::FieldReader& reader) {
+        ReadGatewaySettings(reader, &settings);
+      });
+  REQUIRE_FALSE(read.ok());
+  const std::string detail = read.error().detail_;
+  CHECK(detail.find("file:instance: expected a string") != std::string::npos);
+  CHECK(detail.find("file:revoke_ms: expected") != std::string::npos);
+  CHECK(detail.find("file:listen_callers: expected a value") !=
+        std::string::npos);
+  CHECK(detail.find("file:other") != std::string::npos);
+}
+
+TEST_CASE("endpoints: only an address with a port") {
+  CHECK(web::ParseEndpoint("127.0.0.1:80").value().port() == 80);
+  CHECK_FALSE(web::ParseEndpoint("127.0.0.1").ok());
+  CHECK_FALSE(web::ParseEndpoint("localhost:80").ok());
+  CHECK_FALSE(web::ParseEndpoint("127.0.0.1:70000").ok());
+}
+
+}  // namespace
+}  // namespace bergamotscale::gateway
--- /dev/null
+++ b/tests/gateway_test.cc
@@ -0,0 +1,383 @@
+// What callers and upstreams of a gateway see on their sockets.
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+#include "tests/support/gateway_bench.h"
+#include "tests/support/raw_caller.h"
+#include "tests/support/raw_server.h"
+
+namespace bergamotscale {
+namespace {
+
+using testing::GatewayBench;
+using testing::RawCaller;
+using tests::RawServer;
+
+void Write(RawServer::Socket& socket, const std::string& text) {
+  boost::system::error_code ignored;
+  boost::asio::write(socket, boost::asio::buffer(text), ignored);
+}
+
+RawServer::Answer Always(const std::string& text, bool keep = true) {
+  return [text, keep](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, text);
+    return keep;
+  };
+}
+
+// Sends one request and reads the answer up to `until`.
+std::string Call(GatewayBench& bench,
+                 const std::string& request,
+                 const std::string& until) {
+  RawCaller caller(bench.port());
+  REQUIRE(caller.Send(request));
+  return caller.ReadUntil(until);
+}
+
+bool StartsWith(const std::string& text, const std::string& start) {
+  return text.rfind(start, 0) == 0;
+}
+
+TEST_CASE("gateway: a request passes with its headers, an answer unchanged") {
+  RawServer server(Always(GatewayBench::Answer("whole body")));
+  GatewayBench bench;
+  REQUIRE(bench.started());
+  bench.SetUpstreams({server.url()});
+  const std::string answer =
+      Call(bench, GatewayBench::Request("/order/1?x=y", "X-Own: 5\r\n", "abc"),
+           "whole body");
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+  CHECK(answer.find("X-Bergamotscale-Response-Seal: seal") !=
+        std::string::npos);
+  const std::string sent = server.requests().at(0);
+  CHECK(StartsWith(sent, "POST /order/1?x=y HTTP/1.1\r\n"));
+  CHECK(sent.find("X-Own: 5") != std::string::npos);
+  CHECK(sent.find("X-Bergamotscale-Tenant: w") != std::string::npos);
+  CHECK(sent.find("X-Bergamotscale-Expect-Instance: i-0") != std::string::npos);
+  CHECK(sent.find("key") == std::string::npos);
+}
+
+TEST_CASE("gateway: unknown routes and keys are denied by a fresh table only") {
+  GatewayBench bench;
+  RawCaller unknown_route(bench.port());
+  unknown_route.Send(GatewayBench::Request("/none/1"));
+  CHECK(StartsWith(unknown_route.ReadUntil("no such route"), "HTTP/1.1 404"));
+  bench.state().table_as_of_ = Clock::Boot().Now().count() - 3'000;
+  RawCaller stale(bench.port());
+  stale.Send(GatewayBench::Request("/none/1"));
+  const std::string answer = stale.ReadUntil("lately");
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("gateway: no key is served from a table older than the lease") {
+  RawServer server(Always(GatewayBench::Answer("body")));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  bench.state().table_as_of_ = Clock::Boot().Now().count() - 4'600;
+  const std::string answer =
+      Call(bench, GatewayBench::Request("/order/1"), "lately");
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(server.requests().empty());
+}
+
+TEST_CASE("gateway: an order whose connection breaks is not sent again") {
+  const RawServer::Answer breaks = [](int, const std::string&,
+                                      RawServer::Socket&) { return false; };
+  RawServer first(breaks);
+  RawServer second(breaks);
+  GatewayBench bench;
+  bench.SetUpstreams({first.url(), second.url()});
+  Call(bench, GatewayBench::Request("/order/1"), "\r\n\r\n");
+  CHECK(first.requests().size() + second.requests().size() == 1);
+}
+
+TEST_CASE("gateway: a lost order is told as 502, which promises nothing") {
+  RawServer server(
+      [](int, const std::string&, RawServer::Socket&) { return false; });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1"));
+  CHECK(StartsWith(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"));
+}
+
+TEST_CASE("gateway: a rejected order goes to another instance") {
+  RawServer full(
+      Always("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
+             "X-Bergamotscale-Not-Executed: 1\r\n\r\n",
+             false));
+  RawServer free(Always(GatewayBench::Answer("served"), false));
+  GatewayBench bench;
+  bench.SetUpstreams({full.url(), free.url()});
+  for (int i = 0; i < 4; ++i) {
+    CHECK(StartsWith(Call(bench, GatewayBench::Request("/order/1"), "served"),
+                     "HTTP/1.1 200"));
+  }
+}
+
+TEST_CASE("gateway: rejected everywhere is 503 with a time to come back") {
+  RawServer full(Always("HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"));
+  GatewayBench bench;
+  bench.SetUpstreams({full.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1"));
+  const std::string answer = caller.ReadUntil("\r\n\r\n");
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(answer.find("Retry-After: 0.") != std::string::npos);
+  CHECK(full.requests().size() == 1);
+}
+
+TEST_CASE("gateway: a success without its proof is no success") {
+  RawServer server(
+      Always("HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+             "Content-Length: 4\r\n\r\nbody"));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1"));
+  CHECK(StartsWith(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"));
+}
+
+TEST_CASE(
+    "gateway: an answer to another request is dropped, the own one read") {
+  RawServer server(Always(GatewayBench::Answer("foreign", "200 OK", "r0") +
+                          GatewayBench::Answer("mine")));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  const std::string answer =
+      Call(bench, GatewayBench::Request("/order/1"), "mine");
+  CHECK(StartsWith(answer, "HTTP/1.1 200"));
+  CHECK(answer.find("foreign") == std::string::npos);
+}
+
+TEST_CASE(
+    "gateway: bytes behind an answer end the connection, not the answer") {
+  RawServer server(Always(GatewayBench::Answer("mine") + "left over"));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  for (int i = 0; i < 3; ++i) {
+    const std::string answer =
+        Call(bench, GatewayBench::Request("/order/1"), "mine");
+    CHECK(StartsWith(answer, "HTTP/1.1 200"));
+    CHECK(answer.find("left over") == std::string::npos);
+  }
+}
+
+std::string StreamHead() {
+  return "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+         "X-Bergamotscale-Response-Seal: seal\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+std::string Chunk(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+TEST_CASE("gateway: a stream that breaks never looks whole") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket,
+          StreamHead() + Chunk("id: 1\ndata: a\n\n") + Chunk("id: 2\nda"));
+    return false;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/stream/1"));
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("id: 1\ndata: a\n\n") != std::string::npos);
+  CHECK(answer.find("\r\n0\r\n\r\n") == std::string::npos);
+  CHECK(server.requests().size() == 1);
+}
+
+TEST_CASE("gateway: a resumable stream goes on elsewhere at a whole event") {
+  const RawServer::Answer script = [](int, const std::string& request,
+                                      RawServer::Socket& socket) {
+    if (request.find("Last-Event-Id: 1") == std::string::npos) {
+      Write(socket,
+            StreamHead() + Chunk("id: 1\ndata: a\n\n") + Chunk("id: 2\nda"));
+      return false;
+    }
+    Write(socket, StreamHead() + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    return true;
+  };
+  RawServer first(script);
+  RawServer second(script);
+  GatewayBench bench;
+  bench.SetUpstreams({first.url(), second.url()});
+  const std::string answer =
+      Call(bench, GatewayBench::Request("/resume/1"), "0\r\n\r\n");
+  CHECK(answer.find("id: 1\ndata: a\n\n") != std::string::npos);
+  CHECK(answer.find("id: 2\ndata: b\n\n") != std::string::npos);
+  CHECK(answer.find("id: 2\nda\r\n") == std::string::npos);
+  CHECK(first.requests().size() + second.requests().size() == 2);
+}
+
+TEST_CASE("gateway: a reset of an answer without a length is no end") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket,
+          "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+          "X-Bergamotscale-Response-Seal: seal\r\n\r\npart");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();  // resets; a destructor would not
+    return false;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1"));
+  const std::string answer = caller.ReadUntil("\r\n\r\n");
+  CAPTURE(answer);
+  CHECK(StartsWith(answer, "HTTP/1.1 502"));
+}
+
+TEST_CASE("gateway: at the route's timeout the caller is told at once") {
+  RawServer server([](int, const std::string&, RawServer::Socket&) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    return false;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  const auto start = std::chrono::steady_clock::now();
+  caller.Send(GatewayBench::Request("/order/1"));
+  CHECK(StartsWith(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 504"));
+  const auto took = std::chrono::steady_clock::now() - start;
+  CHECK(took >= std::chrono::milliseconds(1'450));
+  CHECK(took < std::chrono::milliseconds(2'000));
+}
+
+TEST_CASE("gateway: the work of a caller that leaves is cancelled") {
+  std::atomic<bool> cancelled{false};
+  RawServer server(
+      [&cancelled](int, const std::string&, RawServer::Socket& socket) {
+        Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+        boost::system::error_code error;
+        char byte = 0;
+        socket.read_some(boost::asio::buffer(&byte, 1), error);
+        cancelled = static_cast<bool>(error);
+        return false;
+      });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/stream/1"));
+  caller.ReadUntil("data: a");
+  caller.Close();
+  for (int i = 0; i < 100 && !cancelled; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(cancelled);
+}
+
+TEST_CASE("gateway: bytes that are no proper request run nothing") {
+  const std::string heads[] = {
+      // two lengths that differ
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Key: key\r\nContent-Length: 3\r\nContent-Length: 4\r\n"
+      "\r\nabcd",
+      // a length with chunks
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Key: key\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      // an encoding that is not known
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Key: key\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+      "0\r\n\r\n",
+      // a bare line feed
+      "POST /order/1 HTTP/1.1\nHost: h\n\n",
+      // a target in absolute form
+      "POST http://h/order/1 HTTP/1.1\r\nHost: h\r\n\r\n",
+      // two hosts
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+      // a space before the colon
+      "POST /order/1 HTTP/1.1\r\nHost : h\r\n\r\n",
+      "garbage\r\n\r\n",
+  };
+  RawServer server(Always(GatewayBench::Answer("ran")));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  for (const std::string& head : heads) {
+    CAPTURE(head);
+    RawCaller caller(bench.port());
+    caller.Send(head);
+    CHECK(StartsWith(caller.ReadAll(), "HTTP/1.1 400"));
+  }
+  CHECK(server.requests().empty());
+}
+
+TEST_CASE("gateway: headers and bodies beyond the limits, and slow ones") {
+  GatewayBench bench;
+  RawCaller long_header(bench.port());
+  long_header.Send(GatewayBench::Request(
+      "/order/1", "X: " + std::string(5'000, 'x') + "\r\n"));
+  CHECK(StartsWith(long_header.ReadAll(), "HTTP/1.1 431"));
+  RawCaller long_body(bench.port());
+  long_body.Send(
+      GatewayBench::Request("/order/1", "", std::string(10'001, 'x')));
+  CHECK(StartsWith(long_body.ReadAll(), "HTTP/1.1 413"));
+  RawCaller slow(bench.port());
+  slow.Send("POST /order/1 HTTP/1.1\r\nHos");
+  CHECK(StartsWith(slow.ReadAll(), "HTTP/1.1 408"));
+}
+
+TEST_CASE("gateway: a request inside a body stays a body") {
+  RawServer server(Always(GatewayBench::Answer("served"), false));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  const std::string inner = GatewayBench::Request("/order/smuggled");
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1", "", inner));
+  caller.ReadUntil("served");
+  for (const std::string& request : server.requests()) {
+    CHECK_FALSE(StartsWith(request, "POST /order/smuggled"));
+  }
+}
+
+TEST_CASE("gateway: requests sent ahead are answered in their order") {
+  RawServer server(
+      [](int, const std::string& request, RawServer::Socket& socket) {
+        const bool first = request.find("/order/1") != std::string::npos;
+        Write(socket, GatewayBench::Answer(first ? "one" : "two"));
+        return true;
+      });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1") +
+              GatewayBench::Request("/order/2"));
+  const std::string answers = caller.ReadUntil("two");
+  CHECK(answers.find("one") < answers.find("two"));
+}
+
+TEST_CASE("gateway: without an upstream the caller comes back later") {
+  GatewayBench bench;
+  bench.SetUpstreams({});
+  const auto start = std::chrono::steady_clock::now();
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1"));
+  const std::string answer = caller.ReadUntil("\r\n\r\n");
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(std::chrono::steady_clock::now() - start <
+        std::chrono::milliseconds(400));
+}
+
+TEST_CASE("gateway: a request is blamed only for upstreams that crash") {
+  RawServer breaks(
+      [](int, const std::string&, RawServer::Socket&) { return false; });
+  GatewayBench bench;
+  bench.SetUpstreams({breaks.url()});
+  for (int i = 0; i < 4; ++i) {
+    RawCaller caller(bench.port());
+    caller.Send(GatewayBench::Request("/order/1"));
+    CHECK(StartsWith(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"));
+  }
+}
+
+}  // namespace
+}  // namespace bergamotscale
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -5,7 +5,7 @@
 
 #include "src/metrics/metrics.h"
 
-namespace bergamotscale::http {
+namespace bergamotscale::metrics {
 namespace {
 
 bool Has(const std::string& text, const std::string& part) {
@@ -38,4 +38,4 @@
 }
 
 }  // namespace
-}  // namespace bergamotscale::http
+}  // namespace bergamotscale::metrics
--- /dev/null
+++ b/tests/placing_test.cc
@@ -0,0 +1,241 @@
+// Placing, waiting and retrying of requests that go straight to upstreams,
+// with loads played against a model of an engine that reads prompts in order.
+#include <algorithm>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "src/policy/cache_belief.h"
+#include "src/policy/instance_health.h"
+#include "src/policy/placer.h"
+#include "src/policy/shared_retry_budget.h"
+#include "src/policy/waiting_room.h"
+
+namespace bergamotscale::policy {
+namespace {
+
+constexpr uint64_t kEngine = 1;
+constexpr uint64_t kOther = 2;
+
+std::vector<SharedPart> Chain(std::vector<std::pair<uint64_t, int64_t>> parts) {
+  std::vector<SharedPart> chain;
+  for (const auto& [hash, tokens] : parts) {
+    chain.push_back({hash, Tokens(tokens)});
+  }
+  return chain;
+}
+
+TEST_CASE("cache belief: a part counts only with all parts before it") {
+  CacheBelief belief;
+  belief.SetCapacity(kEngine, Tokens(1'000'000));
+  const auto both = Chain({{10, 2'000}, {11, 4'000}});
+  CHECK(belief.Missing(kEngine, both) == Tokens(6'000));
+  belief.OnSent(kEngine, both);
+  CHECK(belief.Missing(kEngine, both) == Tokens(0));
+  CHECK(belief.Missing(kEngine, Chain({{10, 2'000}, {12, 500}})) ==
+        Tokens(500));
+  CHECK(belief.Missing(kEngine, Chain({{13, 100}, {11, 4'000}})) ==
+        Tokens(4'100));
+  CHECK(belief.Missing(kOther, both) == Tokens(6'000));
+}
+
+TEST_CASE("cache belief: the part used longest ago gives way") {
+  CacheBelief belief;
+  belief.SetCapacity(kEngine, Tokens(20'000));  // half of it for shared parts
+  belief.OnSent(kEngine, Chain({{1, 4'000}}));
+  belief.OnSent(kEngine, Chain({{2, 4'000}}));
+  belief.OnSent(kEngine, Chain({{1, 4'000}}));
+  belief.OnSent(kEngine, Chain({{3, 4'000}}));
+  CHECK(belief.Missing(kEngine, Chain({{1, 4'000}})) == Tokens(0));
+  CHECK(belief.Missing(kEngine, Chain({{2, 4'000}})) == Tokens(4'000));
+}
+
+TEST_CASE("cache belief: an instance that is gone keeps nothing") {
+  CacheBelief belief;
+  belief.OnSent(kEngine, Chain({{1, 4'000}}));
+  belief.Forget(kEngine);
+  CHECK(belief.Missing(kEngine, Chain({{1, 4'000}})) == Tokens(4'000));
+}
+
+PlaceRequest LongPrompt() {
+  PlaceRequest request;
+  request.engine_ = true;
+  request.shared_ = Chain({{77, 13'000}});
+  request.own_ = Tokens(3'000);
+  return request;
+}
+
+std::vector<PlaceView> Engines(int count, double missing) {
+  std::vector<PlaceView> views(static_cast<size_t>(count));
+  for (size_t i = 0; i < views.size(); ++i) {
+    views[i].id_hash_ = 100 + i;
+    views[i].slots_ = 128;
+    views[i].missing_tokens_ = missing;
+  }
+  return views;
+}
+
+TEST_CASE("placing: a prompt goes where its shared part is kept") {
+  std::vector<PlaceView> views = Engines(9, 13'000);
+  views[4].missing_tokens_ = 0;
+  views[4].unread_tokens_ = 12'000;
+  CHECK(Place(views, LongPrompt(), 3) == 4);
+  // With more ahead there than reading the part takes, another is sooner.
+  views[4].unread_tokens_ = 14'000;
+  CHECK(Place(views, LongPrompt(), 3) != 4);
+}
+
+TEST_CASE("placing: entries that know nothing choose the same first home") {
+  const std::vector<PlaceView> views = Engines(9, 13'000);
+  const int home = Place(views, LongPrompt(), 0);
+  for (uint64_t random = 1; random < 20; ++random) {
+    CHECK(Place(views, LongPrompt(), random) == home);
+  }
+}
+
+TEST_CASE("placing: an instance that fails or was tried is left") {
+  std::vector<PlaceView> views = Engines(2, 0);
+  views[0].failure_share_ = 0.5;
+  views[1].unread_tokens_ = 10'000;
+  CHECK(Place(views, LongPrompt(), 0) == 1);
+  views[1].avoid_ = true;
+  CHECK(Place(views, LongPrompt(), 0) == 0);
+  views[0].avoid_ = true;
+  CHECK(Place(views, LongPrompt(), 0) == -1);
+}
+
+TEST_CASE("placing: a service's load goes before its zone, not by much") {
+  PlaceRequest request;
+  std::vector<PlaceView> views(2);
+  views[0].slots_ = views[1].slots_ = 6;
+  views[0].same_zone_ = true;
+  CHECK(Place(views, request, 0) == 0);
+  CHECK(Place(views, request, 1) == 0);
+  views[0].running_ = 3;
+  CHECK(Place(views, request, 0) == 1);
+}
+
+// An engine that reads prompts in the order in which they come.
+struct ReadingEngine {
+  double unread_ = 0;
+  static constexpr double kTokensPerMs = 100;
+  void Pass(double ms) { unread_ = std::max(0.0, unread_ - ms * kTokensPerMs); }
+};
+
+// Long prompts of a low tier come in a burst beside short urgent ones.
+// @return the share of urgent requests whose prompt was read within 250 ms.
+double UrgentOnTime(bool with_room) {
+  constexpr int kBurstMs = 4'000;
+  constexpr int kLongEveryMs = 60;  // 8,000 tokens: more than it reads
+  constexpr int kShortEveryMs = 50;
+  constexpr double kLongTokens = 8'000;
+  constexpr double kShortTokens = 1'000;
+  ReadingEngine engine;
+  WaitingRoom room;
+  RoomRule rule;
+  rule.tightest_target_ = Millis(250);
+  int urgent = 0;
+  int on_time = 0;
+  for (int ms = 0; ms < kBurstMs; ++ms) {
+    engine.Pass(1);
+    if (ms % kLongEveryMs == 0) {
+      room.Add({2, Millis(ms + 1'000), false});
+    }
+    for (const uint64_t id : room.Order(Millis(ms))) {
+      if (!with_room ||
+          engine.unread_ <= TokensAllowedAhead(rule, kLongTokens)) {
+        engine.unread_ += kLongTokens;
+        room.Remove(id);
+      }
+    }
+    if (ms % kShortEveryMs == 0) {
+      ++urgent;
+      engine.unread_ += kShortTokens;
+      on_time += engine.unread_ / ReadingEngine::kTokensPerMs <= 250 ? 1 : 0;
+    }
+  }
+  return static_cast<double>(on_time) / urgent;
+}
+
+TEST_CASE("waiting room: a burst of long prompts leaves urgent ones on time") {
+  CHECK(UrgentOnTime(false) < 0.2);  // what callers got without it
+  CHECK(UrgentOnTime(true) > 0.99);
+}
+
+TEST_CASE("waiting room: short prompts may go behind more than long ones") {
+  RoomRule rule;
+  rule.tightest_target_ = Millis(250);
+  CHECK(TokensAllowedAhead(rule, 500) > 4 * TokensAllowedAhead(rule, 8'000));
+  rule.tightest_target_ = Millis(0);
+  CHECK(TokensAllowedAhead(rule, 8'000) < 0);
+}
+
+TEST_CASE("waiting room: tier, then those that came back, then due time") {
+  WaitingRoom room;
+  const uint64_t low = room.Add({2, Millis(100), false});
+  const uint64_t high = room.Add({0, Millis(900), false});
+  const uint64_t returned = room.Add({2, Millis(800), true});
+  CHECK(room.Order(Millis(50)) == std::vector<uint64_t>{high, returned, low});
+}
+
+TEST_CASE("waiting room: a late request stands back, but not for ever") {
+  WaitingRoom room;
+  const uint64_t late = room.Add({1, Millis(100), false});
+  const uint64_t soon = room.Add({1, Millis(400), false});
+  CHECK(room.Order(Millis(200)) == std::vector<uint64_t>{soon, late});
+  const uint64_t much_later = room.Add({1, Millis(1'500), false});
+  CHECK(room.Order(Millis(200)) ==
+        std::vector<uint64_t>{soon, late, much_later});
+}
+
+TEST_CASE("retry budget: entries together keep to the bounds in any window") {
+  constexpr int kEntries = 5;
+  const GroupId group("g");
+  const RetryBounds bounds{0.2, 54, Millis(10'000)};
+  std::vector<SharedRetryBudget> entries(kEntries, SharedRetryBudget(bounds));
+  for (SharedRetryBudget& entry : entries) {
+    entry.SetMembers(kEntries);
+  }
+  std::vector<int64_t> retries;
+  std::vector<int64_t> requests;
+  // Each request would be sent three times if it could.
+  for (int64_t ms = 0; ms < 40'000; ms += 50) {
+    SharedRetryBudget& entry = entries[static_cast<size_t>(ms / 50 % kEntries)];
+    entry.OnRequest(group, Millis(ms));
+    requests.push_back(ms);
+    for (int i = 0; i < 2; ++i) {
+      if (entry.TryRetry(group, Millis(ms))) {
+        retries.push_back(ms);
+      }
+    }
+  }
+  CHECK(retries.size() > 100);
+  const auto in_window = [](const std::vector<int64_t>& times, int64_t start) {
+    return std::count_if(times.begin(), times.end(), [start](int64_t time) {
+      return time >= start && time < start + 10'000;
+    });
+  };
+  for (int64_t start = 0; start < 30'000; start += 500) {
+    CHECK(static_cast<double>(in_window(retries, start)) <=
+          0.2 * static_cast<double>(in_window(requests, start)) + 54);
+  }
+}
+
+TEST_CASE("health: failures count, fade, and a success ends the pause") {
+  InstanceHealth health;
+  for (int i = 0; i < 5; ++i) {
+    health.OnFailure(Millis(1'000));
+  }
+  CHECK(health.FailureShare(Millis(1'000)) > 0.6);
+  CHECK(health.FailureShare(Millis(13'000)) < 0.05);
+  health.OnUnreachable(Millis(20'000));
+  CHECK(health.IsPaused(Millis(20'100)));
+  CHECK_FALSE(health.IsPaused(Millis(20'400)));
+  health.OnUnreachable(Millis(20'400));
+  CHECK(health.IsPaused(Millis(20'800)));
+  health.OnSuccess(Millis(20'800));
+  CHECK_FALSE(health.IsPaused(Millis(20'801)));
+}
+
+}  // namespace
+}  // namespace bergamotscale::policy
--- /dev/null
+++ b/tests/route_test.cc
@@ -0,0 +1,144 @@
+// Routes, keys and the directory of upstream instances.
+#include <doctest/doctest.h>
+
+#include "src/route/directory.h"
+#include "src/route/route_table.h"
+
+namespace bergamotscale::route {
+namespace {
+
+Route MakeRoute(const std::string& prefix, const std::string& group) {
+  Route route;
+  route.name_ = "r" + prefix;
+  route.host_ = "Tags.example";
+  route.path_prefix_ = prefix;
+  route.groups_ = {{GroupId(group), 1}};
+  return route;
+}
+
+RouteTable::Content TwoRoutes() {
+  RouteTable::Content content;
+  content.version_ = 7;
+  content.routes_ = {MakeRoute("/a/", "outer"), MakeRoute("/a/b/", "inner")};
+  return content;
+}
+
+TEST_CASE("routes: the longest prefix goes first, whole segments only") {
+  const RouteTable table(TwoRoutes());
+  CHECK(table.FindRoute("tags.example", "/a/b/c")->name_ == "r/a/b/");
+  CHECK(table.FindRoute("tags.example", "/a/b/")->name_ == "r/a/b/");
+  CHECK(table.FindRoute("tags.example", "/a/bc")->name_ == "r/a/");
+  CHECK(table.FindRoute("tags.example", "/a/x?q=/a/b/")->name_ == "r/a/");
+  CHECK(table.FindRoute("tags.example", "/a") == nullptr);
+  CHECK(table.FindRoute("tags.example", "/ab/") == nullptr);
+  CHECK(table.FindRoute("other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("routes: a host matches in any case and with a port") {
+  const RouteTable table(TwoRoutes());
+  CHECK(table.FindRoute("TAGS.EXAMPLE:8080", "/a/") != nullptr);
+}
+
+TEST_CASE("routes: keys are asked for only if there are workspaces") {
+  RouteTable::Content content = TwoRoutes();
+  content.routes_[1].needs_key_ = false;
+  CHECK_FALSE(RouteTable(content).NeedsKey(content.routes_[0]));
+  content.has_workspaces_ = true;
+  content.workspaces_ = {{KeyHolder{WorkspaceId("w"), 2}, {"k1", "k2"}}};
+  const RouteTable table(content);
+  CHECK(table.NeedsKey(content.routes_[0]));
+  CHECK_FALSE(table.NeedsKey(content.routes_[1]));
+  CHECK(table.FindKey("k2")->workspace_ == WorkspaceId("w"));
+  CHECK(table.FindKey("k3") == nullptr);
+}
+
+TEST_CASE("routes: groups share requests by weight, equal ids alike") {
+  Route route = MakeRoute("/a/", "x");
+  route.groups_ = {{GroupId("x"), 90}, {GroupId("y"), 10}, {GroupId("z"), 0}};
+  int at_y = 0;
+  constexpr int kRequests = 10'000;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "request-" + std::to_string(i);
+    const GroupId& group = ChooseGroup(route, id);
+    CHECK(group == ChooseGroup(route, id));
+    CHECK(group != GroupId("z"));
+    at_y += group == GroupId("y") ? 1 : 0;
+  }
+  CHECK(at_y > kRequests / 20);
+  CHECK(at_y < kRequests / 5);
+}
+
+TEST_CASE("routes: the tightest target of more urgent routes of the group") {
+  RouteTable::Content content = TwoRoutes();
+  content.routes_[0].priority_ = 0;
+  content.routes_[0].target_ = Millis(250);
+  content.routes_[0].groups_ = {{GroupId("inner"), 1}};
+  content.routes_[1].priority_ = 2;
+  const RouteTable table(content);
+  CHECK(table.TightestTargetBefore(GroupId("inner"), 2) == Millis(250));
+  CHECK(table.TightestTargetBefore(GroupId("inner"), 0) == Millis(0));
+  CHECK(table.TightestTargetBefore(GroupId("outer"), 2) == Millis(0));
+}
+
+UpstreamEntry MakeEntry(const std::string& id, int64_t started_at = 1) {
+  UpstreamEntry entry;
+  entry.id_ = InstanceId(id);
+  entry.started_at_ = started_at;
+  entry.group_ = GroupId("g");
+  entry.ip_ = "127.0.0.1";
+  entry.port_ = 80;
+  return entry;
+}
+
+TEST_CASE("directory: a heartbeat is no change, a new start is one") {
+  Directory directory(Millis(2'000));
+  CHECK(directory.Put(MakeEntry("a")));
+  CHECK_FALSE(directory.Put(MakeEntry("a")));
+  CHECK(directory.Put(MakeEntry("a", 2)));
+  CHECK(directory.Entries().size() == 1);
+}
+
+TEST_CASE("directory: an entry that is removed in touch is gone at once") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeEntry("a"));
+  CHECK(directory.Remove(InstanceId("a"), Millis(10)));
+  CHECK(directory.Entries().empty());
+}
+
+TEST_CASE("directory: lapsed entries outlive an outage by the grace only") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeEntry("alive"));
+  directory.Put(MakeEntry("dead"));
+  directory.OnAway();
+  directory.OnBack(Millis(10'000));
+  CHECK_FALSE(directory.Remove(InstanceId("alive"), Millis(10'010)));
+  CHECK_FALSE(directory.Remove(InstanceId("dead"), Millis(10'010)));
+  CHECK(directory.Entries().size() == 2);
+  directory.Put(MakeEntry("alive"));
+  CHECK_FALSE(directory.Expire(Millis(11'999)));
+  CHECK(directory.Expire(Millis(12'000)));
+  REQUIRE(directory.Entries().size() == 1);
+  CHECK(directory.Entries()[0].id_ == InstanceId("alive"));
+}
+
+TEST_CASE("directory: an upstream that drained is not kept over an outage") {
+  Directory directory(Millis(2'000));
+  UpstreamEntry entry = MakeEntry("a");
+  entry.draining_ = true;
+  directory.Put(entry);
+  directory.OnAway();
+  directory.OnBack(Millis(10));
+  CHECK(directory.Remove(InstanceId("a"), Millis(20)));
+}
+
+TEST_CASE("directory: a snapshot removes what it lacks") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeEntry("a"));
+  directory.Put(MakeEntry("b"));
+  directory.Replace({MakeEntry("b"), MakeEntry("c")}, Millis(5));
+  REQUIRE(directory.Entries().size() == 2);
+  CHECK(directory.Entries()[0].id_ == InstanceId("b"));
+}
+
+}  // namespace
+}  // namespace bergamotscale::route
--- /dev/null
+++ b/tests/support/gateway_bench.h
@@ -0,0 +1,167 @@
+// A gateway's request path on loopback, with upstreams that a test scripts.
+#ifndef BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_BENCH_H_
+#define BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_BENCH_H_
+
+#include <unistd.h>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include "platform/dialect.h"
+#include "src/gateway/exchange.h"
+#include "src/web/listener.h"
+#include "tests/support/free_port.h"
+
+namespace bergamotscale::testing {
+
+// Routes "/stream/", "/resume/", "/order/" and "/read/" of host "h" to group
+// "g"; keys "key" of workspace "w".
+class GatewayBench {
+ public:
+  GatewayBench() {
+    route::RouteTable::Content content;
+    content.version_ = 1;
+    content.has_workspaces_ = true;
+    content.workspaces_ = {{route::KeyHolder{WorkspaceId("w"), {}}, {"key"}}};
+    content.routes_ = {MakeRoute("/stream/", route::CallKind::kStream, 1),
+                       MakeRoute("/resume/", route::CallKind::kStream, 3),
+                       MakeRoute("/order/", route::CallKind::kAtMostOnce, 2),
+                       MakeRoute("/read/", route::CallKind::kIdempotent, 3)};
+    content.routes_[1].resumable_ = true;
+    content.limits_.max_header_ = Bytes(4'096);
+    content.limits_.max_body_ = Bytes(10'000);
+    content.limits_.header_timeout_ = Millis(500);
+    state_.table_.Write(std::make_shared<const route::RouteTable>(content));
+    ConfirmNow();
+    retries_.SetMembers(1);
+    const auto endpoint =
+        web::ParseEndpoint("127.0.0.1:" + std::to_string(port_));
+    started_ = listener_->Start(endpoint.value()).ok();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~GatewayBench() {
+    Do([this] {
+      listener_->StopAccepting();
+      io_.stop();
+    });
+    thread_.join();
+  }
+
+  // Runs a step on the traffic thread.
+  template <typename Step>
+  void Do(Step step) {
+    std::promise<void> done;
+    boost::asio::post(io_, [&] {
+      step();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void ConfirmNow() { state_.table_as_of_ = boot_.Now().count(); }
+
+  // The upstreams listen on these ports, in the order of their ids.
+  void SetUpstreams(const std::vector<std::string>& urls) {
+    std::vector<route::UpstreamEntry> entries;
+    for (size_t i = 0; i < urls.size(); ++i) {
+      route::UpstreamEntry entry;
+      entry.id_ = InstanceId("i-" + std::to_string(i));
+      entry.group_ = GroupId("g");
+      entry.ip_ = "127.0.0.1";
+      entry.port_ = static_cast<uint16_t>(
+          std::stoi(urls[i].substr(urls[i].rfind(':') + 1)));
+      entry.zone_ = ZoneId("z");
+      entries.push_back(entry);
+    }
+    Do([&] { upstreams_.Update(entries); });
+  }
+
+  uint16_t port() const { return port_; }
+  bool started() const { return started_; }
+  gateway::ControlState& state() { return state_; }
+  gateway::ExchangeContext& context() { return context_; }
+
+  static std::string Request(const std::string& path,
+                             const std::string& extra = "",
+                             const std::string& body = "") {
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: h\r\n"
+           "X-Bergamotscale-Request-Id: r1\r\n"
+           "X-Bergamotscale-Deadline-Ms: 3000\r\n"
+           "X-Bergamotscale-Key: key\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n" + extra + "\r\n" + body;
+  }
+  static std::string Answer(const std::string& body,
+                            const std::string& status = "200 OK",
+                            const std::string& id = "r1") {
+    return "HTTP/1.1 " + status + "\r\nX-Bergamotscale-Request-Id: " + id +
+           "\r\nX-Bergamotscale-Response-Seal: seal\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+ private:
+  static route::Route MakeRoute(const std::string& prefix,
+                                route::CallKind kind,
+                                int max_attempts) {
+    route::Route route;
+    route.name_ = prefix;
+    route.host_ = "h";
+    route.path_prefix_ = prefix;
+    route.kind_ = kind;
+    route.max_attempts_ = max_attempts;
+    route.timeout_ = Millis(1'500);
+    route.target_ = Millis(800);
+    route.gap_target_ = Millis(50);
+    route.groups_ = {{GroupId("g"), 1}};
+    return route;
+  }
+
+  web::SessionHooks Hooks() {
+    web::SessionHooks hooks;
+    hooks.limits_ = [this] {
+      const route::CallerLimits limits = state_.table_.Read()->limits();
+      return web::SessionLimits{limits.max_header_, limits.max_body_,
+                                limits.header_timeout_, limits.idle_timeout_};
+    };
+    hooks.on_call_ = [this](web::IncomingCall call,
+                            std::shared_ptr<web::Responder> responder) {
+      return gateway::StartExchange(context_, std::move(call),
+                                    std::move(responder));
+    };
+    hooks.on_refused_ = [](int, const std::string&) {};
+    hooks.stopping_ = [] { return false; };
+    return hooks;
+  }
+
+  const Clock boot_ = Clock::Boot();
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      work_{io_.get_executor()};
+  const gateway::Dialect dialect_ = platform::MakeDialect();
+  gateway::ControlState state_;
+  gateway::UpstreamSet upstreams_{io_, boot_, ZoneId("z")};
+  gateway::RoomQueue room_{io_, boot_};
+  policy::SharedRetryBudget retries_{
+      policy::RetryBounds{0.2, 50, Millis(10'000)}};
+  policy::Quarantine quarantine_;
+  metrics::Metrics metrics_;
+  gateway::DecisionLog log_{dup(STDERR_FILENO), Clock::Wall()};
+  gateway::ExchangeContext context_{io_,         boot_,      dialect_, state_,
+                                    {},          upstreams_, room_,    retries_,
+                                    quarantine_, metrics_,   log_,     [] {}};
+  const uint16_t port_ = FreePort();
+  std::unique_ptr<web::Listener> listener_ =
+      std::make_unique<web::Listener>(io_, Hooks(), 100);
+  bool started_ = false;
+  std::thread thread_;
+};
+
+}  // namespace bergamotscale::testing
+
+#endif  // BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_BENCH_H_
