--- a/src/gateway/decision_log.cc
+++ b/src/gateway/decision_log.cc
@@ -10,9 +10,9 @@
 namespace {
 
 // Lines wait up to this size; some seconds of a busy instance.
-constexpr size_t kMaxPending = 256 * 1024;
+constexpr size_t kMaxPending = size_t{256} << 10;
 // Written at once from this size on, to keep the buffer small.
-constexpr size_t kFlushSize = 16 * 1024;
+constexpr size_t kFlushSize = size_t{16} << 10;
 
 bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -100,7 +100,7 @@
   }
 
   Status Run() {
-    const Status started = Start();
+    Status started = Start();
     if (!started.ok()) {
       return started;
     }
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -28,6 +28,7 @@
 constexpr Millis kFirstInterval = Millis(1'000);
 // Larger datagrams would be split by the network.
 constexpr size_t kMaxHeard = 32;
+constexpr size_t kMaxDatagram = 65'536;
 
 std::string TextOf(const udp::endpoint& endpoint) {
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -222,7 +223,7 @@
   int64_t number_ = 0;
   Millis first_tried_;
   std::map<udp::endpoint, Peer> peers_;
-  std::array<char, 64 * 1024> buffer_{};
+  std::array<char, kMaxDatagram> buffer_{};
   udp::endpoint from_;
   bool stopped_ = false;
 };
--- a/src/gateway/room_queue.cc
+++ b/src/gateway/room_queue.cc
@@ -13,6 +13,8 @@
 
 // Loads of peers fade and requests come due without an event.
 constexpr Millis kPace = Millis(10);
+// Between turns; what changes sooner waits for the pace.
+constexpr Millis kLeastSpacing = Millis(5);
 // Requests tried in a turn: bounds the time of a turn when many wait.
 constexpr int kTriesPerTurn = 64;
 
@@ -39,7 +41,7 @@
   }
 
   void Kick() {
-    if (kicked_ || tries_.empty()) {
+    if (kicked_ || tries_.empty() || boot_.Now() - last_turn_ < kLeastSpacing) {
       return;
     }
     kicked_ = true;
@@ -53,6 +55,7 @@
 
  private:
   void Turn() {
+    last_turn_ = boot_.Now();
     int tried = 0;
     for (const uint64_t id : room_.Order(boot_.Now())) {
       const auto found = tries_.find(id);
@@ -90,6 +93,7 @@
   boost::asio::steady_timer timer_;
   policy::WaitingRoom room_;
   std::unordered_map<uint64_t, std::function<bool()>> tries_;
+  Millis last_turn_;
   bool kicked_ = false;
   bool paced_ = false;
 };
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -30,6 +30,7 @@
 constexpr Millis kMaxIdle = Millis(4'000);
 // A peer's loads say little once they are this old.
 constexpr Millis kPeerLoadLifetime = Millis(1'000);
+constexpr Millis kPeerCheckInterval = Millis(100);
 // Prompts that were sent are told to peers for so long, a few datagrams.
 constexpr Millis kPromptToldFor = Millis(350);
 // Shorter shared parts are not worth telling.
@@ -61,6 +62,12 @@
   Millis taken_;
 };
 
+// What all peers together put on an instance.
+struct PeerSum {
+  int running_ = 0;
+  double unread_tokens_ = 0;
+};
+
 // Names the incarnation, as a restarted instance keeps nothing.
 uint64_t HashOf(const route::UpstreamEntry& entry) {
   return XXH3_64bits_withSeed(entry.id_.value().data(),
@@ -119,6 +126,7 @@
               const std::vector<UpstreamKey>& tried,
               Choice* choice) {
     const Millis now = boot_.Now();
+    ForgetSilentPeers(now);
     std::vector<policy::PlaceView> views;
     std::vector<const Instance*> candidates;
     for (auto& [id, instance] : instances_) {
@@ -269,6 +277,15 @@
     return prompts;
   }
 
+  // The sums are kept as loads come, so that a choice does not grow with the
+  // number of peers.
+  void TakePeerLoads(const std::string& peer, std::vector<InstanceLoad> loads) {
+    PeerLoads& known = peers_[peer];
+    AddToSums(known.loads_, -1);
+    AddToSums(loads, 1);
+    known = PeerLoads{std::move(loads), boot_.Now()};
+  }
+
   std::vector<InstanceLoad> OwnLoads() const {
     std::vector<InstanceLoad> loads;
     for (const auto& [id, instance] : instances_) {
@@ -286,12 +303,40 @@
   std::mt19937_64 random_;
   std::map<InstanceId, Instance> instances_;
   std::unordered_map<std::string, PeerLoads> peers_;
+  std::unordered_map<uint64_t, PeerSum> peer_sums_;
+  Millis peers_checked_;
   policy::CacheBelief belief_;
   std::map<GroupId, Tokens> memory_;
   std::deque<RecentPrompt> recent_;
   int64_t opened_ = 0;
 
  private:
+  void AddToSums(const std::vector<InstanceLoad>& loads, int sign) {
+    for (const InstanceLoad& load : loads) {
+      PeerSum& sum = peer_sums_[load.id_hash_];
+      sum.running_ += sign * load.running_;
+      sum.unread_tokens_ += sign * load.unread_tokens_;
+      if (sum.running_ <= 0) {
+        peer_sums_.erase(load.id_hash_);
+      }
+    }
+  }
+
+  void ForgetSilentPeers(Millis now) {
+    if (now - peers_checked_ < kPeerCheckInterval) {
+      return;
+    }
+    peers_checked_ = now;
+    for (auto it = peers_.begin(); it != peers_.end();) {
+      if (now - it->second.taken_ > kPeerLoadLifetime) {
+        AddToSums(it->second.loads_, -1);
+        it = peers_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
   static UpstreamKey KeyOf(const Instance& instance) {
     return {instance.entry_.id_, instance.entry_.started_at_};
   }
@@ -304,16 +349,10 @@
     view.running_ = instance.running_;
     view.unread_tokens_ = instance.unread_tokens_;
     view.failure_share_ = instance.health_.FailureShare(now);
-    for (const auto& [peer, loads] : peers_) {
-      if (now - loads.taken_ > kPeerLoadLifetime) {
-        continue;
-      }
-      for (const InstanceLoad& load : loads.loads_) {
-        if (load.id_hash_ == instance.id_hash_) {
-          view.running_ += load.running_;
-          view.unread_tokens_ += load.unread_tokens_;
-        }
-      }
+    const auto peers = peer_sums_.find(instance.id_hash_);
+    if (peers != peer_sums_.end()) {
+      view.running_ += peers->second.running_;
+      view.unread_tokens_ += peers->second.unread_tokens_;
     }
     return view;
   }
@@ -443,7 +482,7 @@
 
 void UpstreamSet::TakePeerLoads(const std::string& peer,
                                 std::vector<InstanceLoad> loads) {
-  impl_->peers_[peer] = PeerLoads{std::move(loads), impl_->boot_.Now()};
+  impl_->TakePeerLoads(peer, std::move(loads));
 }
 
 int64_t UpstreamSet::connections_opened() const {
--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -14,15 +15,20 @@
   return XXH3_64bits(pair, sizeof(pair));
 }
 
-// @return how many instances go before this one as home of the shared part.
-int HomeRank(const std::vector<PlaceView>& views,
-             uint64_t shared_hash,
-             size_t index) {
-  const uint64_t weight = HomeWeight(shared_hash, views[index].id_hash_);
-  return static_cast<int>(
-      std::count_if(views.begin(), views.end(), [&](const PlaceView& other) {
-        return HomeWeight(shared_hash, other.id_hash_) > weight;
-      }));
+// @return for each instance, how many go before it as home of the shared part.
+std::vector<int> HomeRanks(const std::vector<PlaceView>& views,
+                           uint64_t shared_hash) {
+  std::vector<std::pair<uint64_t, size_t>> weights;
+  weights.reserve(views.size());
+  for (size_t i = 0; i < views.size(); ++i) {
+    weights.emplace_back(HomeWeight(shared_hash, views[i].id_hash_), i);
+  }
+  std::sort(weights.rbegin(), weights.rend());
+  std::vector<int> ranks(views.size());
+  for (size_t rank = 0; rank < weights.size(); ++rank) {
+    ranks[weights[rank].second] = static_cast<int>(rank);
+  }
+  return ranks;
 }
 
 // A slot more than there are delays a request by a whole one; for engines the
@@ -69,18 +75,19 @@
   double best_cost = std::numeric_limits<double>::max();
   const auto shared = static_cast<double>(request.SharedTokens().count());
   const bool new_home = shared > 0 && !IsKeptAnywhere(views, shared);
+  const std::vector<int> ranks =
+      new_home ? HomeRanks(views, request.shared_.back().prefix_hash_)
+               : std::vector<int>(views.size());
   for (size_t step = 0; step < views.size(); ++step) {
     const size_t i = (step + random) % views.size();
     const PlaceView& view = views[i];
     if (view.avoid_) {
       continue;
     }
-    double cost = QueueCost(view, request, options) + view.missing_tokens_ +
-                  view.failure_share_ * options.failure_tokens_;
-    if (new_home) {
-      const uint64_t last = request.shared_.back().prefix_hash_;
-      cost += HomeRank(views, last, i) * shared * options.next_home_share_;
-    }
+    const double cost = QueueCost(view, request, options) +
+                        view.missing_tokens_ +
+                        view.failure_share_ * options.failure_tokens_ +
+                        ranks[i] * shared * options.next_home_share_;
     if (cost < best_cost) {
       best_cost = cost;
       best = static_cast<int>(i);
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -28,12 +28,12 @@
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
 // A source pauses while more than this waits for the caller.
-constexpr size_t kWriteHighWater = 256 * 1024;
+constexpr size_t kWriteHighWater = size_t{256} << 10;
 // How long bytes are still read after a refusal, so that the close does not
 // reset the connection before the caller has read the refusal.
 constexpr Millis kLinger = Millis(1'000);
 // A refused caller's further bytes are dropped up to this many.
-constexpr size_t kLingerBytes = 8 * 1024 * 1024;
+constexpr size_t kLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
 
 int StatusOf(const error_code& error) {
--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -21,7 +21,7 @@
 // Headers of an answer beyond this are not read.
 constexpr uint32_t kMaxAnswerHeader = 64 * 1024;
 // No answer is longer; a spoilt length must not reserve all memory.
-constexpr uint64_t kMaxAnswerBody = 64 * 1024 * 1024;
+constexpr uint64_t kMaxAnswerBody = uint64_t{64} << 20;
 constexpr int kFirstFinalStatus = 200;
 constexpr int64_t kMillisPerSecond = 1000;
 
