--- /dev/null
+++ b/fuzz/fuzz_gateway.cc
@@ -0,0 +1,45 @@
+// Fuzzes datagrams of peers and streams of events.
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "src/gateway/event_splitter.h"
+#include "src/gateway/peer_message.h"
+
+namespace {
+
+namespace gateway = bergamotscale::gateway;
+
+// A message that was read must survive another round trip.
+void FuzzPeers(std::string_view bytes) {
+  const auto read = gateway::ReadPeerMessage(bytes);
+  if (read.ok()) {
+    const std::string written = gateway::WritePeerMessage(read.value());
+    if (!gateway::ReadPeerMessage(written).ok()) {
+      std::abort();
+    }
+  }
+}
+
+// No byte is lost or changed, however the stream is cut.
+void FuzzEvents(std::string_view bytes) {
+  gateway::EventSplitter splitter;
+  const size_t half = bytes.size() / 2;
+  std::string passed = splitter.Take(bytes.substr(0, half));
+  passed += splitter.Take(bytes.substr(half));
+  passed += splitter.TakeRest();
+  if (passed != bytes) {
+    std::abort();
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  FuzzPeers(bytes);
+  FuzzEvents(bytes);
+  return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_platform.cc
@@ -0,0 +1,34 @@
+// Fuzzes what comes from the users' store and what servers and callers write
+// into headers.
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "platform/decoders.h"
+#include "platform/dialect.h"
+
+namespace {
+
+namespace platform = bergamotscale::platform;
+
+void FuzzHeaders(const std::string& text) {
+  static const bergamotscale::gateway::Dialect dialect =
+      platform::MakeDialect();
+  bergamotscale::web::IncomingCall call;
+  call.headers_.Add("X-Bergamotscale-Prefix-Hash", text);
+  call.headers_.Add("X-Bergamotscale-Token-Counts", text);
+  call.headers_.Add("X-Bergamotscale-Deadline-Ms", text);
+  dialect.read_call_(call);
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size) {
+  const std::string text(reinterpret_cast<const char*>(data), size);
+  platform::DecodeConfig(text);
+  platform::DecodeServer("i-1", text);
+  platform::DecodeNewest(text);
+  platform::DecodeTail(bergamotscale::LogOffset(3), text);
+  FuzzHeaders(text);
+  return 0;
+}
--- a/src/policy/waiting_room.h
+++ b/src/policy/waiting_room.h
@@ -14,8 +14,6 @@
   int priority_ = 0;  // 0 is the most urgent
   // When the answer has to begin at the latest to be on time.
   Millis due_;
-  // Was refused before and has come back: goes first among its equals.
-  bool returned_ = false;
 };
 
 // Orders the requests that wait. Engines read prompts in the order in which
--- a/tools/run_local.sh
+++ b/tools/run_local.sh
@@ -24,7 +24,8 @@
 done
 
 tools/setup.sh
-tools/build.sh
+TARGET="bergamot_entry bergamot_sidecar bergamot_console bergamotctl fake_log
+  fake_engine fake_service fake_instance_list fake_weight_store" tools/build.sh
 folder="out/local-$base_port"
 rm -rf "$folder"
 write_local_settings "$folder" "$base_port"
