--- a/src/console/console.cc
+++ b/src/console/console.cc
@@ -19,8 +19,8 @@
 #include "src/console/web_request.h"
 #include "src/http/guarded_listener.h"
 #include "src/http/listener.h"
-#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
+#include "src/metrics/metrics.h"
 
 namespace bergamotscale::console {
 namespace {
--- a/src/entry/placement_controller.h
+++ b/src/entry/placement_controller.h
@@ -11,8 +11,8 @@
 
 #include "bergamotscale/config_document.h"
 #include "src/entry/settings.h"
-#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
+#include "src/metrics/metrics.h"
 #include "src/placement/placement_plan.h"
 #include "src/timeline/timeline.h"
 
--- a/src/sidecar/engine_orders.h
+++ b/src/sidecar/engine_orders.h
@@ -9,8 +9,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "bergamotscale/ids.h"
-#include "src/metrics/metrics.h"
 #include "src/log/log_client.h"
+#include "src/metrics/metrics.h"
 #include "src/sidecar/traffic.h"
 #include "src/timeline/timeline.h"
 
--- a/src/sidecar/work_session.h
+++ b/src/sidecar/work_session.h
@@ -9,8 +9,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "src/metrics/metrics.h"
 #include "src/link/link.h"
+#include "src/metrics/metrics.h"
 #include "src/orders/order_executor.h"
 #include "src/sidecar/execution.h"
 #include "src/sidecar/scheduler.h"
