--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -180,25 +180,33 @@
       return;
     }
     ++opened_;
-    auto connection = std::make_shared<std::unique_ptr<web::ClientConnection>>(
-        std::make_unique<web::ClientConnection>(
-            io_, tcp::endpoint(address, instance->entry_.port_)));
-    (*connection)
-        ->Connect(
-            kConnectTimeout,
-            [weak = weak_from_this(), key, connection,
-             done = std::move(done)](const boost::system::error_code& failed) {
-              ConnectionResult result;
-              if (!failed) {
-                result.connection_ = std::move(*connection);
-              } else {
-                result.reason_ = failed.message();
-                if (const auto self = weak.lock()) {
-                  self->OnUnreachable(key);
-                }
-              }
-              done(std::move(result));
-            });
+    const uint64_t number = static_cast<uint64_t>(opened_);
+    auto& connection = connecting_[number];
+    connection = std::make_unique<web::ClientConnection>(
+        io_, tcp::endpoint(address, instance->entry_.port_));
+    connection->Connect(
+        kConnectTimeout,
+        [weak = weak_from_this(), key, number,
+         done = std::move(done)](const boost::system::error_code& failed) {
+          if (const auto self = weak.lock()) {
+            done(self->OnConnected(key, number, failed));
+          }
+        });
+  }
+
+  ConnectionResult OnConnected(const UpstreamKey& key,
+                               uint64_t number,
+                               const boost::system::error_code& failed) {
+    const auto found = connecting_.find(number);
+    ConnectionResult result;
+    result.connection_ = std::move(found->second);
+    connecting_.erase(found);
+    if (failed) {
+      result.connection_.reset();
+      result.reason_ = failed.message();
+      OnUnreachable(key);
+    }
+    return result;
   }
 
   void GiveBack(const UpstreamKey& key,
@@ -308,6 +316,10 @@
   policy::CacheBelief belief_;
   std::map<GroupId, Tokens> memory_;
   std::deque<RecentPrompt> recent_;
+  // By the count of opened connections; each has one owner, as its callback
+  // must not keep it alive.
+  std::unordered_map<uint64_t, std::unique_ptr<web::ClientConnection>>
+      connecting_;
   int64_t opened_ = 0;
 
  private:
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -276,29 +277,27 @@
 }
 
 TEST_CASE("gateway: bytes that are no proper request run nothing") {
-  const std::string heads[] = {
-      // two lengths that differ
-      "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Key: key\r\nContent-Length: 3\r\nContent-Length: 4\r\n"
-      "\r\nabcd",
-      // a length with chunks
-      "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Key: key\r\nContent-Length: 3\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-      // an encoding that is not known
-      "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Key: key\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
-      "0\r\n\r\n",
-      // a bare line feed
-      "POST /order/1 HTTP/1.1\nHost: h\n\n",
-      // a target in absolute form
-      "POST http://h/order/1 HTTP/1.1\r\nHost: h\r\n\r\n",
-      // two hosts
-      "POST /order/1 HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
-      // a space before the colon
-      "POST /order/1 HTTP/1.1\r\nHost : h\r\n\r\n",
-      "garbage\r\n\r\n",
-  };
+  const std::string order =
+      "POST /order/1 HTTP/1.1\r\nHost: h\r\n"
+      "X-Bergamotscale-Request-Id: r1\r\nX-Bergamotscale-Key: key\r\n";
+  std::vector<std::string> heads;
+  // two lengths that differ
+  heads.push_back(order + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd");
+  // a length with chunks
+  heads.push_back(order +
+                  "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "0\r\n\r\n");
+  // an encoding that is not known
+  heads.push_back(order + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n");
+  // bare line feeds
+  heads.emplace_back("POST /order/1 HTTP/1.1\nHost: h\n\n");
+  // a target in absolute form
+  heads.emplace_back("POST http://h/order/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  // two hosts
+  heads.push_back(order + "Host: i\r\n\r\n");
+  // a space before the colon
+  heads.emplace_back("POST /order/1 HTTP/1.1\r\nHost : h\r\n\r\n");
+  heads.emplace_back("garbage\r\n\r\n");
   RawServer server(Always(GatewayBench::Answer("ran")));
   GatewayBench bench;
   bench.SetUpstreams({server.url()});
@@ -367,12 +366,71 @@
         std::chrono::milliseconds(400));
 }
 
+// An upstream that a request crashes: it reads one and is gone.
+class CrashingServer {
+ public:
+  CrashingServer()
+      : acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
+        port_(acceptor_.local_endpoint().port()),
+        thread_([this] { CrashOnce(); }) {}
+  ~CrashingServer() { thread_.join(); }
+  CrashingServer(const CrashingServer&) = delete;
+  CrashingServer& operator=(const CrashingServer&) = delete;
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(port_);
+  }
+
+ private:
+  void CrashOnce() {
+    boost::system::error_code error;
+    RawServer::Socket socket(io_);
+    acceptor_.accept(socket, error);
+    boost::asio::streambuf buffer;
+    boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+    acceptor_.close(error);
+  }
+
+  boost::asio::io_context io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const uint16_t port_;
+  std::thread thread_;
+};
+
+TEST_CASE("gateway: a request that crashed two upstreams reaches no third") {
+  CrashingServer first;
+  CrashingServer second;
+  RawServer third(Always(GatewayBench::Answer("served")));
+  GatewayBench bench;
+  bench.SetUpstreams({first.url(), second.url()});
+  for (int i = 0; i < 2; ++i) {
+    RawCaller caller(bench.port());
+    caller.Send(GatewayBench::Request("/order/1"));
+    CHECK(StartsWith(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"));
+    // The evidence, a refused connection, comes a moment after the answer.
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  bench.SetUpstreams({first.url(), second.url(), third.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/order/1"));
+  const std::string answer = caller.ReadUntil("upstreams");
+  CHECK(StartsWith(answer, "HTTP/1.1 503"));
+  CHECK(answer.find("quarantined") != std::string::npos);
+  CHECK(third.requests().empty());
+  // Others are not held responsible.
+  RawCaller other(bench.port());
+  other.Send(GatewayBench::Request("/order/2"));
+  CHECK(StartsWith(other.ReadUntil("\r\n\r\n"), "HTTP/1.1 200"));
+}
+
 TEST_CASE("gateway: a request is blamed only for upstreams that crash") {
-  RawServer breaks(
-      [](int, const std::string&, RawServer::Socket&) { return false; });
+  const RawServer::Answer breaks = [](int, const std::string&,
+                                      RawServer::Socket&) { return false; };
+  RawServer first(breaks);
+  RawServer second(breaks);
   GatewayBench bench;
-  bench.SetUpstreams({breaks.url()});
-  for (int i = 0; i < 4; ++i) {
+  bench.SetUpstreams({first.url(), second.url()});
+  for (int i = 0; i < 8; ++i) {
     RawCaller caller(bench.port());
     caller.Send(GatewayBench::Request("/order/1"));
     CHECK(StartsWith(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"));
--- a/tests/placing_test.cc
+++ b/tests/placing_test.cc
@@ -19,6 +19,7 @@
 
 std::vector<SharedPart> Chain(std::vector<std::pair<uint64_t, int64_t>> parts) {
   std::vector<SharedPart> chain;
+  chain.reserve(parts.size());
   for (const auto& [hash, tokens] : parts) {
     chain.push_back({hash, Tokens(tokens)});
   }
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -3,6 +3,8 @@
 #ifndef BERGAMOTSCALE_TESTS_SUPPORT_RAW_SERVER_H_
 #define BERGAMOTSCALE_TESTS_SUPPORT_RAW_SERVER_H_
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -30,6 +32,13 @@
 
   ~RawServer() {
     stopping_ = true;
+    {
+      // Ends a connection that a caller keeps open.
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (served_ >= 0) {
+        ::shutdown(served_, SHUT_RDWR);
+      }
+    }
     // Wakes the accept.
     boost::asio::io_context io;
     Socket socket(io);
@@ -55,11 +64,18 @@
       boost::system::error_code error;
       Socket socket(io_);
       acceptor_.accept(socket, error);
+      SetServed(error ? -1 : socket.native_handle());
       while (!error && !stopping_ && ServeOne(socket)) {
       }
+      SetServed(-1);
     }
   }
 
+  void SetServed(int socket) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    served_ = socket;
+  }
+
   bool ServeOne(Socket& socket) {
     boost::system::error_code error;
     boost::asio::streambuf buffer;
@@ -84,6 +100,7 @@
   std::atomic<bool> stopping_{false};
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
+  int served_ = -1;  // the socket of the connection being served
   std::thread thread_;
 };
 
