--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -146,7 +146,7 @@
   }
 
  private:
-  // A log line of this request with what every one of them has.
+  // A log line of this request with what all of them have.
   class RequestLine {
    public:
     RequestLine(Exchange& exchange, std::string_view event)
@@ -261,8 +261,8 @@
     context_.upstreams_.Begin(choice_, place_);
     at_upstream_ = true;
     prompt_read_ = false;
-    // A connection that was idle may have gone silent, which a call that must
-    // not be sent twice can't survive.
+    // A further send takes no chance with a connection that may have gone
+    // silent while it was idle.
     const bool fresh = sends_ > 0;
     context_.upstreams_.Connect(
         choice_.upstream_, fresh,
@@ -471,7 +471,6 @@
     }
     if (!began_answer_) {
       began_answer_ = true;
-      first_status_ = head_.status_;
       context_.metrics_.Observe(
           "bergamot_gateway_first_event_ms", route_->name_,
           static_cast<double>((Now() - arrived_).count()));
@@ -552,7 +551,6 @@
         responder_->Reply(head_.status_, head_.headers_, std::move(body_));
       }
     }
-    answered_ = true;
     End();
   }
 
@@ -610,8 +608,6 @@
     FailedSend failed;
     failed.verdict_ = verdict;
     failed.repeatable_ = route_->repeatable();
-    failed.answered_ = has_answer;
-    failed.began_answer_ = began_answer_;
     failed.executions_ = executions_;
     failed.max_attempts_ = route_->max_attempts_;
     failed.sends_ = sends_;
@@ -647,7 +643,6 @@
     if (!caller_left_) {
       responder_->Reply(head_.status_, head_.headers_, std::move(body_));
     }
-    answered_ = true;
     End();
   }
 
@@ -663,7 +658,6 @@
       Log("answer_broken_off").Add("reason", reason).Write();
       context_.metrics_.Add("bergamot_gateway_broken_off");
       responder_->Abort();
-      answered_ = true;
       End();
     } else if (may_have_run) {
       const bool timed_out = sending && TimeLeft() <= Millis(0);
@@ -692,7 +686,6 @@
       }
       responder_->Reply(status, headers, std::string(reason) + "\n");
     }
-    answered_ = true;
     End();
   }
 
@@ -758,7 +751,6 @@
   std::string body_;
   Millis sent_at_;
   Millis first_byte_;
-  int first_status_ = 0;
   int sends_ = 0;
   int executions_ = 0;  // sends that may have run
   int unreachable_ = 0;
@@ -769,7 +761,6 @@
   bool prompt_read_ = false;
   bool sent_ = false;
   bool began_answer_ = false;
-  bool answered_ = false;
   bool was_suspect_ = false;
   bool caller_left_ = false;
   bool ended_ = false;
--- a/src/gateway/repeat_rule.h
+++ b/src/gateway/repeat_rule.h
@@ -11,10 +11,8 @@
 struct FailedSend {
   // Of this send alone.
   Verdict verdict_ = Verdict::kMayHaveRun;
-  bool repeatable_ = false;    // the route allows more than one execution
-  bool answered_ = false;      // the upstream gave a whole answer of failure
-  bool began_answer_ = false;  // the caller has a part of an answer
-  int executions_ = 0;         // sends so far that may have run
+  bool repeatable_ = false;  // the route allows more than one execution
+  int executions_ = 0;       // sends so far that may have run
   int max_attempts_ = 1;
   int sends_ = 0;
   Millis time_left_;
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -54,7 +54,6 @@
 // What is known of a group of upstreams.
 struct Service {
   GroupId name_;
-  int max_connections_ = 0;  // of one instance, by all callers; 0: not known
   // Tokens that an instance keeps; 0 for services that are no engines.
   Tokens memory_;
 };
