Platform: a value whose length is no base64 is refused before it is decoded

The iterators read four characters at a time, and so past the end of such a value. Found by reading; the test shows the refusal, not the overrun.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -100,6 +100,9 @@
   CHECK(read.value().has_more_);
   CHECK(read.value().end_ == LogOffset(6));
   CHECK_FALSE(DecodeNewest("{}").ok());
+  CHECK_FALSE(DecodeNewest(
+                  R"({"items":[{"key":"k","value":"e30","offset":4}],"end":6})")
+                  .ok());
 }
 
 TEST_CASE("platform: records of a read, with one that drops its key") {
