Gateway: an answer's facts are read once, one parser of endpoints

Cause: read over again, the exchange read each answer's headers twice, kept a flag and a time that its counters and the clock tell, and asked for max_attempts where the rule bounds sends anyway; the peers had the listener's parser of "IP:PORT" a second time. Ruled out: a change of behaviour; only the order of reading the facts and asking whose answer it is. Checks: 35 unit cases of gateway, peers and platform passed, format and lint of both files clean.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -133,7 +133,7 @@
     context_.metrics_.Add("bergamot_gateway_callers_left");
     // A call that may not be repeated and has been sent runs to its end, as
     // cutting it would leave its effect unknown.
-    if (sent_ && route_->kind_ == CallKind::kAtMostOnce) {
+    if (sends_ > 0 && route_->kind_ == CallKind::kAtMostOnce) {
       return;
     }
     End();
@@ -369,13 +369,10 @@
     outgoing.method_ = call_.method_;
     outgoing.target_ = call_.target_;
     outgoing.headers_ = context_.dialect_.write_headers_(call_.headers_, facts);
-    const bool may_send_again =
-        route_->max_attempts_ > 1 || sends_ + 1 < kMaxSends;
+    const bool may_send_again = sends_ + 1 < kMaxSends;
     outgoing.body_ = may_send_again ? call_.body_ : std::move(call_.body_);
     ++sends_;
     ++executions_;
-    sent_ = true;
-    sent_at_ = Now();
     body_.clear();
     Log("send")
         .Add("route", route_->name_)
@@ -387,8 +384,7 @@
         .Add("unread_tokens", static_cast<int64_t>(choice_.unread_tokens_))
         .Add("config", table_->version())
         .Add("config_age_ms", TableAge().count())
-        .Add("upstreams_age_ms",
-             context_.control_.UpstreamsAge(sent_at_).count())
+        .Add("upstreams_age_ms", context_.control_.UpstreamsAge(Now()).count())
         .Write();
     connection_->Send(std::move(outgoing), Hooks());
   }
@@ -419,22 +415,21 @@
   }
 
   bool IsOurs(const web::AnswerHead& head) {
-    const AnswerFacts answer = context_.dialect_.read_answer_(head);
-    const bool ours = answer.request_.empty() || answer.request_ == facts_.id_;
+    answer_ = context_.dialect_.read_answer_(head);
+    const bool ours =
+        answer_.request_.empty() || answer_.request_ == facts_.id_;
     if (!ours) {
       Log("foreign_answer_dropped")
           .Add("upstream", choice_.upstream_.id_.value())
-          .Add("answers", answer.request_.value())
+          .Add("answers", answer_.request_.value())
           .Write();
       context_.metrics_.Add("bergamot_gateway_foreign_answers");
     }
     return ours;
   }
 
-  void OnHead(const web::AnswerHead& head) {
-    head_ = head;
-    answer_ = context_.dialect_.read_answer_(head);
-  }
+  // The facts of the head are known from IsOurs().
+  void OnHead(const web::AnswerHead& head) { head_ = head; }
 
   // @return whether the answer is passed on while it comes.
   bool Streams() const {
@@ -649,7 +644,7 @@
   // Ends the request without an answer of an upstream, truthfully: "not run"
   // only if no send may have run.
   void GiveUp(const char* reason) {
-    const bool sending = at_upstream_ && connection_ != nullptr && sent_;
+    const bool sending = at_upstream_ && connection_ != nullptr && sends_ > 0;
     if (at_upstream_) {
       LeaveUpstream(CallOutcome::kAbandoned);
     }
@@ -749,7 +744,6 @@
   AnswerFacts answer_;
   EventSplitter splitter_;
   std::string body_;
-  Millis sent_at_;
   Millis first_byte_;
   int sends_ = 0;
   int executions_ = 0;  // sends that may have run
@@ -759,7 +753,6 @@
   bool in_room_ = false;
   bool at_upstream_ = false;
   bool prompt_read_ = false;
-  bool sent_ = false;
   bool began_answer_ = false;
   bool was_suspect_ = false;
   bool caller_left_ = false;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -9,6 +9,7 @@
 
 #include "src/core/chrono_time.h"
 #include "src/gateway/peer_message.h"
+#include "src/web/listener.h"
 
 namespace bergamotscale::gateway {
 namespace {
@@ -35,18 +36,11 @@
 }
 
 bool ParseEndpoint(const std::string& text, udp::endpoint* endpoint) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+  const Result<boost::asio::ip::tcp::endpoint> read = web::ParseEndpoint(text);
+  if (!read.ok() || read.value().port() == 0) {
     return false;
   }
-  error_code error;
-  const auto address =
-      boost::asio::ip::make_address_v4(text.substr(0, colon), error);
-  const int port = std::atoi(text.c_str() + colon + 1);
-  if (error || port <= 0 || port > UINT16_MAX) {
-    return false;
-  }
-  *endpoint = udp::endpoint(address, static_cast<uint16_t>(port));
+  *endpoint = udp::endpoint(read.value().address(), read.value().port());
   return true;
 }
 
