Placing: reading a shared part again weighs 15 times waiting; one order of homes

A token missing at an engine cost as much as a token ahead there, so any engine with a little less ahead was chosen; with loads that are 270 ms old among 28 entries each part was soon read everywhere, and what was read in vain made the queues that drove the next request away. Home ranks broke ties only for parts kept nowhere.

Ruled out: processor of the entries (0.043 core at most of 0.09), links.

Change: a missing token weighs 15, each further home costs twice the part more; failing instances cost 500,000 tokens, as 60,000 would no longer outweigh a part.

--- a/src/policy/placer.cc
+++ b/src/policy/placer.cc
@@ -49,12 +49,13 @@
          over * kQueuedTokens;
 }
 
-// @return whether any instance keeps most of the shared parts.
-bool IsKeptAnywhere(const std::vector<PlaceView>& views, double shared) {
-  return std::any_of(views.begin(), views.end(),
-                     [shared](const PlaceView& view) {
-                       return !view.avoid_ && view.missing_tokens_ * 2 < shared;
-                     });
+// A home further down the order costs more, so that entries that have not
+// heard of one another's choice yet make the same.
+double ReadingCost(const PlaceView& view,
+                   int home_rank,
+                   const PlacerOptions& options) {
+  return view.missing_tokens_ * options.missing_weight_ *
+         (1 + home_rank * options.next_home_share_);
 }
 
 }  // namespace
@@ -73,11 +74,10 @@
           const PlacerOptions& options) {
   int best = -1;
   double best_cost = std::numeric_limits<double>::max();
-  const auto shared = static_cast<double>(request.SharedTokens().count());
-  const bool new_home = shared > 0 && !IsKeptAnywhere(views, shared);
   const std::vector<int> ranks =
-      new_home ? HomeRanks(views, request.shared_.back().prefix_hash_)
-               : std::vector<int>(views.size());
+      request.shared_.empty()
+          ? std::vector<int>(views.size())
+          : HomeRanks(views, request.shared_.back().prefix_hash_);
   for (size_t step = 0; step < views.size(); ++step) {
     const size_t i = (step + random) % views.size();
     const PlaceView& view = views[i];
@@ -85,9 +85,8 @@
       continue;
     }
     const double cost = QueueCost(view, request, options) +
-                        view.missing_tokens_ +
-                        view.failure_share_ * options.failure_tokens_ +
-                        ranks[i] * shared * options.next_home_share_;
+                        ReadingCost(view, ranks[i], options) +
+                        view.failure_share_ * options.failure_tokens_;
     if (cost < best_cost) {
       best_cost = cost;
       best = static_cast<int>(i);
--- a/src/policy/placer.h
+++ b/src/policy/placer.h
@@ -41,20 +41,25 @@
 
 // The weights of placing, in prompt tokens.
 struct PlacerOptions {
-  // What the next home costs against the one before it for a part that no
-  // instance keeps, as a share of the part: entries that have not heard of one
-  // another's choice yet make the same.
-  double next_home_share_ = 0.1;
+  // What reading a shared token again costs against waiting behind one: it
+  // takes the engine's time from all that come later. From rounds on the
+  // users' bench (docs/POLICY.md).
+  double missing_weight_ = 15;
+  // What the next home of a part costs more than the first, as a share of
+  // reading the part.
+  double next_home_share_ = 2;
   // What a running request costs a new one: its steps delay reading prompts.
   double running_tokens_ = 30;
-  // What an instance costs that fails all requests.
-  double failure_tokens_ = 60'000;
+  // What an instance costs that fails all requests: more than reading a long
+  // part again elsewhere.
+  double failure_tokens_ = 500'000;
 };
 
 // @return the index of the instance with the least expected wait: prompts
 // ahead of the request there, what it reads of its own prompt, the batch.
-// This answers prompts that share long parts: they meet where the parts are
-// kept until there is more work ahead than reading the parts again elsewhere.
+// This answers prompts that share long parts, asked for at many entries that
+// know one another's choices late: they meet at the homes of their parts, and
+// move on only from a home with many times as much ahead as the part is long.
 // Equal instances are told apart by `random`. -1 if there is none that is not
 // avoided. Thread safety: safe.
 int Place(const std::vector<PlaceView>& views,
