--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -7,12 +7,11 @@
 #include <vector>
 
 #include <xxhash.h>
-#include <boost/asio/steady_timer.hpp>
 
-#include "src/core/chrono_time.h"
 #include "src/gateway/event_splitter.h"
 #include "src/gateway/repeat_rule.h"
 #include "src/policy/prefix_hasher.h"
+#include "src/web/one_shot_timer.h"
 
 namespace bergamotscale::gateway {
 namespace {
@@ -204,13 +203,11 @@
   }
 
   void StartDeadline() {
-    deadline_timer_.expires_after(ToChrono(time_limit_));
-    deadline_timer_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && !self->ended_) {
-            self->GiveUp("timeout");
-          }
-        });
+    deadline_timer_.StartLimit(time_limit_, [self = shared_from_this()] {
+      if (!self->ended_) {
+        self->GiveUp("timeout");
+      }
+    });
   }
 
   void FindUpstream() {
@@ -251,6 +248,16 @@
     room_id_ = context_.room_.Wait(
         waiting, [self = shared_from_this()] { return self->TryRoom(); });
     in_room_ = true;
+    context_.metrics_.Add("bergamot_gateway_waited");
+    Log("waits_for_room")
+        .Add("route", route_->name_)
+        .Add("priority", int64_t{priority_})
+        .Add("upstream", choice_.upstream_.id_.value())
+        .Add("unread_ahead", static_cast<int64_t>(choice_.unread_ahead_))
+        .Add("unread_tokens", static_cast<int64_t>(choice_.unread_tokens_))
+        .Add("waiting", static_cast<int64_t>(context_.room_.size()))
+        .Add("upstreams_age_ms", context_.control_.UpstreamsAge(Now()).count())
+        .Write();
   }
 
   // @return whether the request no longer waits.
@@ -289,13 +296,20 @@
       GiveUp("no usable upstream");
       return;
     }
-    pause_timer_.expires_after(ToChrono(kHoldPause));
-    pause_timer_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && !self->ended_) {
-            self->FindUpstream();
-          }
-        });
+    if (!held_) {
+      held_ = true;
+      Log("held")
+          .Add("route", route_->name_)
+          .Add("reason", "no usable upstream")
+          .Add("upstreams_age_ms",
+               context_.control_.UpstreamsAge(Now()).count())
+          .Write();
+    }
+    pause_timer_.Start(kHoldPause, [self = shared_from_this()] {
+      if (!self->ended_) {
+        self->FindUpstream();
+      }
+    });
   }
 
   void OnConnection(ConnectionResult result) {
@@ -492,13 +506,11 @@
     }
     const Millis stall =
         std::max(route_->gap_target_ * kStallFactor, kLeastStall);
-    pause_timer_.expires_after(ToChrono(stall));
-    pause_timer_.async_wait(
-        [self = shared_from_this()](const boost::system::error_code& error) {
-          if (!error && !self->ended_ && self->at_upstream_) {
-            self->OnStalled();
-          }
-        });
+    pause_timer_.StartLimit(stall, [self = shared_from_this()] {
+      if (!self->ended_ && self->at_upstream_) {
+        self->OnStalled();
+      }
+    });
   }
 
   void OnStalled() {
@@ -507,7 +519,7 @@
   }
 
   void OnEnd(const web::CallEnd& end) {
-    pause_timer_.cancel();
+    pause_timer_.Cancel();
     if (!end.complete_) {
       OnBroken(end);
       return;
@@ -728,8 +740,8 @@
     if (in_room_) {
       context_.room_.Leave(room_id_);
     }
-    deadline_timer_.cancel();
-    pause_timer_.cancel();
+    deadline_timer_.Cancel();
+    pause_timer_.Cancel();
     responder_.reset();
   }
 
@@ -738,8 +750,8 @@
   std::shared_ptr<web::Responder> responder_;
   const Millis arrived_;
   const CallFacts facts_;
-  boost::asio::steady_timer deadline_timer_;
-  boost::asio::steady_timer pause_timer_;
+  web::OneShotTimer deadline_timer_;
+  web::OneShotTimer pause_timer_;
   std::shared_ptr<const route::RouteTable> table_;
   const route::Route* route_ = nullptr;
   GroupId group_;
@@ -763,6 +775,7 @@
   policy::RoomRule room_rule_;
   uint64_t room_id_ = 0;
   bool in_room_ = false;
+  bool held_ = false;  // has been, once
   bool at_upstream_ = false;
   bool prompt_read_ = false;
   bool began_answer_ = false;
