Gateway: settings that change without a signal are taken over

Cause: the settings file was read on SIGHUP only; the platform may change it without one. Ruled out: notices of the kernel, which the platform does not offer. Change: SettingsReload reads the file each second, takes over what differs in the fields that may change, and logs the cause; errors once for each reason.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,6 +15,7 @@
 #include "src/core/chrono_time.h"
 #include "src/gateway/exchange.h"
 #include "src/gateway/peers.h"
+#include "src/gateway/settings_reload.h"
 #include "src/web/listener.h"
 
 namespace bergamotscale::gateway {
@@ -57,7 +58,6 @@
   explicit Impl(GatewayParts parts)
       : settings_(std::move(parts.settings_)),
         dialect_(std::move(parts.dialect_)),
-        reload_(std::move(parts.reload_)),
         log_(STDOUT_FILENO, Clock::Wall()),
         upstreams_(io_, boot_, settings_.zone_),
         room_(io_, boot_),
@@ -88,7 +88,11 @@
         operators_(io_, ProbeHooks(), kMaxProbeSessions),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         log_timer_(io_),
-        stop_timer_(io_) {
+        stop_timer_(io_),
+        reload_(io_,
+                settings_,
+                MakeReloadHooks(std::move(parts.reload_)),
+                &log_) {
     retries_.SetMembers(kMembersAtStart);
   }
 
@@ -129,6 +133,7 @@
                    .Add("log", settings_.log_address_));
     AwaitSignal();
     ScheduleLogFlush();
+    reload_.Start();
     Status status = Listen(callers_, settings_.listen_callers_);
     if (status.ok()) {
       status = Listen(probes_, settings_.listen_ready_);
@@ -332,7 +337,7 @@
         return;
       }
       if (signal == SIGHUP) {
-        Reload();
+        reload_.OnSignal();
       } else {
         BeginStop("signal");
       }
@@ -340,19 +345,23 @@
     });
   }
 
-  void Reload() {
-    const Result<GatewaySettings> read = reload_();
-    if (!read.ok()) {
-      log_.Write(
-          LogLine("reload_failed").Add("reason", read.error().Message()));
-      return;
-    }
-    // Addresses stay as they are until a restart; bounds and peers change.
-    settings_.first_peers_ = read.value().first_peers_;
-    settings_.retries_ = read.value().retries_;
-    settings_.stop_grace_ = read.value().stop_grace_;
-    settings_.revoke_ = read.value().revoke_;
-    settings_.config_apply_ = read.value().config_apply_;
+  ReloadHooks MakeReloadHooks(
+      std::function<Result<GatewaySettings>()> read_settings) {
+    ReloadHooks hooks;
+    hooks.read_ = std::move(read_settings);
+    hooks.on_change_ = [this](const GatewaySettings& settings) {
+      TakeOver(settings);
+    };
+    return hooks;
+  }
+
+  // What SameReloadable() compares.
+  void TakeOver(const GatewaySettings& settings) {
+    settings_.first_peers_ = settings.first_peers_;
+    settings_.retries_ = settings.retries_;
+    settings_.stop_grace_ = settings.stop_grace_;
+    settings_.revoke_ = settings.revoke_;
+    settings_.config_apply_ = settings.config_apply_;
     retries_.SetBounds(settings_.retries_);
     context_.freshness_ =
         FreshnessBounds{settings_.revoke_ - kRevokeMargin,
@@ -362,7 +371,6 @@
           web::ParseEndpoint(settings_.listen_peers_);
       peers_->SetFirst(FirstPeers(own.value().port()));
     }
-    log_.Write(LogLine("reload"));
   }
 
   void BeginStop(const char* reason) {
@@ -399,7 +407,6 @@
 
   GatewaySettings settings_;
   const Dialect dialect_;
-  const std::function<Result<GatewaySettings>()> reload_;
   const Clock boot_ = Clock::Boot();
   boost::asio::io_context io_{1};
   boost::asio::io_context control_io_{1};
@@ -421,6 +428,7 @@
   boost::asio::signal_set signals_;
   boost::asio::steady_timer log_timer_;
   boost::asio::steady_timer stop_timer_;
+  SettingsReload reload_;
   std::thread control_thread_;
   std::string not_ready_reason_;
   bool readiness_told_ = false;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,7 +19,7 @@
   Dialect dialect_;
   // Makes the sources of control, which run on the given context.
   std::function<ControlSources(boost::asio::io_context&)> make_sources_;
-  // Reads the settings again, on SIGHUP.
+  // Reads the settings again, on SIGHUP and each second.
   std::function<Result<GatewaySettings>()> reload_;
 };
 
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/settings.h"
 
+#include <tuple>
+
 namespace bergamotscale::gateway {
 namespace {
 
@@ -15,6 +17,13 @@
                   kLongestBound, &bounds->window_);
 }
 
+auto ReloadableOf(const GatewaySettings& settings) {
+  const policy::RetryBounds& retries = settings.retries_;
+  return std::tie(settings.first_peers_, settings.revoke_,
+                  settings.config_apply_, settings.stop_grace_, retries.ratio_,
+                  retries.extra_, retries.window_);
+}
+
 }  // namespace
 
 void ReadGatewaySettings(FieldReader& reader, GatewaySettings* settings) {
@@ -43,4 +52,8 @@
   });
 }
 
+bool SameReloadable(const GatewaySettings& a, const GatewaySettings& b) {
+  return ReloadableOf(a) == ReloadableOf(b);
+}
+
 }  // namespace bergamotscale::gateway
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -41,6 +41,11 @@
 void ReadGatewaySettings(settings::FieldReader& reader,
                          GatewaySettings* settings);
 
+// @return whether both have the same in what a running gateway takes over:
+// peers to begin with, bounds, the grace and the retry budget. Addresses, the
+// instance and its limits stay until a restart. Thread safety: safe.
+bool SameReloadable(const GatewaySettings& a, const GatewaySettings& b);
+
 }  // namespace bergamotscale::gateway
 
 #endif  // BERGAMOTSCALE_SRC_GATEWAY_SETTINGS_H_
