Gateway: slow links are not overfilled, and shed callers to faster ones

Cause of GONE and CONFIG on the grown sites: entries with 10 Mbit/s get as many callers as those with 200. In bursts their links fill both ways; a request of 17 KB stood up to two seconds in the link and reached its server after the caller had left, and answers stood behind such requests. Ruled out: late timers and processor time (same without its cost); the reads of the process (a request's line comes 40 ms after its last byte).

The log numbers calls (call=N) and says whether a route may repeat.

--- a/benchmark/traffic_path_benchmark.cc
+++ b/benchmark/traffic_path_benchmark.cc
@@ -413,14 +413,15 @@
   IoThread thread_;
   gateway::UpstreamSet upstreams_{thread_.io(), boot_, ZoneId("z")};
   gateway::RoomQueue room_{thread_.io(), boot_};
+  policy::LinkBudget link_{0};
   policy::SharedRetryBudget retries_{
       policy::RetryBounds{0.2, 50, Millis(10'000)}};
   policy::Quarantine quarantine_;
   metrics::Metrics metrics_;
   gateway::DecisionLog log_{open("/dev/null", O_WRONLY), Clock::Wall()};
   gateway::ExchangeContext context_{
-      thread_.io(), boot_,    dialect_,    state_,   {},   upstreams_,
-      room_,        retries_, quarantine_, metrics_, log_, [] {}};
+      thread_.io(), boot_,    dialect_,    state_,   {},   upstreams_, room_,
+      link_,        retries_, quarantine_, metrics_, log_, [] {}};
   asio::steady_timer log_timer_{thread_.io()};
   web::Listener listener_{thread_.io(), Hooks(),
                           static_cast<size_t>(FLAGS_streams) + 1};
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -43,6 +43,8 @@
 // to another upstream, before its caller gives up.
 constexpr int kStallFactor = 4;
 constexpr Millis kLeastStall = Millis(1'200);
+// About what the headers of a request take on the link.
+constexpr Bytes kHeaderBytes = Bytes(600);
 
 std::string Seconds(Millis time) {
   constexpr double kMillisPerSecond = 1'000;
@@ -79,6 +81,7 @@
       : context_(context),
         call_(std::move(call)),
         responder_(std::move(responder)),
+        number_(++context.calls_),
         arrived_(context.boot_.Now()),
         facts_(context.dialect_.read_call_(call_)),
         deadline_timer_(context.io_),
@@ -86,6 +89,7 @@
 
   void Start() {
     context_.metrics_.Add("bergamot_gateway_requests");
+    context_.link_.Received(RequestBytes() + kHeaderBytes, Now());
     if (facts_.id_.empty()) {
       Refuse(kStatusBadRequest, "no request id", false);
       return;
@@ -154,6 +158,7 @@
     RequestLine(Exchange& exchange, std::string_view event)
         : exchange_(exchange), line_(event) {
       line_.Add("request", exchange.facts_.id_.value());
+      line_.Add("call", exchange.number_);
       line_.Add("age_ms", (exchange.Now() - exchange.arrived_).count());
     }
     template <typename Value>
@@ -233,14 +238,22 @@
     return context_.upstreams_.Choose(group_, place_, tried_, &choice_);
   }
 
-  // @return whether so little is ahead at the chosen engine that more urgent
-  // requests behind this one can still be on time.
+  // @return whether so little is ahead, in this machine's link and at the
+  // chosen engine, that more urgent requests behind this one can still be on
+  // time.
   bool HasRoom() const {
+    if (!context_.link_.HasRoom(RequestBytes(), Now())) {
+      return false;
+    }
     const double allowed = policy::TokensAllowedAhead(
         room_rule_, choice_.unread_tokens_, choice_.reads_again_);
     return allowed < 0 || began_answer_ || choice_.unread_ahead_ <= allowed;
   }
 
+  Bytes RequestBytes() const {
+    return Bytes(static_cast<int64_t>(call_.body_.size()));
+  }
+
   void WaitForRoom() {
     policy::WaitingRequest waiting;
     waiting.priority_ = priority_;
@@ -255,6 +268,7 @@
         .Add("upstream", choice_.upstream_.id_.value())
         .Add("unread_ahead", static_cast<int64_t>(choice_.unread_ahead_))
         .Add("unread_tokens", static_cast<int64_t>(choice_.unread_tokens_))
+        .Add("link_backlog_ms", context_.link_.Backlog(Now()).count())
         .Add("waiting", static_cast<int64_t>(context_.room_.size()))
         .Add("upstreams_age_ms", context_.control_.UpstreamsAge(Now()).count())
         .Write();
@@ -265,6 +279,9 @@
     if (ended_) {
       return true;
     }
+    if (!context_.link_.HasRoom(RequestBytes(), Now())) {
+      return false;
+    }
     const bool keeps_choice = Now() - chosen_at_ < kChoiceLifetime &&
                               context_.upstreams_.Refresh(&choice_);
     if ((!keeps_choice && !ChooseUpstream()) || !HasRoom()) {
@@ -403,6 +420,7 @@
         .Add("route", route_->name_)
         .Add("upstream", choice_.upstream_.id_.value())
         .Add("send", int64_t{sends_})
+        .Add("may_repeat", int64_t{route_->repeatable() ? 1 : 0})
         .Add("reused", int64_t{reused ? 1 : 0})
         .Add("running", int64_t{choice_.running_})
         .Add("unread_ahead", static_cast<int64_t>(choice_.unread_ahead_))
@@ -411,6 +429,9 @@
         .Add("config_age_ms", TableAge().count())
         .Add("upstreams_age_ms", context_.control_.UpstreamsAge(Now()).count())
         .Write();
+    context_.link_.Sent(
+        Bytes(static_cast<int64_t>(outgoing.body_.size())) + kHeaderBytes,
+        Now());
     connection_->Send(std::move(outgoing), Hooks());
   }
 
@@ -467,6 +488,7 @@
   }
 
   bool OnBody(std::string bytes) {
+    context_.link_.Received(Bytes(static_cast<int64_t>(bytes.size())), Now());
     if (!prompt_read_) {
       prompt_read_ = true;
       first_byte_ = Now();
@@ -496,6 +518,7 @@
           static_cast<double>((Now() - arrived_).count()));
       responder_->BeginStream(head_.status_, head_.headers_);
     }
+    context_.link_.Sent(Bytes(static_cast<int64_t>(events.size())), Now());
     return responder_->Write(std::move(events));
   }
 
@@ -748,6 +771,7 @@
   ExchangeContext& context_;
   web::IncomingCall call_;
   std::shared_ptr<web::Responder> responder_;
+  const int64_t number_;
   const Millis arrived_;
   const CallFacts facts_;
   web::OneShotTimer deadline_timer_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,6 +14,7 @@
 #include "src/gateway/room_queue.h"
 #include "src/gateway/upstream_set.h"
 #include "src/metrics/metrics.h"
+#include "src/policy/link_budget.h"
 #include "src/policy/quarantine.h"
 #include "src/policy/shared_retry_budget.h"
 #include "src/web/caller_session.h"
@@ -38,12 +39,15 @@
   FreshnessBounds freshness_;
   UpstreamSet& upstreams_;
   RoomQueue& room_;
+  policy::LinkBudget& link_;
   policy::SharedRetryBudget& retries_;
   policy::Quarantine& quarantine_;
   metrics::Metrics& metrics_;
   DecisionLog& log_;
   // Tells peers of what quarantine has learnt.
   std::function<void()> spread_suspicion_;
+  // Calls so far, which names each in the log: callers may use an id again.
+  int64_t calls_ = 0;
 };
 
 // Starts an exchange, which keeps itself alive to its end.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include <xxhash.h>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -37,12 +38,17 @@
 // Left of the grace for the end of the process itself.
 constexpr Millis kStopMargin = Millis(300);
 constexpr Millis kStopCheck = Millis(20);
-constexpr Millis kLogInterval = Millis(200);
+// Log lines are written, and the link's load is looked at, this often.
+constexpr Millis kUpkeepInterval = Millis(200);
+constexpr double kPercent = 100;
 // Keys are refused this long before the bound: a send takes its time, and a
 // read of the log confirms only what was accepted before it was made.
 constexpr Millis kRevokeMargin = Millis(600);
 // A denial may rest on a table that is younger than the apply time by this.
 constexpr Millis kDenialMargin = Millis(300);
+// A megabit a second in bytes a millisecond.
+constexpr double kBytesPerMsOfMbps = 125;
+constexpr double kKbpsOfMbps = 1'000;
 // Until peers are heard, the retry budget is shared with so many gateways.
 constexpr int kMembersAtStart = 10;
 constexpr size_t kSuspicionsTold = 64;
@@ -61,6 +67,12 @@
         log_(STDOUT_FILENO, Clock::Wall()),
         upstreams_(io_, boot_, settings_.zone_),
         room_(io_, boot_),
+        link_(settings_.link_mbps_ * kBytesPerMsOfMbps),
+        zone_hash_(
+            static_cast<uint32_t>(XXH3_64bits(settings_.zone_.value().data(),
+                                              settings_.zone_.value().size()))),
+        link_kbps_(static_cast<int64_t>(settings_.link_mbps_ * kKbpsOfMbps)),
+        shedding_(link_kbps_),
         retries_(settings_.retries_),
         context_{io_,
                  boot_,
@@ -70,6 +82,7 @@
                                  settings_.config_apply_ - kDenialMargin},
                  upstreams_,
                  room_,
+                 link_,
                  retries_,
                  quarantine_,
                  metrics_,
@@ -87,7 +100,7 @@
         probes_(io_, ProbeHooks(), kMaxProbeSessions),
         operators_(io_, ProbeHooks(), kMaxProbeSessions),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        log_timer_(io_),
+        upkeep_timer_(io_),
         stop_timer_(io_),
         reload_(io_,
                 settings_,
@@ -132,7 +145,7 @@
                    .Add("callers", settings_.listen_callers_)
                    .Add("log", settings_.log_address_));
     AwaitSignal();
-    ScheduleLogFlush();
+    ScheduleUpkeep();
     reload_.Start();
     Status status = Listen(callers_, settings_.listen_callers_);
     if (status.ok()) {
@@ -180,6 +193,9 @@
 
   PeerHooks MakePeerHooks() {
     PeerHooks hooks;
+    hooks.own_place_ = [this] {
+      return PeerPlace{zone_hash_, link_kbps_, shedding_.sheds()};
+    };
     hooks.own_loads_ = [this] { return upstreams_.OwnLoads(); };
     hooks.suspicions_ = [this] {
       return quarantine_.Records(boot_.Now(), kSuspicionsTold);
@@ -250,7 +266,8 @@
                      .Add("status", status)
                      .Add("reason", reason));
     };
-    hooks.stopping_ = [this] { return stopping_; };
+    // Callers whose connections are closed are sent elsewhere.
+    hooks.stopping_ = [this] { return stopping_ || shedding_.sheds(); };
     return hooks;
   }
 
@@ -293,7 +310,6 @@
   }
 
   // @return why new callers should go elsewhere; empty if they may come.
-  // Load is no reason, as the other instances would only get more of it.
   std::string NotReadyReason() const {
     if (stopping_) {
       return "stopping";
@@ -307,6 +323,9 @@
     if (state_.TableAge(boot_.Now()) > context_.freshness_.key_lease_) {
       return "configuration not confirmed lately";
     }
+    if (shedding_.sheds()) {
+      return "link busy";
+    }
     return {};
   }
 
@@ -321,16 +340,38 @@
     }
   }
 
-  void ScheduleLogFlush() {
-    log_timer_.expires_after(ToChrono(kLogInterval));
-    log_timer_.async_wait([this](const error_code& error) {
+  void ScheduleUpkeep() {
+    upkeep_timer_.expires_after(ToChrono(kUpkeepInterval));
+    upkeep_timer_.async_wait([this](const error_code& error) {
       if (!error) {
+        UpdateShedding();
         log_.Flush();
-        ScheduleLogFlush();
+        ScheduleUpkeep();
       }
     });
   }
 
+  void UpdateShedding() {
+    if (peers_ == nullptr) {
+      return;
+    }
+    const Millis now = boot_.Now();
+    const double busy_share = link_.BusyShare(now);
+    const policy::OtherLinks others = peers_->LinksIn(zone_hash_);
+    const bool was = shedding_.sheds();
+    const bool sheds = shedding_.Update(busy_share, others, now);
+    metrics_.Set("bergamot_gateway_link_busy_share", "", busy_share);
+    if (sheds != was) {
+      log_.Write(LogLine(sheds ? "sheds_callers" : "takes_callers")
+                     .Add("link_busy_percent",
+                          static_cast<int64_t>(busy_share * kPercent))
+                     .Add("link_kbps", link_kbps_)
+                     .Add("others_ready_kbps", others.ready_kbps_)
+                     .Add("others_kbps", others.all_kbps_));
+      peers_->SendNow();
+    }
+  }
+
   void AwaitSignal() {
     signals_.async_wait([this](const error_code& error, int signal) {
       if (error) {
@@ -417,6 +458,10 @@
   ControlState state_;
   UpstreamSet upstreams_;
   RoomQueue room_;
+  policy::LinkBudget link_;
+  const uint32_t zone_hash_;
+  const int64_t link_kbps_;
+  policy::CallerShedding shedding_;
   policy::SharedRetryBudget retries_;
   policy::Quarantine quarantine_;
   ExchangeContext context_;
@@ -426,7 +471,7 @@
   web::Listener operators_;
   std::unique_ptr<Peers> peers_;
   boost::asio::signal_set signals_;
-  boost::asio::steady_timer log_timer_;
+  boost::asio::steady_timer upkeep_timer_;
   boost::asio::steady_timer stop_timer_;
   SettingsReload reload_;
   std::thread control_thread_;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -16,12 +16,14 @@
 using SuspicionRow = std::tuple<uint64_t, int, bool, int64_t, uint64_t>;
 using PartRow = std::tuple<uint64_t, int64_t>;
 using PromptRow = std::tuple<uint64_t, std::vector<PartRow>>;
+using PlaceRow = std::tuple<uint32_t, int64_t, bool>;
 using Rows = std::tuple<int64_t,
                         int64_t,
                         std::vector<std::string>,
                         std::vector<LoadRow>,
                         std::vector<SuspicionRow>,
-                        std::vector<PromptRow>>;
+                        std::vector<PromptRow>,
+                        PlaceRow>;
 
 }  // namespace
 
@@ -46,6 +48,8 @@
     }
     std::get<5>(rows).emplace_back(prompt.id_hash_, std::move(parts));
   }
+  std::get<6>(rows) = {message.place_.zone_hash_, message.place_.link_kbps_,
+                       message.place_.sheds_};
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, rows);
   return {buffer.data(), buffer.size()};
@@ -77,6 +81,8 @@
       }
       message.prompts_.push_back(std::move(prompt));
     }
+    const auto& [zone_hash, link_kbps, sheds] = std::get<6>(rows);
+    message.place_ = {zone_hash, link_kbps, sheds};
     return message;
   } catch (const std::exception& error) {
     return Error(ErrorCode::kProtocolError, error.what());
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -13,10 +13,18 @@
 
 namespace bergamotscale::gateway {
 
+// What a gateway tells of its place and its link.
+struct PeerPlace {
+  uint32_t zone_hash_ = 0;
+  int64_t link_kbps_ = 0;  // zero if it is not known
+  bool sheds_ = false;     // asks for its callers to be sent elsewhere
+};
+
 struct PeerMessage {
   // Tells datagrams of one incarnation of a gateway apart from earlier ones.
   int64_t incarnation_ = 0;
   int64_t number_ = 0;
+  PeerPlace place_;
   // Addresses of other gateways that the sender hears, as "IP:PORT".
   std::vector<std::string> heard_;
   std::vector<InstanceLoad> loads_;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "src/core/chrono_time.h"
-#include "src/gateway/peer_message.h"
 #include "src/web/listener.h"
 
 namespace bergamotscale::gateway {
@@ -110,6 +109,17 @@
     }
   }
 
+  policy::OtherLinks LinksIn(uint32_t zone_hash) const {
+    policy::OtherLinks links;
+    for (const auto& [endpoint, peer] : peers_) {
+      if (peer.place_.zone_hash_ == zone_hash) {
+        links.all_kbps_ += peer.place_.link_kbps_;
+        links.ready_kbps_ += peer.place_.sheds_ ? 0 : peer.place_.link_kbps_;
+      }
+    }
+    return links;
+  }
+
   void SetFirst(std::vector<udp::endpoint> first) { first_ = std::move(first); }
 
  private:
@@ -117,6 +127,7 @@
     Millis heard_at_;
     int64_t incarnation_ = 0;
     int64_t number_ = 0;
+    PeerPlace place_;
   };
 
   // A datagram that can't be sent now is lost, as others are on their way.
@@ -134,6 +145,7 @@
       heard_told_ = now;
       message.heard_ = Heard();
     }
+    message.place_ = hooks_.own_place_();
     message.loads_ = hooks_.own_loads_();
     message.suspicions_ = hooks_.suspicions_();
     message.prompts_ = hooks_.recent_prompts_();
@@ -203,7 +215,7 @@
     if (late) {
       return;
     }
-    peer = {boot_.Now(), message.incarnation_, message.number_};
+    peer = {boot_.Now(), message.incarnation_, message.number_, message.place_};
     hooks_.on_loads_(TextOf(from_), message.loads_);
     hooks_.on_prompts_(message.prompts_);
     for (const policy::SuspicionRecord& record : message.suspicions_) {
@@ -266,6 +278,10 @@
   impl_->SendNow();
 }
 
+policy::OtherLinks Peers::LinksIn(uint32_t zone_hash) const {
+  return impl_->LinksIn(zone_hash);
+}
+
 void Peers::SetFirst(std::vector<udp::endpoint> first) {
   impl_->SetFirst(std::move(first));
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -12,12 +12,15 @@
 
 #include "bergamotscale/clock.h"
 #include "bergamotscale/result.h"
+#include "src/gateway/peer_message.h"
 #include "src/gateway/upstream_set.h"
+#include "src/policy/caller_shedding.h"
 #include "src/policy/quarantine.h"
 
 namespace bergamotscale::gateway {
 
 struct PeerHooks {
+  std::function<PeerPlace()> own_place_;
   std::function<std::vector<InstanceLoad>()> own_loads_;
   std::function<std::vector<policy::SuspicionRecord>()> suspicions_;
   std::function<std::vector<SentPrompt>()> recent_prompts_;
@@ -49,6 +52,8 @@
   Status Start();
   // Sends what is known now, without waiting for the next turn.
   void SendNow();
+  // @return the links of the peers in a zone that are heard.
+  policy::OtherLinks LinksIn(uint32_t zone_hash) const;
   void SetFirst(std::vector<boost::asio::ip::udp::endpoint> first);
 
  private:
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -9,6 +9,7 @@
 
 constexpr Millis kLongestBound = Millis(600'000);
 constexpr int kMaxDescriptors = 1'000'000;
+constexpr double kMaxLinkMbps = 1e6;
 
 void ReadRetries(FieldReader& reader, policy::RetryBounds* bounds) {
   reader.Number("ratio", FieldReader::Need::kRequired, 0, 10, &bounds->ratio_);
@@ -47,6 +48,7 @@
                   &settings->stop_grace_);
   reader.Integer("max_descriptors", kOptional, 64, kMaxDescriptors,
                  &settings->max_descriptors_);
+  reader.Number("link_mbps", kOptional, 0, kMaxLinkMbps, &settings->link_mbps_);
   reader.Object("retries", kOptional, [settings](FieldReader& nested) {
     ReadRetries(nested, &settings->retries_);
   });
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -35,6 +35,8 @@
   policy::RetryBounds retries_;
   // Open sockets and files that the process may have.
   int max_descriptors_ = 1'024;
+  // Of this machine's own link, each way; zero if it is not known.
+  double link_mbps_ = 0;
 };
 
 // Takes the settings of a JSON object. Thread safety: safe.
--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/socket_base.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -109,6 +110,9 @@
   }
 
   void Close() {
+    if (in_call_) {
+      DropUnsent();
+    }
     hooks_ = nullptr;
     on_connected_ = nullptr;
     on_unusable_ = nullptr;
@@ -157,6 +161,13 @@
     on_connected(error);
   }
 
+  // An abandoned call must not go on reaching its peer from this side's queues:
+  // a reset drops what they hold, where a close would still send it.
+  void DropUnsent() {
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
+
   void BecomeUnusable() {
     keeps_ = false;
     if (on_unusable_) {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -330,6 +330,31 @@
   CHECK(StartsWith(slow.ReadAll(), "HTTP/1.1 408"));
 }
 
+TEST_CASE(
+    "gateway: an abandoned call is reset, so that nothing of it follows") {
+  std::atomic<bool> ended{false};
+  std::atomic<bool> reset{false};
+  RawServer server([&](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+    boost::system::error_code error;
+    char byte = 0;
+    socket.read_some(boost::asio::buffer(&byte, 1), error);
+    reset = error == boost::asio::error::connection_reset;
+    ended = true;
+    return false;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/stream/1"));
+  caller.ReadUntil("data: a");
+  caller.Close();
+  for (int i = 0; i < 100 && !ended; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK(reset);
+}
+
 // More than the 128 events that one turn of the io_context takes in: timers
 // that ran out run before the rest of them.
 constexpr int kManyCallers = 400;
--- a/tests/support/gateway_bench.h
+++ b/tests/support/gateway_bench.h
@@ -150,14 +150,15 @@
   gateway::ControlState state_;
   gateway::UpstreamSet upstreams_{io_, boot_, ZoneId("z")};
   gateway::RoomQueue room_{io_, boot_};
+  policy::LinkBudget link_{0};
   policy::SharedRetryBudget retries_{
       policy::RetryBounds{0.2, 50, Millis(10'000)}};
   policy::Quarantine quarantine_;
   metrics::Metrics metrics_;
   gateway::DecisionLog log_{dup(STDERR_FILENO), Clock::Wall()};
-  gateway::ExchangeContext context_{io_,         boot_,      dialect_, state_,
-                                    {},          upstreams_, room_,    retries_,
-                                    quarantine_, metrics_,   log_,     [] {}};
+  gateway::ExchangeContext context_{
+      io_,   boot_,    dialect_,    state_,   {},   upstreams_, room_,
+      link_, retries_, quarantine_, metrics_, log_, [] {}};
   const uint16_t port_ = FreePort();
   std::unique_ptr<web::Listener> listener_ =
       std::make_unique<web::Listener>(io_, Hooks(), kMaxSessions);
