--- a/src/gateway/decision_log.cc
+++ b/src/gateway/decision_log.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/decision_log.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 #include <mutex>
@@ -31,6 +32,16 @@
   *text += '"';
 }
 
+// @return the bytes of as many whole lines as a pipe takes at once, so that
+// lines of processes that share a reader stay whole; one line at least.
+size_t WholeLines(std::string_view text) {
+  if (text.size() <= PIPE_BUF) {
+    return text.size();
+  }
+  const size_t last = text.rfind('\n', PIPE_BUF - 1);
+  return (last == std::string_view::npos ? text.find('\n') : last) + 1;
+}
+
 }  // namespace
 
 LogLine::LogLine(std::string_view event) : text_("event=") {
@@ -67,14 +78,17 @@
 
   // Precondition: the mutex is held.
   void FlushLocked() {
-    while (!pending_.empty()) {
-      const ssize_t written = write(fd_, pending_.data(), pending_.size());
+    size_t done = 0;
+    while (done < pending_.size()) {
+      const size_t size = WholeLines(std::string_view(pending_).substr(done));
+      const ssize_t written = write(fd_, pending_.data() + done, size);
       if (written <= 0) {
-        return;
+        break;
       }
-      pending_.erase(0, static_cast<size_t>(written));
+      done += static_cast<size_t>(written);
     }
-    if (untold_ > 0) {
+    pending_.erase(0, done);
+    if (pending_.empty() && untold_ > 0) {
       Append(LogLine("log_lines_dropped").Add("lines", untold_).text());
       untold_ = 0;
     }
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -90,6 +90,7 @@
   PeerMessage message;
   message.incarnation_ = 1'796'392'667'735;
   message.number_ = 100'000;
+  message.place_ = {0xfe3779b9, 200'000, true};
   constexpr uint64_t kSomeBits = 0xfe3779b9;
   for (uint64_t i = 1; i <= 50; ++i) {
     message.loads_.push_back({kSomeBits - i, 9, 12'345.678});
@@ -104,6 +105,7 @@
   PeerMessage message;
   message.incarnation_ = 5;
   message.number_ = 6;
+  message.place_ = {21, 10'000, true};
   message.heard_ = {"10.0.0.1:7"};
   message.loads_ = {{11, 2, 3'500}};
   message.suspicions_ = {{12, 1, false, Millis(13), 14}};
@@ -111,6 +113,9 @@
   const auto read = ReadPeerMessage(WritePeerMessage(message));
   REQUIRE(read.ok());
   CHECK(read.value().heard_ == message.heard_);
+  CHECK(read.value().place_.zone_hash_ == 21);
+  CHECK(read.value().place_.link_kbps_ == 10'000);
+  CHECK(read.value().place_.sheds_);
   CHECK(read.value().loads_[0].unread_tokens_ == 3'500);
   CHECK(read.value().suspicions_[0].expires_in_ == Millis(13));
   CHECK(read.value().prompts_[0].shared_[0].tokens_ == Tokens(17));
@@ -127,6 +132,24 @@
   CHECK(LogLine("x").Add("a", "").text() == "event=x a=\"\"");
 }
 
+TEST_CASE("decision log: a pipe that is full holds whole lines only") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  DecisionLog log(ends[1], Clock([] { return Millis(1); }));
+  // Lines that fit no power of two, more than the pipe takes.
+  const std::string value(177, 'v');
+  for (int i = 0; i < 1'000; ++i) {
+    log.Write(LogLine("e").Add("v", value));
+  }
+  log.Flush();
+  std::array<char, 262144> buffer{};
+  const ssize_t got = read(ends[0], buffer.data(), buffer.size());
+  REQUIRE(got > 0);
+  CHECK(buffer.at(static_cast<size_t>(got) - 1) == '\n');
+  close(ends[0]);
+  close(ends[1]);
+}
+
 TEST_CASE("decision log: a reader that does not read blocks nothing") {
   std::array<int, 2> ends{};
   REQUIRE(pipe(ends.data()) == 0);
