Routes decide among workspaces of one priority

Change: route::Rank, the priority and then the route's; it orders the waiting room and picks the tightest target to keep. Checked: tests in route_test.cc and placing_test.cc.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -84,8 +84,8 @@
         number_(++context.calls_),
         arrived_(context.boot_.Now()),
         facts_(context.dialect_.read_call_(call_)),
-        deadline_timer_(context.io_),
-        pause_timer_(context.io_) {}
+        deadline_timer_(context.io_.get_executor()),
+        pause_timer_(context.io_.get_executor()) {}
 
   void Start() {
     context_.metrics_.Add("bergamot_gateway_requests");
@@ -121,8 +121,7 @@
     place_ = PlaceRequestOf(facts_.prompt_,
                             service != nullptr && service->memory_ > Tokens(0));
     if (place_.engine_) {
-      room_rule_.tightest_target_ =
-          table_->TightestTargetBefore(group_, priority_);
+      room_rule_.tightest_target_ = table_->TightestTargetBefore(group_, rank_);
     }
     splitter_.set_last_id(facts_.last_event_);
     context_.retries_.OnRequest(group_, Now());
@@ -181,7 +180,7 @@
   // @return false if the request has been refused.
   bool CheckKey() {
     if (!table_->NeedsKey(*route_)) {
-      priority_ = route_->priority_;
+      rank_ = route::RankOf(*route_, nullptr);
       return true;
     }
     const route::KeyHolder* holder = table_->FindKey(facts_.key_);
@@ -194,7 +193,7 @@
       return false;
     }
     workspace_ = holder->workspace_;
-    priority_ = holder->priority_.value_or(route_->priority_);
+    rank_ = route::RankOf(*route_, holder);
     return true;
   }
 
@@ -256,7 +255,8 @@
 
   void WaitForRoom() {
     policy::WaitingRequest waiting;
-    waiting.priority_ = priority_;
+    waiting.priority_ = rank_.priority_;
+    waiting.route_priority_ = rank_.route_priority_;
     waiting.due_ = arrived_ + route_->target_;
     room_id_ = context_.room_.Wait(
         waiting, [self = shared_from_this()] { return self->TryRoom(); });
@@ -264,7 +264,8 @@
     context_.metrics_.Add("bergamot_gateway_waited");
     Log("waits_for_room")
         .Add("route", route_->name_)
-        .Add("priority", int64_t{priority_})
+        .Add("priority", int64_t{rank_.priority_})
+        .Add("route_priority", int64_t{rank_.route_priority_})
         .Add("upstream", choice_.upstream_.id_.value())
         .Add("unread_ahead", static_cast<int64_t>(choice_.unread_ahead_))
         .Add("unread_tokens", static_cast<int64_t>(choice_.unread_tokens_))
@@ -405,7 +406,7 @@
     facts.time_left_ = TimeLeft();
     facts.upstream_ = choice_.upstream_.id_;
     facts.workspace_ = workspace_;
-    facts.priority_ = priority_;
+    facts.priority_ = rank_.priority_;
     facts.resume_after_ = began_answer_ ? splitter_.last_id() : std::string();
     web::OutgoingCall outgoing;
     outgoing.method_ = call_.method_;
@@ -780,7 +781,7 @@
   const route::Route* route_ = nullptr;
   GroupId group_;
   std::optional<WorkspaceId> workspace_;
-  int priority_ = 0;
+  route::Rank rank_;
   Millis time_limit_;
   uint64_t digest_ = 0;
   policy::PlaceRequest place_;
--- a/src/policy/waiting_room.cc
+++ b/src/policy/waiting_room.cc
@@ -30,13 +30,14 @@
 }
 
 std::vector<uint64_t> WaitingRoom::Order(Millis now) const {
-  using Key = std::tuple<int, int64_t, uint64_t>;
+  using Key = std::tuple<int, int, int64_t, uint64_t>;
   std::vector<Key> keys;
   keys.reserve(waiting_.size());
   for (const auto& [id, request] : waiting_) {
     const Millis due =
         request.due_ <= now ? request.due_ + kLateStandsBack : request.due_;
-    keys.emplace_back(request.priority_, due.count(), id);
+    keys.emplace_back(request.priority_, request.route_priority_, due.count(),
+                      id);
   }
   std::sort(keys.begin(), keys.end());
   std::vector<uint64_t> order;
--- a/src/policy/waiting_room.h
+++ b/src/policy/waiting_room.h
@@ -14,12 +14,13 @@
   int priority_ = 0;  // 0 is the most urgent
   // When the answer has to begin at the latest to be on time.
   Millis due_;
+  int route_priority_ = 0;  // decides among equal priorities
 };
 
 // Orders the requests that wait. Engines read prompts in the order in which
 // they come, whatever their urgency, so an urgent request is late behind long
 // prompts; this holds those back. It answers bursts of long prompts beside
-// short urgent ones. Within a priority, requests go by their due time, and
+// short urgent ones. Within a rank, requests go by their due time, and
 // those that are late already stand back behind those that can still be on time
 // for a while: serving the oldest first would make all of them late. Thread
 // safety: none.
--- a/src/route/route_table.cc
+++ b/src/route/route_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 #include <unordered_map>
 #include <utility>
 
@@ -37,22 +38,46 @@
 
 }  // namespace
 
+Rank RankOf(const Route& route, const KeyHolder* holder) {
+  const bool has_own = holder != nullptr && holder->priority_.has_value();
+  return {has_own ? *holder->priority_ : route.priority_, route.priority_};
+}
+
 struct RouteTable::Impl {
   explicit Impl(Content content) : content_(std::move(content)) {
     for (size_t i = 0; i < content_.routes_.size(); ++i) {
       const Route& route = content_.routes_[i];
       by_prefix_[PrefixKey(NormalHost(route.host_), route.path_prefix_)] = i;
     }
+    Route least_urgent;
+    least_urgent.priority_ = first_priority_;
     for (const WorkspaceKeys& workspace : content_.workspaces_) {
       for (const std::string& key : workspace.keys_) {
         by_key_[key] = &workspace.holder_;
       }
+      const Rank rank = RankOf(least_urgent, &workspace.holder_);
+      first_priority_ = std::min(first_priority_, rank.priority_);
+      all_have_priority_ =
+          all_have_priority_ && workspace.holder_.priority_.has_value();
+    }
+  }
+
+  // @return the rank of the route's most urgent requests.
+  Rank FirstRank(const Route& route) const {
+    const bool keyed = content_.has_workspaces_ && route.needs_key_;
+    if (!keyed) {
+      return RankOf(route, nullptr);
     }
+    const int own = all_have_priority_ ? first_priority_ : route.priority_;
+    return {std::min(first_priority_, own), route.priority_};
   }
 
   const Content content_;
   std::unordered_map<std::string, size_t> by_prefix_;
   std::unordered_map<std::string, const KeyHolder*> by_key_;
+  // Of the workspaces: the most urgent priority, and whether all have one.
+  int first_priority_ = std::numeric_limits<int>::max();
+  bool all_have_priority_ = true;
 };
 
 RouteTable::RouteTable(Content content)
@@ -101,14 +126,14 @@
 }
 
 Millis RouteTable::TightestTargetBefore(const GroupId& group,
-                                        int priority) const {
+                                        const Rank& rank) const {
   Millis tightest;
   for (const Route& route : impl_->content_.routes_) {
     const bool serves = std::any_of(route.groups_.begin(), route.groups_.end(),
                                     [&group](const WeightedGroup& weighted) {
                                       return weighted.group_ == group;
                                     });
-    if (!serves || route.priority_ >= priority) {
+    if (!serves || !(impl_->FirstRank(route) < rank)) {
       continue;
     }
     if (tightest == Millis(0) || route.target_ < tightest) {
--- a/src/route/route_table.h
+++ b/src/route/route_table.h
@@ -72,6 +72,22 @@
   std::optional<int> priority_;
 };
 
+// Who goes first. Workspaces often share one priority, so that the routes'
+// decide among their requests.
+struct Rank {
+  int priority_ = 0;        // the workspace's if it has one; 0 goes first
+  int route_priority_ = 0;  // decides among equal ones
+
+  friend bool operator<(const Rank& a, const Rank& b) {
+    return a.priority_ != b.priority_ ? a.priority_ < b.priority_
+                                      : a.route_priority_ < b.route_priority_;
+  }
+};
+
+// @param holder of the request's key; null if it needs none.
+// Thread safety: safe.
+Rank RankOf(const Route& route, const KeyHolder* holder);
+
 struct WorkspaceKeys {
   KeyHolder holder_;
   std::vector<std::string> keys_;
@@ -112,9 +128,9 @@
   // @return who holds the key, or null. Lifetime: the table's.
   const KeyHolder* FindKey(const std::string& key) const;
 
-  // @return the tightest target of the group's routes that go before this
-  // priority; zero if there is none.
-  Millis TightestTargetBefore(const GroupId& group, int priority) const;
+  // @return the tightest target of the group's routes that may have requests
+  // which go before this rank; zero if there is none.
+  Millis TightestTargetBefore(const GroupId& group, const Rank& rank) const;
 
   // @return the service of that name, or null. Lifetime: the table's.
   const Service* FindService(const GroupId& name) const;
--- a/tests/placing_test.cc
+++ b/tests/placing_test.cc
@@ -174,6 +174,13 @@
   CHECK(TokensAllowedAhead(rule, 8'000) < 0);
 }
 
+TEST_CASE("waiting room: routes decide among equal priorities") {
+  WaitingRoom room;
+  const uint64_t batch = room.Add({1, Millis(100), 2});
+  const uint64_t quick = room.Add({1, Millis(900), 0});
+  CHECK(room.Order(Millis(0)) == std::vector<uint64_t>{quick, batch});
+}
+
 TEST_CASE("waiting room: tier, then due time, then arrival") {
   WaitingRoom room;
   const uint64_t later = room.Add({2, Millis(800)});
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -75,9 +75,51 @@
   content.routes_[0].groups_ = {{GroupId("inner"), 1}};
   content.routes_[1].priority_ = 2;
   const RouteTable table(content);
-  CHECK(table.TightestTargetBefore(GroupId("inner"), 2) == Millis(250));
-  CHECK(table.TightestTargetBefore(GroupId("inner"), 0) == Millis(0));
-  CHECK(table.TightestTargetBefore(GroupId("outer"), 2) == Millis(0));
+  CHECK(table.TightestTargetBefore(GroupId("inner"), {2, 2}) == Millis(250));
+  CHECK(table.TightestTargetBefore(GroupId("inner"), {0, 0}) == Millis(0));
+  CHECK(table.TightestTargetBefore(GroupId("outer"), {2, 2}) == Millis(0));
+}
+
+// One workspace of priority 1 sends long and short prompts, as all of the
+// users' do: what is urgent among them is the routes' to say.
+TEST_CASE("routes: among workspaces of one priority the routes decide") {
+  RouteTable::Content content = TwoRoutes();
+  const GroupId group("inner");
+  content.routes_[0].priority_ = 0;
+  content.routes_[0].target_ = Millis(250);
+  content.routes_[0].groups_ = {{group, 1}};
+  content.routes_[1].priority_ = 2;
+  content.routes_[1].target_ = Millis(1'200);
+  content.routes_[1].groups_ = {{group, 1}};
+  content.has_workspaces_ = true;
+  content.workspaces_ = {{KeyHolder{WorkspaceId("w"), 1}, {"k"}}};
+  const RouteTable table(content);
+  const KeyHolder* holder = table.FindKey("k");
+  const Rank quick = RankOf(content.routes_[0], holder);
+  const Rank batch = RankOf(content.routes_[1], holder);
+  CHECK(quick < batch);
+  CHECK(table.TightestTargetBefore(group, batch) == Millis(250));
+  CHECK(table.TightestTargetBefore(group, quick) == Millis(0));
+}
+
+TEST_CASE("routes: a more urgent workspace goes before any route of another") {
+  RouteTable::Content content = TwoRoutes();
+  const GroupId group("inner");
+  content.routes_[0].priority_ = 0;
+  content.routes_[0].groups_ = {{group, 1}};
+  content.routes_[1].priority_ = 2;
+  content.routes_[1].target_ = Millis(1'200);
+  content.routes_[1].groups_ = {{group, 1}};
+  content.has_workspaces_ = true;
+  content.workspaces_ = {{KeyHolder{WorkspaceId("first"), 0}, {"a"}},
+                         {KeyHolder{WorkspaceId("second"), 3}, {"b"}}};
+  const RouteTable table(content);
+  const Rank batch_of_first = RankOf(content.routes_[1], table.FindKey("a"));
+  const Rank quick_of_second = RankOf(content.routes_[0], table.FindKey("b"));
+  CHECK(batch_of_first < quick_of_second);
+  CHECK(table.TightestTargetBefore(group, quick_of_second) > Millis(0));
+  // Without a key the route's own priority counts.
+  CHECK(RankOf(content.routes_[1], nullptr).priority_ == 2);
 }
 
 UpstreamEntry MakeEntry(const std::string& id, int64_t started_at = 1) {
