--- a/benchmark/traffic_path_benchmark.cc
+++ b/benchmark/traffic_path_benchmark.cc
@@ -27,6 +27,7 @@
 
 #include "src/gateway/exchange.h"
 #include "src/web/listener.h"
+#include "tests/support/free_port.h"
 
 DEFINE_int32(streams, 1'000, "streams open at once");
 DEFINE_int32(upstreams, 10, "instances that the streams are placed on");
@@ -130,13 +131,6 @@
   std::thread thread_;
 };
 
-// @return a port of loopback that was free a moment ago.
-uint16_t FreePort() {
-  asio::io_context io;
-  const tcp::acceptor acceptor(io, {asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
-}
-
 // Answers each request by a stream of events at a steady pace.
 class UpstreamCall : public std::enable_shared_from_this<UpstreamCall> {
  public:
@@ -392,9 +386,7 @@
   web::SessionHooks Hooks() {
     web::SessionHooks hooks;
     hooks.limits_ = [] {
-      const route::CallerLimits limits;
-      return web::SessionLimits{limits.max_header_, limits.max_body_,
-                                limits.header_timeout_, limits.idle_timeout_};
+      return gateway::SessionLimitsOf(route::CallerLimits());
     };
     hooks.on_call_ = [this](web::IncomingCall call,
                             std::shared_ptr<web::Responder> responder) {
@@ -406,7 +398,7 @@
     return hooks;
   }
 
-  const uint16_t port_ = FreePort();
+  const uint16_t port_ = testing::FreePort();
   const Clock boot_ = Clock::Boot();
   const gateway::Dialect dialect_ = BenchmarkDialect();
   gateway::ControlState state_;
--- a/src/gateway/decision_history.cc
+++ b/src/gateway/decision_history.cc
@@ -64,10 +64,6 @@
   bool lost_lines_ = false;
 };
 
-bool Is(std::string_view event, std::string_view name) {
-  return event == name;
-}
-
 }  // namespace
 
 const char* DecisionRuleName(DecisionRule rule) {
@@ -101,7 +97,9 @@
     Process& process = processes_[line.Gateway()];
     const int64_t number = line.Number("call");
     if (number >= 0) {
-      Call& call = process.calls_[number];
+      const auto [found, is_new] = process.calls_.try_emplace(number);
+      calls_ += is_new ? 1 : 0;
+      Call& call = found->second;
       call.request_ = std::string(line.Find("request"));
       call.last_line_ = line_;
       TakeCall(event, line, &call);
@@ -111,12 +109,11 @@
   }
 
   void TakeProcess(std::string_view event, const Line& line, Process* process) {
-    if (Is(event, "start")) {
-      calls_ += static_cast<int64_t>(process->calls_.size());
+    if (event == "start") {
       *process = Process();
-    } else if (Is(event, "log_lines_dropped")) {
+    } else if (event == "log_lines_dropped") {
       process->lost_lines_ = true;
-    } else if (Is(event, "config_in_force")) {
+    } else if (event == "config_in_force") {
       const int64_t version = line.Number("version");
       if (version < process->config_) {
         Add(DecisionRule::kConfigRegressed,
@@ -124,28 +121,28 @@
                 std::to_string(process->config_));
       }
       process->config_ = version;
-    } else if (Is(event, "stopped") && line.Number("sessions_cut") == 0) {
+    } else if (event == "stopped" && line.Number("sessions_cut") == 0) {
       CheckEnds(*process);
     }
   }
 
   void TakeCall(std::string_view event, const Line& line, Call* call) {
-    if (Is(event, "send")) {
+    if (event == "send") {
       TakeSend(line, call);
-    } else if (Is(event, "send_again") || Is(event, "send_failed")) {
+    } else if (event == "send_again" || event == "send_failed") {
       call->in_send_ = false;
       call->may_have_run_ =
           call->may_have_run_ || line.Find("verdict") != "not_run";
-      call->failed_ = Is(event, "send_failed");
-    } else if (Is(event, "caller_left")) {
+      call->failed_ = event == "send_failed";
+    } else if (event == "caller_left") {
       call->caller_left_ = true;
-    } else if (Is(event, "refused")) {
+    } else if (event == "refused") {
       const bool may_have_run = call->may_have_run_ || call->in_send_;
       if (line.Find("verdict") == "not_run" && may_have_run) {
         Add(DecisionRule::kFalseNotRun, call->request_);
       }
       End(call);
-    } else if (Is(event, "answered") || Is(event, "answer_broken_off")) {
+    } else if (event == "answered" || event == "answer_broken_off") {
       End(call);
     }
   }
@@ -192,7 +189,7 @@
   }
 
   int64_t line_ = 0;
-  int64_t calls_ = 0;  // of processes that were started anew since
+  int64_t calls_ = 0;
   std::unordered_map<std::string, Process> processes_;
   std::vector<DecisionFinding> findings_;
 };
@@ -217,11 +214,7 @@
 }
 
 int64_t DecisionHistory::calls() const {
-  int64_t calls = impl_->calls_;
-  for (const auto& [gateway, process] : impl_->processes_) {
-    calls += static_cast<int64_t>(process.calls_.size());
-  }
-  return calls;
+  return impl_->calls_;
 }
 
 }  // namespace bergamotscale::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -223,7 +223,7 @@
       Hold();
       return;
     }
-    if (!HasRoom()) {
+    if (!LinkHasRoom() || !EngineHasRoom()) {
       WaitForRoom();
       return;
     }
@@ -237,13 +237,14 @@
     return context_.upstreams_.Choose(group_, place_, tried_, &choice_);
   }
 
-  // @return whether so little is ahead, in this machine's link and at the
-  // chosen engine, that more urgent requests behind this one can still be on
-  // time.
-  bool HasRoom() const {
-    if (!context_.link_.HasRoom(RequestBytes(), Now())) {
-      return false;
-    }
+  // @return whether so little is ahead in this machine's link that more urgent
+  // requests behind this one can still be on time.
+  bool LinkHasRoom() const {
+    return context_.link_.HasRoom(RequestBytes(), Now());
+  }
+
+  // @return the same of the chosen engine.
+  bool EngineHasRoom() const {
     const double allowed = policy::TokensAllowedAhead(
         room_rule_, choice_.unread_tokens_, choice_.reads_again_);
     return allowed < 0 || began_answer_ || choice_.unread_ahead_ <= allowed;
@@ -280,12 +281,12 @@
     if (ended_) {
       return true;
     }
-    if (!context_.link_.HasRoom(RequestBytes(), Now())) {
+    if (!LinkHasRoom()) {
       return false;
     }
     const bool keeps_choice = Now() - chosen_at_ < kChoiceLifetime &&
                               context_.upstreams_.Refresh(&choice_);
-    if ((!keeps_choice && !ChooseUpstream()) || !HasRoom()) {
+    if ((!keeps_choice && !ChooseUpstream()) || !EngineHasRoom()) {
       return false;
     }
     in_room_ = false;
@@ -811,6 +812,11 @@
 
 }  // namespace
 
+web::SessionLimits SessionLimitsOf(const route::CallerLimits& limits) {
+  return {limits.max_header_, limits.max_body_, limits.header_timeout_,
+          limits.idle_timeout_};
+}
+
 web::CallerHooks StartExchange(ExchangeContext& context,
                                web::IncomingCall call,
                                std::shared_ptr<web::Responder> responder) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -50,6 +50,10 @@
   int64_t calls_ = 0;
 };
 
+// @return the limits of sessions with callers that may send so much.
+// Thread safety: safe.
+web::SessionLimits SessionLimitsOf(const route::CallerLimits& limits);
+
 // Starts an exchange, which keeps itself alive to its end.
 // @return what the session tells the exchange.
 web::CallerHooks StartExchange(ExchangeContext& context,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -250,10 +250,8 @@
 
   web::SessionLimits Limits() const {
     const auto table = state_.table_.Read();
-    const route::CallerLimits limits =
-        table == nullptr ? route::CallerLimits() : table->limits();
-    return {limits.max_header_, limits.max_body_, limits.header_timeout_,
-            limits.idle_timeout_};
+    return SessionLimitsOf(table == nullptr ? route::CallerLimits()
+                                            : table->limits());
   }
 
   web::SessionHooks CallerSessionHooks() {
@@ -276,11 +274,7 @@
 
   web::SessionHooks ProbeHooks() {
     web::SessionHooks hooks;
-    hooks.limits_ = [] {
-      const route::CallerLimits limits;
-      return web::SessionLimits{limits.max_header_, limits.max_body_,
-                                limits.header_timeout_, limits.idle_timeout_};
-    };
+    hooks.limits_ = [] { return SessionLimitsOf(route::CallerLimits()); };
     hooks.on_call_ = [this](const web::IncomingCall& call,
                             const std::shared_ptr<web::Responder>& responder) {
       AnswerProbe(call, *responder);
--- a/src/route/route_table.cc
+++ b/src/route/route_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <limits>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -49,16 +50,16 @@
       const Route& route = content_.routes_[i];
       by_prefix_[PrefixKey(NormalHost(route.host_), route.path_prefix_)] = i;
     }
-    Route least_urgent;
-    least_urgent.priority_ = first_priority_;
     for (const WorkspaceKeys& workspace : content_.workspaces_) {
       for (const std::string& key : workspace.keys_) {
         by_key_[key] = &workspace.holder_;
       }
-      const Rank rank = RankOf(least_urgent, &workspace.holder_);
-      first_priority_ = std::min(first_priority_, rank.priority_);
-      all_have_priority_ =
-          all_have_priority_ && workspace.holder_.priority_.has_value();
+      const std::optional<int>& priority = workspace.holder_.priority_;
+      if (priority.has_value()) {
+        first_priority_ = std::min(first_priority_, *priority);
+      } else {
+        all_have_priority_ = false;
+      }
     }
   }
 
@@ -68,8 +69,10 @@
     if (!keyed) {
       return RankOf(route, nullptr);
     }
-    const int own = all_have_priority_ ? first_priority_ : route.priority_;
-    return {std::min(first_priority_, own), route.priority_};
+    const int first = all_have_priority_
+                          ? first_priority_
+                          : std::min(first_priority_, route.priority_);
+    return {first, route.priority_};
   }
 
   const Content content_;
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -33,9 +33,6 @@
 constexpr Millis kLinger = Millis(1'000);
 // A refused caller's further bytes are dropped up to this many.
 constexpr size_t kLingerBytes = size_t{8} << 20;
-// Callers whose bytes wait to be read are not late; they are looked at again
-// after this.
-constexpr Millis kReadTurn = Millis(50);
 constexpr int64_t kMillisPerSecond = 1000;
 
 int StatusOf(const error_code& error) {
@@ -420,8 +417,9 @@
       if (self->closed_) {
         return;
       }
+      // Callers whose bytes wait to be read are not late.
       if (self->HasUnread()) {
-        self->StartReadTimer(kReadTurn, reason);
+        self->StartReadTimer(OneShotTimer::kReadTurn, reason);
       } else {
         self->Refuse(kStatusTimeout, reason);
       }
--- a/src/web/one_shot_timer.cc
+++ b/src/web/one_shot_timer.cc
@@ -6,14 +6,6 @@
 #include "src/core/chrono_time.h"
 
 namespace bergamotscale::web {
-namespace {
-
-// A limit noticed later than this says that the process has paused; reads get
-// as much time to take in what came meanwhile. Well below the limits on peers
-// and above what a timer is late under load.
-constexpr Millis kReadTurn = Millis(50);
-
-}  // namespace
 
 OneShotTimer::OneShotTimer(const boost::asio::any_io_executor& executor)
     : timer_(executor), turn_(std::make_shared<int64_t>(0)) {}
--- a/src/web/one_shot_timer.h
+++ b/src/web/one_shot_timer.h
@@ -19,6 +19,11 @@
 // Thread safety: use from the thread of its executor.
 class OneShotTimer {
  public:
+  // A limit noticed later than this says that the process has paused; reads get
+  // as much time to take in what came meanwhile. Well below the limits on peers
+  // and above what a timer is late under load.
+  static constexpr Millis kReadTurn = Millis(50);
+
   explicit OneShotTimer(const boost::asio::any_io_executor& executor);
   ~OneShotTimer() { Cancel(); }
   OneShotTimer(const OneShotTimer&) = delete;
--- a/tests/caller_guard_test.cc
+++ b/tests/caller_guard_test.cc
@@ -369,6 +369,20 @@
   return whole;
 }
 
+// @return callers that each had one request answered.
+Callers ConnectAnswered(const GuardBench& bench, int count) {
+  Callers callers = Connect(bench, count);
+  for (const auto& caller : callers) {
+    REQUIRE(caller->Send(PostOf("/echo", "first")));
+  }
+  REQUIRE(WholeReplies(callers, "first") == count);
+  return callers;
+}
+
+// More than the 128 events that one turn of the io_context takes in: the sweep
+// runs before the rest of them.
+constexpr int kManyCallers = 400;
+
 TEST_CASE(
     "caller guard: a stop answers requests sent before they are accepted") {
   constexpr int kCallers = 50;
@@ -430,13 +444,8 @@
 }
 
 TEST_CASE("caller guard: a stop answers next requests that are not read yet") {
-  constexpr int kCallers = 400;
   GuardBench bench;
-  Callers callers = Connect(bench, kCallers);
-  for (const auto& caller : callers) {
-    REQUIRE(caller->Send(PostOf("/echo", "first")));
-  }
-  REQUIRE(WholeReplies(callers, "first") == kCallers);
+  Callers callers = ConnectAnswered(bench, kManyCallers);
   {
     const BusyThread busy(bench.io_);
     for (const auto& caller : callers) {
@@ -445,21 +454,12 @@
     bench.guard_->StopAccepting();
     std::this_thread::sleep_for(milliseconds(300));
   }
-  CHECK(WholeReplies(callers, "second") == kCallers);
+  CHECK(WholeReplies(callers, "second") == kManyCallers);
 }
 
-// More than the 128 events that one turn of the io_context takes in: the sweep
-// runs before the rest of them.
-constexpr int kManyCallers = 400;
-
 TEST_CASE("caller guard: a stop answers next requests sent before its sweep") {
-  constexpr int kCallers = kManyCallers;
   GuardBench bench;
-  Callers callers = Connect(bench, kCallers);
-  for (const auto& caller : callers) {
-    REQUIRE(caller->Send(PostOf("/echo", "first")));
-  }
-  REQUIRE(WholeReplies(callers, "first") == kCallers);
+  Callers callers = ConnectAnswered(bench, kManyCallers);
   {
     const BusyThread busy(bench.io_);
     bench.guard_->StopAccepting();
@@ -468,7 +468,7 @@
       REQUIRE(caller->Send(PostOf("/echo", "second")));
     }
   }
-  CHECK(WholeReplies(callers, "second") == kCallers);
+  CHECK(WholeReplies(callers, "second") == kManyCallers);
 }
 
 TEST_CASE("caller guard: a body that came while this process paused is taken") {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -1,5 +1,6 @@
 // What callers and upstreams of a gateway see on their sockets.
 #include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -258,26 +259,32 @@
   CHECK(took < std::chrono::milliseconds(2'000));
 }
 
-TEST_CASE("gateway: the work of a caller that leaves is cancelled") {
-  std::atomic<bool> cancelled{false};
-  RawServer server(
-      [&cancelled](int, const std::string&, RawServer::Socket& socket) {
-        Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
-        boost::system::error_code error;
-        char byte = 0;
-        socket.read_some(boost::asio::buffer(&byte, 1), error);
-        cancelled = static_cast<bool>(error);
-        return false;
-      });
+// @return what an upstream sees of its connection once the caller of a stream
+// has left; no error if it sees nothing in a second.
+boost::system::error_code EndAfterCallerLeft() {
+  std::promise<boost::system::error_code> end;
+  RawServer server([&end](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+    boost::system::error_code error;
+    char byte = 0;
+    socket.read_some(boost::asio::buffer(&byte, 1), error);
+    end.set_value(error);
+    return false;
+  });
   GatewayBench bench;
   bench.SetUpstreams({server.url()});
   RawCaller caller(bench.port());
   caller.Send(GatewayBench::Request("/stream/1"));
   caller.ReadUntil("data: a");
   caller.Close();
-  for (int i = 0; i < 100 && !cancelled; ++i) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  }
+  std::future<boost::system::error_code> seen = end.get_future();
+  const bool ready =
+      seen.wait_for(std::chrono::seconds(1)) == std::future_status::ready;
+  return ready ? seen.get() : boost::system::error_code();
+}
+
+TEST_CASE("gateway: the work of a caller that leaves is cancelled") {
+  const bool cancelled = EndAfterCallerLeft().failed();
   CHECK(cancelled);
 }
 
@@ -332,26 +339,8 @@
 
 TEST_CASE(
     "gateway: an abandoned call is reset, so that nothing of it follows") {
-  std::atomic<bool> ended{false};
-  std::atomic<bool> reset{false};
-  RawServer server([&](int, const std::string&, RawServer::Socket& socket) {
-    Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
-    boost::system::error_code error;
-    char byte = 0;
-    socket.read_some(boost::asio::buffer(&byte, 1), error);
-    reset = error == boost::asio::error::connection_reset;
-    ended = true;
-    return false;
-  });
-  GatewayBench bench;
-  bench.SetUpstreams({server.url()});
-  RawCaller caller(bench.port());
-  caller.Send(GatewayBench::Request("/stream/1"));
-  caller.ReadUntil("data: a");
-  caller.Close();
-  for (int i = 0; i < 100 && !ended; ++i) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-  }
+  const bool reset =
+      EndAfterCallerLeft() == boost::asio::error::connection_reset;
   CHECK(reset);
 }
 
--- a/tests/support/gateway_bench.h
+++ b/tests/support/gateway_bench.h
@@ -128,9 +128,7 @@
   web::SessionHooks Hooks() {
     web::SessionHooks hooks;
     hooks.limits_ = [this] {
-      const route::CallerLimits limits = state_.table_.Read()->limits();
-      return web::SessionLimits{limits.max_header_, limits.max_body_,
-                                limits.header_timeout_, limits.idle_timeout_};
+      return gateway::SessionLimitsOf(state_.table_.Read()->limits());
     };
     hooks.on_call_ = [this](web::IncomingCall call,
                             std::shared_ptr<web::Responder> responder) {
