Gateway: metrics and log tell upstreams kept though they are unregistered

Metrics now tell how many upstreams are kept as lapsed and the age of the registry. A send line says whether its upstream is lapsed, a removal says at which offset it stood and how old the last read was.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -184,10 +184,12 @@
     const InstanceId id(record.key_);
     if (!record.value_.has_value()) {
       const bool removed = directory_.Remove(id, boot_.Now());
-      changed_ = changed_ || removed;
+      changed_ = true;
       log_->Write(LogLine("upstream_removed")
                       .Add("upstream", record.key_)
-                      .Add("kept_as_lapsed", removed ? 0 : 1));
+                      .Add("kept_as_lapsed", removed ? 0 : 1)
+                      .Add("offset", record.offset_.value())
+                      .Add("read_age_ms", UpstreamsAge().count()));
       return;
     }
     Result<route::UpstreamEntry> entry =
@@ -205,6 +207,9 @@
     }
   }
 
+  // @return the time since the registry was last read up to its end.
+  Millis UpstreamsAge() const { return state_->UpstreamsAge(boot_.Now()); }
+
   void LogUnreadable(const Record& record, const Error& error) {
     log_->Write(LogLine("upstream_unreadable")
                     .Add("upstream", record.key_)
@@ -222,6 +227,7 @@
     if (changed_) {
       changed_ = false;
       state_->upstreams_.Write(directory_.Entries());
+      state_->lapsed_upstreams_ = directory_.CountLapsed();
       on_change_();
     }
   }
--- a/src/gateway/control_state.h
+++ b/src/gateway/control_state.h
@@ -22,6 +22,8 @@
   // every accepted change, in milliseconds; negative before the first read.
   std::atomic<int64_t> table_as_of_{-1};
   std::atomic<int64_t> upstreams_as_of_{-1};
+  // Upstreams whose registration has expired in an outage, of those above.
+  std::atomic<int> lapsed_upstreams_{0};
 
   // @return the time since the table was last confirmed; a day if it never was.
   Millis TableAge(Millis now) const { return Age(table_as_of_.load(), now); }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -474,6 +474,7 @@
         .Add("config", table_->version())
         .Add("config_age_ms", TableAge().count())
         .Add("upstreams_age_ms", context_.control_.UpstreamsAge(Now()).count())
+        .Add("lapsed", int64_t{choice_.lapsed_ ? 1 : 0})
         .Write();
     context_.link_budget_.RecordSent(
         Bytes(static_cast<int64_t>(outgoing.body_.size())) + kHeaderBytes,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -372,12 +372,20 @@
     maintenance_timer_.async_wait([this](const error_code& error) {
       if (!error) {
         UpdateShedding();
+        ReportUpstreams();
         log_.Flush();
         ScheduleMaintenance();
       }
     });
   }
 
+  void ReportUpstreams() {
+    metrics_.Set("bergamot_gateway_upstreams_lapsed", "",
+                 state_.lapsed_upstreams_);
+    metrics_.Set("bergamot_gateway_upstreams_age_ms", "",
+                 static_cast<double>(state_.UpstreamsAge(boot_.Now()).count()));
+  }
+
   void UpdateShedding() {
     if (peers_ == nullptr) {
       return;
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -196,6 +196,7 @@
     choice->unread_ahead_ = views[chosen].unread_tokens_;
     choice->recomputes_cached_prefix_ = policy::IsCachedElsewhere(views, best);
     choice->short_prompt_ = request.short_prompt_;
+    choice->lapsed_ = candidates[chosen]->entry_.lapsed_;
     return true;
   }
 
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -109,6 +109,8 @@
     // prefill.
     bool recomputes_cached_prefix_ = false;
     bool short_prompt_ = false;
+    // Whether the instance's registration has expired in an outage.
+    bool lapsed_ = false;
   };
 
   // Records a request to engines and classifies its prompt.
--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -1,5 +1,6 @@
 #include "src/route/directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace bergamotscale::route {
@@ -91,11 +92,18 @@
   return dropped;
 }
 
+int Directory::CountLapsed() const {
+  return static_cast<int>(std::count_if(
+      upstreams_.begin(), upstreams_.end(),
+      [](const auto& upstream) { return upstream.second.expired_; }));
+}
+
 std::vector<UpstreamEntry> Directory::Entries() const {
   std::vector<UpstreamEntry> entries;
   entries.reserve(upstreams_.size());
   for (const auto& [id, upstream] : upstreams_) {
     entries.push_back(upstream.entry_);
+    entries.back().lapsed_ = upstream.expired_;
   }
   return entries;
 }
--- a/src/route/directory.h
+++ b/src/route/directory.h
@@ -23,6 +23,9 @@
   ZoneId zone_;
   int slots_ = 1;
   bool draining_ = false;
+  // Its registration has expired in an outage of the registry. Set by
+  // Directory::Entries().
+  bool lapsed_ = false;
 };
 
 // Keeps the registry entries of upstreams. An entry that expired while the
@@ -43,6 +46,9 @@
   // @return whether the upstream was dropped at once.
   bool Remove(const InstanceId& id, Millis now);
 
+  // @return the number of entries that have expired and are kept.
+  int CountLapsed() const;
+
   // Replaces all entries with those that the registry holds now.
   void Replace(const std::vector<UpstreamEntry>& entries, Millis now);
 
