--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -4,8 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "src/keyed_log/follower.h"
-
 namespace bergamotscale::gateway {
 namespace {
 
@@ -80,6 +78,7 @@
       const ControlOptions& options) {
     keyed_log::FollowerOptions follower;
     follower.wait_ = options.config_wait_;
+    follower.retry_pause_ = options.retry_pause_;
     return follower;
   }
 
@@ -88,6 +87,7 @@
     keyed_log::FollowerOptions follower;
     follower.wait_ = Millis(0);
     follower.pause_ = options.upstreams_poll_interval_;
+    follower.retry_pause_ = options.retry_pause_;
     return follower;
   }
 
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -12,6 +12,7 @@
 #include "bergamotscale/result.h"
 #include "src/gateway/control_state.h"
 #include "src/gateway/decision_log.h"
+#include "src/keyed_log/follower.h"
 #include "src/keyed_log/keyed_log.h"
 
 namespace bergamotscale::gateway {
@@ -38,6 +39,8 @@
   Millis upstreams_poll_interval_ = Millis(600);
   // How long the log holds a read of the configuration that finds no record.
   Millis config_wait_ = Millis(1'000);
+  // Pause after a failed read.
+  Millis retry_pause_ = keyed_log::FollowerOptions().retry_pause_;
 };
 
 // @return options with as few reads as the bounds allow: each entry of a fleet
