Directory: an upstream that is missing while most are listed gets no requests

What callers saw: nothing wrong, but their requests went to an upstream that had left 9.6 and 10.2 s before (DRAIN), and would have been cut off at its exit.

Cause: a gateway that couldn't read the registry took every removal that it read afterwards for a registration that had expired in an outage, and went on using the upstream for a grace period: until 4.4 s after its link was back, for 3.0. But the registry had been up for everybody else.

An outage of the registry makes most entries expire; a cut of one gateway, none. So an expired entry gets no requests while at least half of all entries are listed, unless its group has no listed entry. It is kept closed until the grace period ends, so that a live upstream returns with what is known of its cache.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -227,7 +227,7 @@
     if (changed_) {
       changed_ = false;
       state_->upstreams_.Write(directory_.Entries());
-      state_->lapsed_upstreams_ = directory_.CountLapsed();
+      state_->lapsed_upstreams_ = static_cast<int>(directory_.CountExpired());
       on_change_();
     }
   }
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -196,7 +196,8 @@
     choice->unread_ahead_ = views[chosen].unread_tokens_;
     choice->recomputes_cached_prefix_ = policy::IsCachedElsewhere(views, best);
     choice->short_prompt_ = request.short_prompt_;
-    choice->lapsed_ = candidates[chosen]->entry_.lapsed_;
+    choice->lapsed_ = candidates[chosen]->entry_.registration_ ==
+                      route::Registration::kLapsed;
     return true;
   }
 
@@ -376,9 +377,11 @@
     return earliest;
   }
 
-  // @return whether the instance takes requests at all: it is not draining.
+  // @return whether the instance takes requests at all: it neither drains nor
+  // has it left.
   bool IsOpen(const Instance& instance) const {
     return !instance.entry_.draining_ &&
+           instance.entry_.registration_ != route::Registration::kMissing &&
            !notices_.IsLeaving(instance.entry_.id_,
                                instance.entry_.started_at_);
   }
--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bergamotscale::route {
 namespace {
@@ -22,8 +23,8 @@
     upstreams_[entry.id_] = Upstream{entry, false};
     return true;
   }
-  found->second.expired_ = false;
-  if (SameUpstream(found->second.entry_, entry)) {
+  const bool had_expired = std::exchange(found->second.expired_, false);
+  if (SameUpstream(found->second.entry_, entry) && !had_expired) {
     return false;
   }
   found->second.entry_ = entry;
@@ -92,18 +93,32 @@
   return dropped;
 }
 
-int Directory::CountLapsed() const {
-  return static_cast<int>(std::count_if(
+size_t Directory::CountExpired() const {
+  return static_cast<size_t>(std::count_if(
       upstreams_.begin(), upstreams_.end(),
       [](const auto& upstream) { return upstream.second.expired_; }));
 }
 
 std::vector<UpstreamEntry> Directory::Entries() const {
+  const bool most_expired = CountExpired() * 2 > upstreams_.size();
+  std::set<GroupId> listed_groups;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (!upstream.expired_) {
+      listed_groups.insert(upstream.entry_.group_);
+    }
+  }
   std::vector<UpstreamEntry> entries;
   entries.reserve(upstreams_.size());
   for (const auto& [id, upstream] : upstreams_) {
     entries.push_back(upstream.entry_);
-    entries.back().lapsed_ = upstream.expired_;
+    if (!upstream.expired_) {
+      continue;
+    }
+    // A group without any listed upstream would get no requests at all.
+    const bool may_be_alive =
+        most_expired || listed_groups.count(upstream.entry_.group_) == 0;
+    entries.back().registration_ =
+        may_be_alive ? Registration::kLapsed : Registration::kMissing;
   }
   return entries;
 }
--- a/src/route/directory.h
+++ b/src/route/directory.h
@@ -12,6 +12,17 @@
 
 namespace bergamotscale::route {
 
+// How sure it is that an upstream is still there.
+enum class Registration {
+  kListed,
+  // Expired in an outage of the registry that most other entries did not
+  // survive either: the upstream may be alive and gets requests.
+  kLapsed,
+  // Missing while most entries are listed: the upstream has probably left, and
+  // gets no requests until it registers again.
+  kMissing,
+};
+
 // One incarnation of an upstream instance, as it registered itself.
 struct UpstreamEntry {
   InstanceId id_;
@@ -23,14 +34,15 @@
   ZoneId zone_;
   int slots_ = 1;
   bool draining_ = false;
-  // Its registration has expired in an outage of the registry. Set by
-  // Directory::Entries().
-  bool lapsed_ = false;
+  // Set by Directory::Entries().
+  Registration registration_ = Registration::kListed;
 };
 
 // Keeps the registry entries of upstreams. An entry that expired while the
 // registry was unavailable may belong to a live upstream that couldn't renew
 // it, so it is kept until a grace period after the registry is available again.
+// Whether the registry or only the path to it was down shows in the other
+// entries: an outage of the registry makes most of them expire.
 // Thread safety: none.
 class Directory {
  public:
@@ -39,7 +51,8 @@
   explicit Directory(Millis grace_period);
 
   // Adds or updates an entry.
-  // @return whether anything but the heartbeat time changed.
+  // @return whether anything but the heartbeat time changed, or the entry had
+  // expired.
   bool Put(const UpstreamEntry& entry);
 
   // Handles the removal of an entry from the registry.
@@ -47,7 +60,7 @@
   bool Remove(const InstanceId& id, Millis now);
 
   // @return the number of entries that have expired and are kept.
-  int CountLapsed() const;
+  size_t CountExpired() const;
 
   // Replaces all entries with those that the registry holds now.
   void Replace(const std::vector<UpstreamEntry>& entries, Millis now);
