Known red: a prompt part that crashes upstreams reaches one after the other

Requests that are all different crash the upstreams that run them, because they share one part of their prompts. The new test sends two, which crash two upstreams; the third upstream gets the third one. Requests with the other parts must still be served.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -720,6 +720,39 @@
   CHECK(StartsWith(other.ReadUntil("\r\n\r\n"), "HTTP/1.1 200"));
 }
 
+TEST_CASE(
+    "gateway: a prompt part that crashed two upstreams reaches no third, and "
+    "other requests do") {
+  CrashingServer first;
+  CrashingServer second;
+  RawServer sound(Always(GatewayBench::Answer("served")));
+  GatewayBench bench;
+  const auto call = [&bench](const std::string& parts,
+                             const std::string& body) {
+    RawCaller caller(bench.port());
+    caller.Send(GatewayBench::Request("/order/1",
+                                      "X-Bergamotscale-Token-Counts: 900,10\r\n"
+                                      "X-Bergamotscale-Prefix-Hash: " +
+                                          parts + "\r\n",
+                                      body));
+    const std::string answer = caller.ReadUntil("\r\n\r\n");
+    // The gateway checks for a crash just after the response.
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    return answer.substr(0, answer.find("\r\n"));
+  };
+  bench.SetUpstreams({sound.url()});
+  CHECK(call("a:500,b:200,1:200", "one") == "HTTP/1.1 200 OK");
+  bench.SetUpstreams({first.url()}, 1);
+  CHECK(StartsWith(call("a:500,d:200,2:200", "two"), "HTTP/1.1 502"));
+  bench.SetUpstreams({second.url()}, 2);
+  CHECK(StartsWith(call("a:500,d:200,3:200", "three"), "HTTP/1.1 502"));
+  bench.SetUpstreams({sound.url()}, 3);
+  CHECK(StartsWith(call("a:500,d:200,4:200", "four"), "HTTP/1.1 503"));
+  CHECK(sound.requests().size() == 1);
+  CHECK(call("a:500,b:200,5:200", "five") == "HTTP/1.1 200 OK");
+  CHECK(call("a:500,d2:200,6:200", "six") == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("gateway: broken connections to live upstreams block no request") {
   RawServer first(Break);
   RawServer second(Break);
