Gateway: prompt parts that crash upstreams are found and blocked

Cause: the quarantine knows a request by a digest of path, key and body. These requests have a part in common, but not one digest.

The parts of a request that a crash left without an answer, and that nobody has answered lately, become suspects together. A second crash of a request that was sent after the first was known leaves the parts of both, and requests with all of these are rejected as not run. An answer clears a part, so a part that sound requests share is never blamed for long, also by a gateway that has just started. Gateways exchange suspects in their datagrams, and a request that may have caused a crash is sent again only after the upstream was probed.

--- a/benchmark/traffic_path_benchmark.cc
+++ b/benchmark/traffic_path_benchmark.cc
@@ -411,21 +411,14 @@
   policy::SharedRetryBudget retries_{
       policy::RetryBounds{0.2, 50, Millis(10'000)}};
   policy::Quarantine quarantine_;
+  policy::PartQuarantine part_quarantine_;
   metrics::Metrics metrics_;
   gateway::DecisionLog log_{open("/dev/null", O_WRONLY), Clock::Wall()};
-  gateway::ExchangeContext context_{thread_.io(),
-                                    boot_,
-                                    header_codec_,
-                                    state_,
-                                    {},
-                                    upstreams_,
-                                    admission_scheduler_,
-                                    link_,
-                                    retries_,
-                                    quarantine_,
-                                    metrics_,
-                                    log_,
-                                    [] {}};
+  gateway::ExchangeContext context_{
+      thread_.io(), boot_,       header_codec_,        state_,
+      {},           upstreams_,  admission_scheduler_, link_,
+      retries_,     quarantine_, part_quarantine_,     metrics_,
+      log_,         [] {}};
   asio::steady_timer log_timer_{thread_.io()};
   web::Listener listener_{thread_.io(), Hooks(),
                           static_cast<size_t>(FLAGS_streams) + 1};
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -64,7 +64,15 @@
   return status >= kStatusOk && status < kStatusMultipleChoices;
 }
 
-// All parts but the last are shared with other requests.
+// @return the parts that other requests may have too: all but the last.
+std::vector<uint64_t> ListSharedParts(const PromptShape& prompt) {
+  std::vector<uint64_t> ids;
+  for (size_t i = 0; i + 1 < prompt.parts_.size(); ++i) {
+    ids.push_back(prompt.parts_[i].id_);
+  }
+  return ids;
+}
+
 policy::PlacementRequest MakePlacementRequest(const PromptShape& prompt,
                                               bool engine) {
   policy::PlacementRequest request;
@@ -92,6 +100,7 @@
         number_(++context.num_calls_),
         arrived_(context.boot_.Now()),
         info_(context.header_codec_.decode_request_(call_)),
+        shared_parts_(ListSharedParts(info_.prompt_)),
         deadline_timer_(context.io_.get_executor()),
         pause_timer_(context.io_.get_executor()) {}
 
@@ -119,9 +128,8 @@
                       ? std::min(info_.patience_, route_->timeout_)
                       : route_->timeout_;
     digest_ = policy::ComputeDigest(call_.target_, info_.key_ + call_.body_);
-    if (context_.quarantine_.Check(digest_, Now()) ==
-        policy::CrashStatus::kBlocked) {
-      Reject(kStatusUnavailable, "quarantined: it crashes upstreams", true);
+    if (const char* reason = FindQuarantine()) {
+      Reject(kStatusUnavailable, reason, true);
       return;
     }
     group_ = route::ChooseGroup(*route_, info_.id_.value());
@@ -225,6 +233,18 @@
     }
   }
 
+  // @return why the request must reach no further upstream; null if it may.
+  const char* FindQuarantine() const {
+    if (context_.quarantine_.Check(digest_, Now()) ==
+        policy::CrashStatus::kBlocked) {
+      return "quarantined: it crashes upstreams";
+    }
+    if (context_.part_quarantine_.IsBlocked(shared_parts_, Now())) {
+      return "quarantined: a part of its prompt crashes upstreams";
+    }
+    return nullptr;
+  }
+
   void StartDeadline() {
     deadline_timer_.StartDeadlineTimer(time_limit_,
                                        [self = shared_from_this()] {
@@ -410,6 +430,11 @@
       FindUpstream();
       return false;
     }
+    if (const char* reason = FindQuarantine()) {
+      ReleaseUpstream(CallOutcome::kCancelled);
+      Fail(reason);
+      return false;
+    }
     const auto newest = context_.control_.table_.Read();
     const bool changed = newest != table_;
     if (changed && !IsAllowedBy(*newest)) {
@@ -480,6 +505,8 @@
         Bytes(static_cast<int64_t>(outgoing.body_.size())) + kHeaderBytes,
         Now());
     sent_at_ = Now();
+    has_events_ = false;
+    is_answered_ = false;
     connection_->Send(std::move(outgoing), Hooks());
   }
 
@@ -585,6 +612,10 @@
     if (events.empty()) {
       return true;
     }
+    // The upstream may still crash while it sends the first event.
+    if (std::exchange(has_events_, true)) {
+      RecordAnswered();
+    }
     StartStallTimer();
     return ForwardEvents(std::move(events));
   }
@@ -691,6 +722,7 @@
 
   void OnSuccess() {
     ReleaseUpstream(CallOutcome::kServed);
+    RecordAnswered();
     RecordCompletion();
     context_.service_time_.OnServed(route_->name_, Now() - sent_at_);
     Log("answered")
@@ -723,34 +755,60 @@
     const std::string reason =
         end.malformed_ ? "the answer is no HTTP" : end.error_.message();
     ReleaseUpstream(CallOutcome::kConnectionLost);
-    if (!end.malformed_) {
-      CheckForCrash();
+    const auto handle = [self = shared_from_this(), reason] {
+      if (!self->ended_) {
+        self->HandleFailedSend(Verdict::kMayHaveExecuted, reason.c_str(),
+                               false);
+      }
+    };
+    if (end.malformed_) {
+      handle();
+    } else if (is_answered_ ||
+               context_.part_quarantine_.WereAnswered(shared_parts_)) {
+      CheckForCrash([] {});
+      handle();
+    } else {
+      // What may have crashed this upstream must not reach the next one before
+      // that is known.
+      CheckForCrash(handle);
     }
-    HandleFailedSend(Verdict::kMayHaveExecuted, reason.c_str(), false);
   }
 
   // Checks whether the upstream crashed: a crashed upstream also refuses a new
   // connection. If the upstream accepts a new connection, only the old one was
   // lost, and the request does not become a suspect.
-  void CheckForCrash() {
+  // @param done called when it is known.
+  void CheckForCrash(std::function<void()> done) {
     const UpstreamKey upstream = choice_.upstream_;
+    const bool was_answered = is_answered_;
+    const Millis sent_at = sent_at_;
     context_.upstreams_.Connect(
         upstream, true,
-        [self = shared_from_this(), upstream](ConnectionResult result) {
+        [self = shared_from_this(), upstream, was_answered, sent_at,
+         done = std::move(done)](ConnectionResult result) {
           if (result.connection_ == nullptr) {
-            self->RecordCrash(upstream);
+            self->RecordCrash(upstream, was_answered, sent_at);
           } else {
             self->context_.upstreams_.ReturnConnection(
                 upstream, std::move(result.connection_));
           }
+          done();
         });
   }
 
-  void RecordCrash(const UpstreamKey& upstream) {
+  void RecordCrash(const UpstreamKey& upstream,
+                   bool was_answered,
+                   Millis sent_at) {
     Log("crash_suspected")
         .Add("upstream", upstream.id_.value())
         .Add("was_suspect", int64_t{was_suspect_ ? 1 : 0})
+        .Add("was_answered", int64_t{was_answered ? 1 : 0})
         .Write();
+    if (!was_answered) {
+      // A request that has crashed two upstreams was known after the first.
+      context_.part_quarantine_.OnCrash(shared_parts_,
+                                        was_suspect_ ? Now() : sent_at, Now());
+    }
     const auto changed = context_.quarantine_.OnCrash(
         {policy::RunningAttempt{digest_, was_suspect_}}, Now(),
         policy::ComputeCrashSourceId(upstream.id_));
@@ -760,6 +818,12 @@
     }
   }
 
+  void RecordAnswered() {
+    if (!std::exchange(is_answered_, true)) {
+      context_.part_quarantine_.OnAnswered(shared_parts_, Now());
+    }
+  }
+
   void RecordCompletion() {
     if (context_.quarantine_.Check(digest_, Now()) !=
         policy::CrashStatus::kClear) {
@@ -780,8 +844,7 @@
     tried_upstreams_.push_back(choice_.upstream_);
     // Drops the incomplete event, which the next upstream sends again.
     splitter_.ExtractRemainder();
-    const bool blocked = context_.quarantine_.Check(digest_, Now()) ==
-                         policy::CrashStatus::kBlocked;
+    const bool blocked = FindQuarantine() != nullptr;
     const bool can_resume = !response_started_ || !splitter_.last_id().empty();
     const bool retry = !caller_left_ && !blocked && can_resume &&
                        ChooseNextStep(failed) == NextStep::kRetry &&
@@ -903,6 +966,7 @@
   const int64_t number_;
   const Millis arrived_;
   const RequestInfo info_;
+  const std::vector<uint64_t> shared_parts_;
   web::OneShotTimer deadline_timer_;
   web::OneShotTimer pause_timer_;
   std::shared_ptr<const route::RouteTable> table_;
@@ -937,6 +1001,8 @@
   bool holds_upstream_ = false;
   bool prefill_done_ = false;
   bool response_started_ = false;
+  bool has_events_ = false;   // of the latest send
+  bool is_answered_ = false;  // the upstream of the latest send has answered
   bool was_suspect_ = false;
   bool caller_left_ = false;
   bool ended_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "src/gateway/upstream_set.h"
 #include "src/metrics/metrics.h"
 #include "src/policy/link_budget.h"
+#include "src/policy/part_quarantine.h"
 #include "src/policy/quarantine.h"
 #include "src/policy/service_time.h"
 #include "src/policy/shared_retry_budget.h"
@@ -44,6 +45,7 @@
   policy::LinkBudget& link_budget_;
   policy::SharedRetryBudget& retry_budget_;
   policy::Quarantine& quarantine_;
+  policy::PartQuarantine& part_quarantine_;
   metrics::Metrics& metrics_;
   DecisionLog& log_;
   // Sends new suspects of the quarantine to the peers.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,6 +3,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <string>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -60,6 +63,13 @@
 // Limit of sessions of probes and operators.
 constexpr size_t kMaxProbeSessions = 32;
 
+// @return the number as callers write the id of a prompt part.
+std::string FormatHex(uint64_t number) {
+  char text[17];
+  std::snprintf(text, sizeof(text), "%" PRIx64, number);
+  return text;
+}
+
 }  // namespace
 
 class Gateway::Impl {
@@ -89,6 +99,7 @@
             link_budget_,
             retry_budget_,
             quarantine_,
+            part_quarantine_,
             metrics_,
             log_,
             [this] { BroadcastSuspects(); }},
@@ -112,6 +123,8 @@
                 MakeReloadHooks(std::move(parts.reload_)),
                 &log_) {
     retry_budget_.SetMembers(kInitialMembers);
+    part_quarantine_.SetChangeHook(
+        [this](const policy::SuspectParts& parts) { OnPartChange(parts); });
     upstreams_.SetPoolHook(
         [this](const PoolChange& change) { OnPoolChange(change); });
   }
@@ -225,6 +238,12 @@
     hooks.on_suspect_ = [this](const policy::CrashRecord& record) {
       return quarantine_.Merge(record, boot_.Now());
     };
+    hooks.suspect_parts_ = [this](size_t limit) {
+      return part_quarantine_.Suspects(boot_.Now(), limit);
+    };
+    hooks.on_suspect_parts_ = [this](const policy::SuspectParts& parts) {
+      part_quarantine_.Merge(parts, boot_.Now());
+    };
     hooks.on_member_count_ = [this](int members) {
       // Without known peers, this gateway may be partitioned rather than alone.
       retry_budget_.SetMembers(members > 1 ? members : kInitialMembers);
@@ -233,6 +252,24 @@
     return hooks;
   }
 
+  // Told at once, as each further request with the part may take down an
+  // upstream.
+  void OnPartChange(const policy::SuspectParts& suspects) {
+    std::string parts;
+    for (const uint64_t part : suspects.parts_) {
+      parts += (parts.empty() ? "" : ",") + FormatHex(part);
+    }
+    const char* state = suspects.is_blocked()    ? "blocked"
+                        : suspects.crashes_ == 0 ? "answered"
+                                                 : "suspect";
+    log_.Write(LogLine("prompt_parts")
+                   .Add("parts", parts)
+                   .Add("state", state)
+                   .Add("expires_in_ms", suspects.expires_in_.count()));
+    metrics_.Add("bergamot_gateway_prompt_part_changes", state);
+    BroadcastSuspects();
+  }
+
   void OnPoolChange(const PoolChange& change) {
     log_.Write(
         LogLine("engines_reserved")
@@ -499,6 +536,7 @@
   policy::CallerShedding shedding_;
   policy::SharedRetryBudget retry_budget_;
   policy::Quarantine quarantine_;
+  policy::PartQuarantine part_quarantine_;
   ExchangeContext context_;
   Control control_;
   web::Listener callers_;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -15,6 +15,7 @@
 using LoadRow = std::tuple<uint64_t, int, int64_t>;
 using ShortPromptRow = std::tuple<uint64_t, int, int64_t>;
 using SuspectRow = std::tuple<uint64_t, int, bool, int64_t, uint64_t>;
+using SuspectPartsRow = std::tuple<std::vector<uint64_t>, int, int64_t>;
 using PartRow = std::tuple<uint64_t, int64_t>;
 using PromptRow = std::tuple<uint64_t, std::vector<PartRow>>;
 using StatusRow = std::tuple<uint32_t, int64_t, bool, bool>;
@@ -25,7 +26,8 @@
                                   std::vector<SuspectRow>,
                                   std::vector<PromptRow>,
                                   StatusRow,
-                                  std::vector<ShortPromptRow>>;
+                                  std::vector<ShortPromptRow>,
+                                  std::vector<SuspectPartsRow>>;
 
 }  // namespace
 
@@ -47,6 +49,10 @@
         record.digest_, record.crashes_, record.blocked_,
         record.expires_in_.count(), record.source_);
   }
+  for (const policy::SuspectParts& suspects : message.suspect_parts_) {
+    std::get<8>(fields).emplace_back(suspects.parts_, suspects.crashes_,
+                                     suspects.expires_in_.count());
+  }
   for (const SentPrompt& prompt : message.prompts_) {
     std::vector<PartRow> parts;
     for (const policy::SharedPromptPart& part : prompt.shared_) {
@@ -85,6 +91,9 @@
       message.suspects_.push_back(
           {digest, crashes, blocked, Millis(expires), source});
     }
+    for (const auto& [parts, crashes, expires] : std::get<8>(fields)) {
+      message.suspect_parts_.push_back({parts, crashes, Millis(expires)});
+    }
     for (const auto& [id_hash, parts] : std::get<5>(fields)) {
       SentPrompt prompt;
       prompt.id_hash_ = id_hash;
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -9,6 +9,7 @@
 
 #include "bergamotscale/result.h"
 #include "src/gateway/upstream_set.h"
+#include "src/policy/part_quarantine.h"
 #include "src/policy/quarantine.h"
 
 namespace bergamotscale::gateway {
@@ -32,6 +33,7 @@
   std::vector<std::string> known_peers_;
   LoadReport loads_;
   std::vector<policy::CrashRecord> suspects_;
+  std::vector<policy::SuspectParts> suspect_parts_;
   std::vector<SentPrompt> prompts_;
 };
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -160,6 +160,7 @@
     PeerMessage message = BuildHeader();
     message.suspects_ =
         hooks_.suspects_(std::min(pending_updates_, kMaxUpdateSuspects));
+    message.suspect_parts_ = hooks_.suspect_parts_(kNewestSuspects);
     pending_updates_ = 0;
     update_sent_at_ = boot_.Now();
     SendToPeers(WritePeerMessage(message));
@@ -198,6 +199,7 @@
     message.has_loads_ = true;
     message.loads_ = hooks_.own_loads_();
     message.suspects_ = hooks_.suspects_(max_suspects);
+    message.suspect_parts_ = hooks_.suspect_parts_(max_suspects);
     message.prompts_ = hooks_.recent_prompts_();
     return message;
   }
@@ -277,6 +279,9 @@
     for (const policy::CrashRecord& record : message.suspects_) {
       hooks_.on_suspect_(record);
     }
+    for (const policy::SuspectParts& parts : message.suspect_parts_) {
+      hooks_.on_suspect_parts_(parts);
+    }
     AddSeeds(message.known_peers_);
   }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -29,6 +29,9 @@
   std::function<void(const std::vector<SentPrompt>&)> on_prompts_;
   // @return whether the record was new.
   std::function<bool(const policy::CrashRecord&)> on_suspect_;
+  // The same for prompt parts.
+  std::function<std::vector<policy::SuspectParts>(size_t limit)> suspect_parts_;
+  std::function<void(const policy::SuspectParts&)> on_suspect_parts_;
   // Report the size of each datagram, because datagrams share the link with
   // traffic.
   std::function<void(Bytes)> on_sent_;
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -113,6 +113,7 @@
   message.known_peers_ = {"10.0.0.1:7"};
   message.loads_ = {{{11, 2, 3'500}}, {{18, 19, 20}}};
   message.suspects_ = {{12, 1, false, Millis(13), 14}};
+  message.suspect_parts_ = {{{22, 23}, 2, Millis(24)}};
   message.prompts_ = {{15, {{16, Tokens(17)}}}};
   const auto read = ReadPeerMessage(WritePeerMessage(message));
   REQUIRE(read.ok());
@@ -125,6 +126,10 @@
   CHECK(read.value().loads_.short_prompts_[0].running_ == 19);
   CHECK(read.value().loads_.short_prompts_[0].tokens_per_s_ == 20);
   CHECK(read.value().suspects_[0].expires_in_ == Millis(13));
+  REQUIRE(read.value().suspect_parts_.size() == 1);
+  CHECK(read.value().suspect_parts_[0].parts_ == std::vector<uint64_t>{22, 23});
+  CHECK(read.value().suspect_parts_[0].is_blocked());
+  CHECK(read.value().suspect_parts_[0].expires_in_ == Millis(24));
   CHECK(read.value().prompts_[0].shared_[0].tokens_ == Tokens(17));
   CHECK_FALSE(ReadPeerMessage("").ok());
   CHECK_FALSE(ReadPeerMessage("\xc1garbage").ok());
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -34,6 +34,10 @@
   hooks.on_loads_ = [](const std::string&, const LoadReport&) {};
   hooks.on_prompts_ = [](const std::vector<SentPrompt>&) {};
   hooks.on_suspect_ = [](const policy::CrashRecord&) { return false; };
+  hooks.suspect_parts_ = [](size_t) {
+    return std::vector<policy::SuspectParts>();
+  };
+  hooks.on_suspect_parts_ = [](const policy::SuspectParts&) {};
   hooks.on_sent_ = [](Bytes) {};
   hooks.on_received_ = [](Bytes) {};
   hooks.on_member_count_ = [](int) {};
--- a/tests/support/gateway_bench.h
+++ b/tests/support/gateway_bench.h
@@ -155,11 +155,14 @@
   policy::SharedRetryBudget retries_{
       policy::RetryBounds{0.2, 50, Millis(10'000)}};
   policy::Quarantine quarantine_;
+  policy::PartQuarantine part_quarantine_;
   metrics::Metrics metrics_;
   gateway::DecisionLog log_{dup(STDERR_FILENO), Clock::Wall()};
   gateway::ExchangeContext context_{
-      io_,   boot_,    header_codec_, state_,   {},   upstreams_, admission_,
-      link_, retries_, quarantine_,   metrics_, log_, [] {}};
+      io_,      boot_,       header_codec_,    state_,
+      {},       upstreams_,  admission_,       link_,
+      retries_, quarantine_, part_quarantine_, metrics_,
+      log_,     [] {}};
   const uint16_t port_ = FreePort();
   std::unique_ptr<web::Listener> listener_ =
       std::make_unique<web::Listener>(io_, Hooks(), kMaxSessions);
