Gateway: a rejection that names no request proves nothing on a kept connection

Another operator's report: a faulty server wrote an earlier rejection once more on a kept connection.

Such a rejection now counts only if it names the request, or if the connection is new and so can't have carried an earlier one. Otherwise the request may have run: 502, and no further send of an order. Upstreams name the request in what they answer, so sound rejections are recognized as before.

The new test got a 503 "not run" before.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -505,6 +505,7 @@
         Bytes(static_cast<int64_t>(outgoing.body_.size())) + kHeaderBytes,
         Now());
     sent_at_ = Now();
+    reused_ = reused;
     has_events_ = false;
     is_answered_ = false;
     connection_->Send(std::move(outgoing), Hooks());
@@ -648,9 +649,13 @@
     HandleFailedSend(Verdict::kMayHaveExecuted, reason, false);
   }
 
-  // @return whether the response states that the request was not executed.
+  // @return whether the response states that the request was not executed. On
+  // a connection that has carried a response before, one that names no request
+  // may be an earlier one that a faulty upstream repeats.
   bool IsRejection() const {
-    return response_info_.not_executed_ || response_info_.wrong_instance_;
+    const bool is_ours = !reused_ || response_info_.request_ == info_.id_;
+    return is_ours &&
+           (response_info_.not_executed_ || response_info_.wrong_instance_);
   }
 
   void HandleRejection(const char* reason) {
@@ -1005,6 +1010,7 @@
   bool holds_upstream_ = false;
   bool prefill_done_ = false;
   bool response_started_ = false;
+  bool reused_ = false;       // the connection of the latest send
   bool has_events_ = false;   // of the latest send
   bool is_answered_ = false;  // the upstream of the latest send has answered
   bool was_suspect_ = false;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -178,6 +178,56 @@
   }
 }
 
+TEST_CASE(
+    "gateway: a rejection that may be an earlier one, repeated, does not mean "
+    "that the request was not run") {
+  RawServer faulty([](int number, const std::string&, auto& socket) {
+    Write(socket, number == 1 ? GatewayBench::Answer("served") : Rejection());
+    return true;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({faulty.url()});
+  CHECK(StartsWith(Call(bench, GatewayBench::Request("/order/1"), "served"),
+                   "HTTP/1.1 200"));
+  const std::string answer =
+      Call(bench, GatewayBench::Request("/order/2"), "\r\n\r\n");
+  CHECK(StartsWith(answer, "HTTP/1.1 502"));
+  CHECK(faulty.requests().size() == 2);
+}
+
+TEST_CASE("gateway: a rejection of an earlier request is dropped") {
+  const std::string stale =
+      "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n"
+      "X-Bergamotscale-Not-Executed: 1\r\n"
+      "X-Bergamotscale-Request-Id: r0\r\n\r\n";
+  RawServer server([stale](int number, const std::string&, auto& socket) {
+    Write(socket, (number == 1 ? "" : stale) + GatewayBench::Answer("served"));
+    return true;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  for (int i = 0; i < 2; ++i) {
+    CHECK(StartsWith(Call(bench, GatewayBench::Request("/order/1"), "served"),
+                     "HTTP/1.1 200"));
+  }
+  CHECK(server.requests().size() == 2);
+}
+
+TEST_CASE("gateway: a head that breaks off is not answered with 200") {
+  for (const std::string path : {"/order/1", "/stream/1"}) {
+    RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+      Write(socket,
+            "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+            "X-Bergamotscale-Response-Seal: seal\r\nContent-Le");
+      return false;
+    });
+    GatewayBench bench;
+    bench.SetUpstreams({server.url()});
+    CHECK(StartsWith(Call(bench, GatewayBench::Request(path), "\r\n\r\n"),
+                     "HTTP/1.1 502"));
+  }
+}
+
 std::string StreamHead() {
   return "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
          "X-Bergamotscale-Response-Seal: seal\r\n"
@@ -409,6 +459,32 @@
   CHECK(first.requests().size() + second.requests().size() == 2);
 }
 
+TEST_CASE(
+    "gateway: an error of the next upstream does not get into a stream that "
+    "broke off") {
+  const RawServer::Answer script = [](int, const std::string& request,
+                                      RawServer::Socket& socket) {
+    if (request.find("Last-Event-Id: 1") == std::string::npos) {
+      Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+      return false;
+    }
+    Write(socket, GatewayBench::Answer("error text", "500 Error"));
+    return true;
+  };
+  RawServer first(script);
+  RawServer second(script);
+  GatewayBench bench;
+  bench.SetUpstreams({first.url(), second.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/resume/1"));
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("id: 1\ndata: a\n\n") != std::string::npos);
+  CHECK(answer.find("error text") == std::string::npos);
+  CHECK(answer.find("500 Error") == std::string::npos);
+  CHECK(answer.find("\r\n0\r\n\r\n") == std::string::npos);
+  CHECK(first.requests().size() + second.requests().size() >= 2);
+}
+
 std::string UnframedStreamHead() {
   return "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
          "X-Bergamotscale-Response-Seal: seal\r\n\r\n";
