--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -485,14 +485,14 @@
   CHECK(first.requests().size() + second.requests().size() >= 2);
 }
 
-std::string UnframedStreamHead() {
+std::string UnframedHead() {
   return "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
          "X-Bergamotscale-Response-Seal: seal\r\n\r\n";
 }
 
 TEST_CASE("gateway: a stream that ends with its connection may be complete") {
   RawServer server([](int, const std::string&, RawServer::Socket& socket) {
-    Write(socket, UnframedStreamHead() + "id: 1\ndata: a\n\n");
+    Write(socket, UnframedHead() + "id: 1\ndata: a\n\n");
     return false;
   });
   GatewayBench bench;
@@ -507,7 +507,7 @@
     "gateway: a stream whose connection closes inside an event is not ended "
     "as complete") {
   RawServer server([](int, const std::string&, RawServer::Socket& socket) {
-    Write(socket, UnframedStreamHead() + "id: 1\ndata: a\n\nid: 2\nda");
+    Write(socket, UnframedHead() + "id: 1\ndata: a\n\nid: 2\nda");
     return false;
   });
   GatewayBench bench;
@@ -522,9 +522,7 @@
 
 TEST_CASE("gateway: a reset does not complete a response without a length") {
   RawServer server([](int, const std::string&, RawServer::Socket& socket) {
-    Write(socket,
-          "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
-          "X-Bergamotscale-Response-Seal: seal\r\n\r\npart");
+    Write(socket, UnframedHead() + "part");
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     socket.set_option(boost::asio::socket_base::linger(true, 0));
     socket.close();  // resets the connection; the destructor would not
