--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,8 +1,8 @@
-// Requests that the gateway holds for want of room at the engine are still held
-// when the grace of a planned stop ends. Judged: LOST.
-#include <signal.h>
-
+// A heartbeat whose answer was lost is written late, behind the report that the
+// server drains. Judged: DRAIN.
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -19,71 +19,63 @@
 
 constexpr char kConfig[] =
     R"({"version":7,"routes":[
-{"name":"advice","host":"h.example","path_prefix":"/advice/",
- "kind":"streaming","timeout_ms":10000,"target_latency_ms":250,"priority":0,
- "service":"llm","max_attempts":1,"public":false,"sticky":true,
- "resumable":false,"gap_aim_ms":150},
-{"name":"plan","host":"h.example","path_prefix":"/plan/",
- "kind":"streaming","timeout_ms":8000,"target_latency_ms":1000,"priority":2,
- "service":"llm","max_attempts":1,"public":false,"sticky":true,
- "resumable":false,"gap_aim_ms":600}],
-"services":[
-{"name":"llm","health_path":"/health","max_conns":620,"protocol":"h1",
- "tls":false,"engine":{"slots":4,"kv_capacity":1256852}}],
+{"name":"booking","host":"h.example","path_prefix":"/booking/",
+ "kind":"unsafe","timeout_ms":1500,"target_latency_ms":300,"priority":2,
+ "service":"app","max_attempts":1,"public":false}],
+"services":[{"name":"app","health_path":"/health","max_conns":100,
+ "protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
  "header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"t1","api_keys":["key1"]}]})";
+"tenants":[{"name":"t1","api_keys":["key1"],"priority":1}]})";
 
-constexpr int64_t kGraceMs = 8'000;
-constexpr int kSlots = 4;
-constexpr int kLongEvents = 95;
-constexpr int kShortEvents = 5;
-constexpr int64_t kPaceMs = 85;  // of a stream's events, below gap_aim_ms
-constexpr int kLater = 6;
+constexpr int64_t kDrainMs = 2'000;
+// From the lost answer to the acknowledgement of the drain: longer than
+// stability_window_ms, so the store counts as stable.
+constexpr int64_t kStableMs = 3'100;
+// The platform's largest delay of a late write.
+constexpr int64_t kMaxLateMs = 6'000;
+// The server exits so long after its report that it drains.
+constexpr int64_t kExitMs = 3'000;
+constexpr int64_t kOrderMs = 450;
+constexpr int kClients = 9;
 
-// Places of the engine; further requests wait in its queue.
-std::atomic<int> free_slots{kSlots};
+std::atomic<bool> stopping{false};
+std::atomic<bool> has_exited{false};
+std::mutex orders_mutex;
+std::map<std::string, Answer> orders;
 
-bool TakeSlot(const Connection& connection, int64_t until) {
-  for (;;) {
-    int free = free_slots.load();
-    while (free > 0) {
-      if (free_slots.compare_exchange_weak(free, free - 1)) {
-        return true;
+void RunClient(int number, const std::string& address) {
+  std::unique_ptr<Connection> connection;
+  for (int i = 0; !stopping; ++i) {
+    if (connection == nullptr) {
+      connection = Connection::Open(address);
+      if (connection == nullptr) {
+        review::CannotRun("client can't connect");
       }
     }
-    if (connection.PeerHasClosed() || review::NowMs() >= until) {
-      return false;
+    Call order;
+    order.path_ = "/booking/2f";
+    order.id_ = "c" + std::to_string(number) + "n" + std::to_string(i);
+    order.body_ = review::Filler(600);
+    const Answer answer = review::Exchange(*connection, order);
+    {
+      const std::lock_guard<std::mutex> lock(orders_mutex);
+      orders[order.id_] = answer;
+    }
+    if (!answer.whole_ || answer.closes_) {
+      connection.reset();
     }
-    review::SleepFor(5);
+    review::SleepFor(20);
   }
 }
 
-Call MakeCall(const std::string& id) {
-  const bool is_long = id.compare(0, 4, "long") == 0;
-  Call call;
-  call.path_ = is_long ? "/advice/2f" : "/plan/2f";
-  call.id_ = id;
-  call.deadline_ms_ = is_long ? 10'000 : 8'000;
-  call.more_headers_ = "X-Bergamotscale-Model: m\r\n";
-  call.more_headers_ += is_long
-                            ? "X-Bergamotscale-Token-Counts: 1460,600\r\n"
-                              "X-Bergamotscale-Prefix-Hash: 91bd3f06:350," +
-                                  id + ":1110\r\n"
-                            : "X-Bergamotscale-Token-Counts: 17020,120\r\n"
-                              "X-Bergamotscale-Prefix-Hash: 5c1e07a2:13300," +
-                                  id + ":3720\r\n";
-  call.body_ = review::Filler(is_long ? 1'500 : 17'000);
-  return call;
-}
-
-void RunClient(const std::string& id,
-               const std::string& address,
-               Answer* answer) {
-  const auto connection = Connection::Open(address);
-  if (connection != nullptr) {
-    *answer = review::Exchange(*connection, MakeCall(id));
+// @return when the server has written its next heartbeat.
+int64_t AwaitHeartbeat(const review::Server& server) {
+  const int64_t seq = server.seq();
+  while (server.seq() == seq) {
+    review::SleepFor(2);
   }
+  return review::NowMs();
 }
 
 }  // namespace
@@ -93,89 +85,103 @@
   store.Put("keyed.op", "config", kConfig);
   const auto serve = [](const Request& request, Connection& connection,
                         Run* run) {
-    const int64_t patience = std::strtol(
-        request.Header("X-Bergamotscale-Deadline-Ms").c_str(), nullptr, 10);
-    if (!TakeSlot(connection, review::NowMs() + patience)) {
-      return connection.Write(review::AnswerHead(
-          request, "503 Service Unavailable",
-          "X-Bergamotscale-Not-Executed: 1\r\nContent-Length: 0\r\n"));
+    return review::AnswerAfter(kOrderMs, request, "booked\n", connection, run);
+  };
+  // Ends with its work when it exits.
+  const auto serve_until_exit = [](const Request& request,
+                                   Connection& connection, Run* run) {
+    if (has_exited) {
+      return false;
+    }
+    run->began_ = review::NowMs();
+    while (review::NowMs() < run->began_ + kOrderMs) {
+      review::SleepFor(5);
+      if (has_exited) {
+        run->ended_ = review::NowMs();
+        return false;
+      }
     }
-    const int events =
-        run->id_.compare(0, 4, "long") == 0 ? kLongEvents : kShortEvents;
-    const bool keep =
-        review::StreamEvents(events, kPaceMs, request, connection, run);
-    ++free_slots;
-    return keep;
+    return review::AnswerAfter(0, request, "booked\n", connection, run);
   };
-  review::Server engine(store, "i-1", "llm", review::OwnAddress(2), kSlots,
-                        serve);
+  review::Server app1(store, "i-1", "app", review::OwnAddress(2), 6, serve);
+  review::Server app2(store, "i-2", "app", review::OwnAddress(3), 6, serve);
+  review::Server leaving(store, "i-3", "app", review::OwnAddress(4), 6,
+                         serve_until_exit);
   review::Gateway gateway(review::OwnAddress(7), store.address());
   gateway.Start();
   if (!gateway.AwaitReady(10'000)) {
     review::CannotRun("the gateway was not ready");
   }
-  review::SleepFor(500);
-
-  // The engine's places are taken by streams, a further request waits there.
-  std::vector<Answer> earlier(kSlots + 1);
-  std::vector<Answer> later(kLater);
   std::vector<std::thread> clients;
-  for (int i = 0; i <= kSlots; ++i) {
-    const std::string id =
-        i < kSlots ? "long" + std::to_string(i) : std::string("queued");
-    clients.emplace_back(RunClient, id, gateway.address(), &earlier[i]);
-    review::SleepFor(60);
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back(RunClient, i, gateway.address());
   }
-  int64_t stopped_at = -1;
-  std::thread platform;
+  review::SleepFor(1'000);
+
+  // A heartbeat is sent, and gets no answer.
+  const int64_t lost_at = AwaitHeartbeat(leaving);
+  const std::string lost_entry = leaving.NextEntry();
   if (review::WithTrouble()) {
-    stopped_at = review::NowMs();
-    review::Record("platform sends SIGTERM");
-    gateway.Signal(SIGTERM);
-    platform = std::thread([&gateway] { gateway.AwaitEnd(kGraceMs); });
+    review::Record("a heartbeat of i-3 gets no answer: " + lost_entry);
+  }
+  review::SleepUntil(lost_at + kStableMs);
+  leaving.SetDraining();
+  leaving.Heartbeat();
+  const int64_t acknowledged = review::NowMs();
+  review::Record("i-3 reports that it drains, acknowledged");
+  // It goes on to report so with its further heartbeats.
+  while (review::NowMs() < lost_at + 4'000) {
+    AwaitHeartbeat(leaving);
+  }
+  review::SleepFor(20);
+  const int64_t late_by = review::NowMs() - lost_at;
+  if (late_by > kMaxLateMs) {
+    review::CannotRun("the late write would be too late");
   }
-  // In the first second the platform's balancer still sends new connections.
-  for (int i = 0; i < kLater; ++i) {
-    review::SleepFor(100);
-    clients.emplace_back(RunClient, "later" + std::to_string(i),
-                         gateway.address(), &later[i]);
+  if (review::WithTrouble()) {
+    store.Put("keyed.servers", "i-3", lost_entry);
+    review::Record(
+        "the store carries out the heartbeat that it did not answer, " +
+        std::to_string(late_by) + " ms late");
   }
+  review::SleepUntil(acknowledged + kExitMs);
+  has_exited = true;
+  leaving.Leave();
+  review::Record("i-3 has exited");
+  review::SleepFor(1'500);
+  stopping = true;
   for (std::thread& client : clients) {
     client.join();
   }
-  if (platform.joinable()) {
-    platform.join();
-  }
 
-  // LOST: a whole request was read and its connection ended without a complete
-  // answer, later than 200 ms after its last byte was sent. Those that a server
-  // was still at work on, or that were at their deadline, don't count.
-  int lost = 0;
-  int answered = 0;
-  const std::vector<Run> runs = engine.Runs();
-  for (int i = 0; i < kLater; ++i) {
-    const std::string id = "later" + std::to_string(i);
-    bool passed_on = false;
-    for (const Run& run : runs) {
-      passed_on = passed_on || run.id_ == id;
-    }
-    if (later[i].whole_) {
-      ++answered;
+  // DRAIN: a request reaches a server later than drain_ms after the
+  // acknowledgement.
+  int before = 0;
+  int late = 0;
+  int cut = 0;
+  for (const Run& run : leaving.Runs()) {
+    if (run.began_ < 0) {
       continue;
     }
-    const int64_t took = later[i].ended_at_ - later[i].sent_at_;
-    const bool excused = stopped_at < 0 || !later[i].sent_ || passed_on ||
-                         took <= 200 || took >= 8'000;
-    lost += excused ? 0 : 1;
-    review::Record(id + " was cut off " + std::to_string(took) +
-                   " ms after it was sent; " +
-                   (passed_on ? "a server had it" : "no server ever got it") +
-                   (excused ? " (excused)" : ""));
+    const int64_t since = run.began_ - acknowledged;
+    before += since < 0 ? 1 : 0;
+    if (since > kDrainMs) {
+      ++late;
+      const Answer& answer = orders[run.id_];
+      const bool is_lost = answer.status_ != 200 || !answer.whole_;
+      cut += is_lost ? 1 : 0;
+      review::Record("order " + run.id_ + " reached i-3 " +
+                     std::to_string(since) + " ms after its drain; " +
+                     (is_lost ? "it was cut off, the client saw status " +
+                                    std::to_string(answer.status_)
+                              : "it was answered"));
+    }
   }
-  review::Record(std::to_string(answered) + " later requests answered, " +
-                 std::to_string(lost) + " lost");
-  if (earlier[0].status_ != 200) {
-    review::CannotRun("the first stream was not served");
+  review::Record(std::to_string(before) + " orders at i-3 before its drain, " +
+                 std::to_string(late) + " later than drain_ms after it, " +
+                 std::to_string(cut) + " of these cut off by its exit");
+  if (before == 0) {
+    review::CannotRun("the leaving server got no order before");
   }
-  review::Finish(lost > 0);
+  review::Finish(late > 0);
 }
--- a/review/standins/harness.cc
+++ b/review/standins/harness.cc
@@ -536,15 +536,25 @@
   }).detach();
 }
 
+std::string Server::NextEntry() {
+  return "{\"service\":\"" + service_ + "\",\"address\":\"" +
+         listener_->address() +
+         "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" +
+         std::to_string(slots_) + ",\"state\":\"" +
+         (draining_ ? "draining" : "ready") +
+         "\",\"cold_left_ms\":0,\"seq\":" + std::to_string(++seq_) +
+         ",\"born\":" + std::to_string(born_) + "}";
+}
+
 void Server::Heartbeat() {
-  store_.Put("keyed.servers", id_,
-             "{\"service\":\"" + service_ + "\",\"address\":\"" +
-                 listener_->address() +
-                 "\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":" +
-                 std::to_string(slots_) +
-                 ",\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":" +
-                 std::to_string(++seq_) + ",\"born\":" + std::to_string(born_) +
-                 "}");
+  if (!left_) {
+    store_.Put("keyed.servers", id_, NextEntry());
+  }
+}
+
+void Server::Leave() {
+  left_ = true;
+  store_.Put("keyed.servers", id_, "");
 }
 
 void Server::Serve(Connection& connection) {
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -134,7 +134,15 @@
          const std::string& ip,
          int slots,
          Answer answer);
-  void Heartbeat();  // called by the constructor's thread
+  // Writes its entry to the store, as it does every 1.2 s by itself.
+  void Heartbeat();
+  // @return the entry that the next heartbeat writes, and counts it as written.
+  std::string NextEntry();
+  int64_t seq() const { return seq_; }
+  // The state in its entry: ready or draining.
+  void SetDraining() { draining_ = true; }
+  // Removes its entry and writes no further ones.
+  void Leave();
   std::vector<Run> Runs();
   const std::string& id() const { return id_; }
 
@@ -148,6 +156,8 @@
   const Answer answer_;
   const int64_t born_;
   std::atomic<int64_t> seq_{0};
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> left_{false};
   std::mutex mutex_;
   std::vector<Run> runs_;
   std::unique_ptr<Listener> listener_;
