Gateway: what can't be answered before a stop ends is refused as not run

Cause: a stream's head that went out before SIGTERM announces no close, an upload announces nothing, and nothing compared the time that a request needs with the time that was left. A request was sent as long as its caller's deadline allowed.

Change: policy::StopDeadline decides on arrival and again before each send. It takes the time within which nearly all requests of the route are served, or, where that is not known, the request's own limit. What can't end in time gets 503 "not run", Retry-After 0.1 s and the close. The upstream is told the shorter deadline. Closing after such a stream, as the reviewer guessed, would leave a caller whose next request crosses the close without an answer.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -32,6 +32,8 @@
 constexpr Millis kRetryAfter = Millis(1'000);
 // The wait before a retry is at most a third of the time that is left after it.
 constexpr int kRetryAfterShare = 3;
+// Retry-After while the process stops: other gateways can take the request.
+constexpr Millis kRetryAfterStop = Millis(100);
 // While no upstream is usable, a request looks for one at this interval, for at
 // most its latency target divided by kNoUpstreamWaitShare.
 constexpr int kNoUpstreamWaitShare = 8;
@@ -52,6 +54,8 @@
 // Approximate size of a request's headers on the link.
 constexpr Bytes kHeaderBytes = Bytes(600);
 
+constexpr char kStopping[] = "this gateway is stopping";
+
 std::string FormatSeconds(Millis time) {
   constexpr double kMillisPerSecond = 1'000;
   char text[32];
@@ -132,6 +136,10 @@
       Reject(kStatusUnavailable, reason, true);
       return;
     }
+    if (!CanEndBeforeStop()) {
+      Reject(kStatusUnavailable, kStopping, true);
+      return;
+    }
     group_ = route::ChooseGroup(*route_, info_.id_.value());
     const route::Service* service = table_->FindService(group_);
     placement_request_ = MakePlacementRequest(
@@ -245,6 +253,13 @@
     return nullptr;
   }
 
+  // @return whether the request, if sent now, is answered before this process
+  // ends its requests.
+  bool CanEndBeforeStop() const {
+    return context_.stop_.Allows(
+        context_.service_time_.LongestUsual(route_->name_), TimeLeft(), Now());
+  }
+
   void StartDeadline() {
     deadline_timer_.StartDeadlineTimer(time_limit_,
                                        [self = shared_from_this()] {
@@ -425,6 +440,11 @@
       Fail("no time left");
       return false;
     }
+    if (!CanEndBeforeStop()) {
+      ReleaseUpstream(CallOutcome::kCancelled);
+      Fail(kStopping);
+      return false;
+    }
     if (!context_.upstreams_.IsUsable(choice_.upstream_)) {
       ReleaseUpstream(CallOutcome::kCancelled);
       FindUpstream();
@@ -468,7 +488,7 @@
 
   void Send(bool reused) {
     ForwardInfo info;
-    info.time_left_ = TimeLeft();
+    info.time_left_ = context_.stop_.Cap(TimeLeft(), Now());
     info.upstream_ = choice_.upstream_.id_;
     info.workspace_ = workspace_;
     info.urgency_ = table_->FindUrgency(rank_);
@@ -930,6 +950,9 @@
 
   // Never shorter than the time for which all upstreams asked for no requests.
   Millis RetryAfter() const {
+    if (context_.stop_.is_stopping()) {
+      return kRetryAfterStop;
+    }
     Millis wait = kRetryAfter;
     if (info_.patience_ > Millis(0)) {
       const Millis left = info_.patience_ - (Now() - arrived_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "src/policy/quarantine.h"
 #include "src/policy/service_time.h"
 #include "src/policy/shared_retry_budget.h"
+#include "src/policy/stop_deadline.h"
 #include "src/web/caller_session.h"
 
 namespace bergamotscale::gateway {
@@ -54,6 +55,7 @@
   // may reuse request ids.
   int64_t num_calls_ = 0;
   policy::ServiceTime service_time_ = {};
+  policy::StopDeadline stop_ = {};
 };
 
 // @return the session limits for these caller limits. Thread safety: safe.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,7 +38,8 @@
 // A load balancer that probes every second and needs two failures sends no new
 // connections after this time.
 constexpr Millis kAcceptWhileStopping = Millis(3'000);
-// Part of the grace time that is reserved for the exit of the process.
+// Parts of the grace time that are reserved for the last responses and the exit
+// of the process.
 constexpr Millis kStopMargin = Millis(300);
 constexpr Millis kStopCheckInterval = Millis(20);
 // Interval for flushing the log and updating the load shedding.
@@ -500,12 +501,14 @@
 
   void CheckStop() {
     const Millis since = boot_.Now() - stop_began_;
+    const Millis ends = settings_.stop_grace_ - kStopMargin;
+    context_.stop_.Set(stop_began_ + kAcceptWhileStopping, stop_began_ + ends);
     if (since >= kAcceptWhileStopping) {
       callers_.StopAccepting();
       callers_.CloseIdle();
     }
     const bool idle = since >= kAcceptWhileStopping && callers_.sessions() == 0;
-    if (idle || since >= settings_.stop_grace_ - kStopMargin) {
+    if (idle || since >= ends) {
       sessions_cut_ = callers_.sessions();
       io_.stop();
       return;
--- a/src/policy/service_time.h
+++ b/src/policy/service_time.h
@@ -2,6 +2,7 @@
 #ifndef BERGAMOTSCALE_SRC_POLICY_SERVICE_TIME_H_
 #define BERGAMOTSCALE_SRC_POLICY_SERVICE_TIME_H_
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -24,12 +25,19 @@
   // sending; zero if nothing is known.
   Millis MinTimeLeft(const std::string& route) const;
 
+  // @return the time within which nearly all requests of the route are served;
+  // nullopt if too little is known.
+  std::optional<Millis> LongestUsual(const std::string& route) const;
+
  private:
   struct Mean {
     double elapsed_ms_ = 0;
+    double deviation_ms_ = 0;
     int samples_ = 0;
   };
 
+  const Mean* Find(const std::string& route) const;
+
   std::unordered_map<std::string, Mean> routes_;
 };
 
--- /dev/null
+++ b/src/policy/stop_deadline.cc
@@ -0,0 +1,30 @@
+#include "src/policy/stop_deadline.h"
+
+#include <algorithm>
+
+namespace bergamotscale::policy {
+
+void StopDeadline::Set(Millis listening_until, Millis ends) {
+  is_stopping_ = true;
+  listening_until_ = listening_until;
+  ends_ = ends;
+}
+
+Millis StopDeadline::Cap(Millis limit, Millis now) const {
+  return is_stopping_ ? std::min(limit, ends_ - now) : limit;
+}
+
+bool StopDeadline::Allows(std::optional<Millis> expected,
+                          Millis limit,
+                          Millis now) const {
+  if (!is_stopping_) {
+    return true;
+  }
+  const Millis left = ends_ - now;
+  if (expected.has_value()) {
+    return left >= std::min(*expected, limit) && left > Millis(0);
+  }
+  return left >= limit || (now < listening_until_ && left > Millis(0));
+}
+
+}  // namespace bergamotscale::policy
--- /dev/null
+++ b/tests/process/gateway_stop_test.cc
@@ -0,0 +1,168 @@
+// Planned stops of a gateway: each request that it has read gets an answer, and
+// an answer that says "not run" is true.
+#include <csignal>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <boost/filesystem.hpp>
+
+#include "tests/support/child_process.h"
+#include "tests/support/gateway_process.h"
+
+namespace bergamotscale::tests {
+namespace {
+
+constexpr Millis kGrace = Millis(8'000);
+
+bool RunAsAsked(const ServerCall& call, Wire& wire, bool* /*did_run*/) {
+  return AnswerAsAsked(call, wire);
+}
+
+// A gateway before an engine and an application server.
+struct StopBench {
+  ScratchFolder folder_;
+  StoreStandIn store_{LoopbackIp(1)};
+  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2), RunAsAsked};
+  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3), RunAsAsked};
+  GatewayProcess gateway_{folder_.File(""), LoopbackIp(4), store_.address()};
+
+  StopBench() {
+    store_.Put("keyed.op", "config", MakeConfig(1));
+    gateway_.Start();
+    REQUIRE(gateway_.AwaitReady(Millis(10'000)));
+    SleepFor(Millis(500));
+  }
+
+  int RunsOf(const std::string& id) {
+    return engine_.RunsOf(id) + app_.RunsOf(id);
+  }
+
+  // Checks what a caller saw of a request that it sent later than the accept
+  // window.
+  void CheckAnswered(const CallerRequest& request, const CallerAnswer& answer) {
+    CAPTURE(request.id_);
+    CAPTURE(answer.status_);
+    CAPTURE((answer.ended_at_ - answer.sent_at_).count());
+    if (RunsOf(request.id_) > 0) {
+      CHECK(answer.is_whole_);
+      CHECK(answer.status_ != 503);
+    }
+  }
+};
+
+CallerRequest MakeOrder(const std::string& id) {
+  CallerRequest order;
+  order.path_ = "/order/1";
+  order.id_ = id;
+  order.headers_ = "X-Work-Ms: 450\r\n";
+  order.body_ = std::string(600, 'o');
+  return order;
+}
+
+CallerRequest MakeStream(const std::string& id, int events) {
+  CallerRequest stream;
+  stream.path_ = "/stream/1";
+  stream.id_ = id;
+  stream.patience_ = Millis(10'000);
+  stream.headers_ = "X-Events: " + std::to_string(events) +
+                    "\r\nX-Pace-Ms: 74\r\n"
+                    "X-Bergamotscale-Token-Counts: 1460,600\r\n"
+                    "X-Bergamotscale-Prefix-Hash: 5c1e07a2:350," +
+                    id + ":1110\r\n";
+  stream.body_ = std::string(1'500, 's');
+  return stream;
+}
+
+// An order that followed a stream on its connection was passed on, ran, and was
+// cut off when the process ended.
+TEST_CASE(
+    "gateway stop: the next request on a kept connection is not cut off") {
+  constexpr int kClients = 12;
+  StopBench bench;
+  std::vector<CallerRequest> requests(kClients);
+  std::vector<CallerAnswer> answers(kClients);
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kClients; ++i) {
+    const std::string number = std::to_string(i);
+    const bool sends_order = i % 2 == 0;
+    requests[i] = sends_order ? MakeOrder("next" + number)
+                              : MakeStream("next" + number, 97);
+    clients.emplace_back([&, i, sends_order] {
+      const auto wire = Wire::Open(bench.gateway_.address());
+      const CallerAnswer first =
+          Exchange(*wire, MakeStream("first" + std::to_string(i),
+                                     sends_order ? 97 + i % 6 : 54));
+      if (first.is_whole_ && !first.closes_) {
+        SleepFor(Millis(i % 3));
+        answers[i] = Exchange(*wire, requests[i]);
+      }
+    });
+    SleepFor(Millis(15));
+  }
+  bench.gateway_.Signal(SIGTERM);
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int sent = 0;
+  for (int i = 0; i < kClients; ++i) {
+    sent += answers[i].is_sent_ ? 1 : 0;
+    bench.CheckAnswered(requests[i], answers[i]);
+  }
+  CHECK(sent > 0);
+}
+
+// Orders whose upload ended late in the grace time ran and were cut off, or got
+// no answer.
+TEST_CASE("gateway stop: an upload that ends late is answered") {
+  constexpr int kUploads = 24;
+  constexpr Millis kFirst = Millis(6'000);
+  constexpr Millis kLast = Millis(7'400);
+  StopBench bench;
+  std::vector<CallerRequest> requests(kUploads);
+  std::vector<CallerAnswer> answers(kUploads);
+  std::vector<std::thread> clients;
+  const Millis stop_at = SteadyNow() + Millis(300);
+  for (int i = 0; i < kUploads; ++i) {
+    requests[i] = MakeOrder("upload" + std::to_string(i));
+    clients.emplace_back([&, i] {
+      const auto wire = Wire::Open(bench.gateway_.address());
+      const std::string all = requests[i].Head() + requests[i].body_;
+      const size_t step = all.size() / 10;
+      wire->Write(all.substr(0, step));
+      const Millis end =
+          stop_at + kFirst + (kLast - kFirst) * i / (kUploads - 1);
+      const Millis pause = (end - SteadyNow()) / 10;
+      size_t at = step;
+      for (; at + step < all.size(); at += step) {
+        SleepFor(pause);
+        wire->Write(all.substr(at, step));
+      }
+      SleepFor(end - SteadyNow());
+      if (wire->Write(all.substr(at))) {
+        answers[i] = ReadAnswer(*wire, requests[i]);
+      }
+    });
+  }
+  SleepFor(stop_at - SteadyNow());
+  bench.gateway_.Signal(SIGTERM);
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int served = 0;
+  for (int i = 0; i < kUploads; ++i) {
+    bench.CheckAnswered(requests[i], answers[i]);
+    CAPTURE(i);
+    CHECK(answers[i].is_whole_);
+    served += answers[i].status_ == 200 ? 1 : 0;
+  }
+  CHECK(served > 0);
+}
+
+}  // namespace
+}  // namespace bergamotscale::tests
--- /dev/null
+++ b/tests/stop_deadline_test.cc
@@ -0,0 +1,59 @@
+// Tests which requests a stopping process still sends.
+#include <doctest/doctest.h>
+
+#include "src/policy/service_time.h"
+#include "src/policy/stop_deadline.h"
+
+namespace bergamotscale::policy {
+namespace {
+
+constexpr Millis kListeningUntil = Millis(3'000);
+constexpr Millis kEnds = Millis(7'700);
+constexpr Millis kTimeout = Millis(1'500);
+
+StopDeadline MakeStop() {
+  StopDeadline stop;
+  stop.Set(kListeningUntil, kEnds);
+  return stop;
+}
+
+TEST_CASE("stop deadline: while the process runs, everything is allowed") {
+  const StopDeadline stop;
+  CHECK(stop.Allows(Millis(60'000), Millis(60'000), Millis(5)));
+  CHECK(stop.Cap(Millis(60'000), Millis(5)) == Millis(60'000));
+}
+
+// Orders that take 450 ms were passed on 300 ms before the process ended.
+TEST_CASE("stop deadline: a request is sent only if it can end in time") {
+  const StopDeadline stop = MakeStop();
+  CHECK(stop.Allows(Millis(450), kTimeout, kEnds - Millis(450)));
+  CHECK_FALSE(stop.Allows(Millis(450), kTimeout, kEnds - Millis(449)));
+  // The caller waits for a shorter time than such requests usually take.
+  CHECK(stop.Allows(Millis(450), Millis(300), kEnds - Millis(300)));
+  CHECK_FALSE(stop.Allows(Millis(0), kTimeout, kEnds));
+  CHECK(stop.Cap(kTimeout, kEnds - Millis(450)) == Millis(450));
+}
+
+TEST_CASE("stop deadline: a request of unknown length needs its whole time") {
+  const StopDeadline stop = MakeStop();
+  CHECK(stop.Allows(std::nullopt, kTimeout, kEnds - kTimeout));
+  CHECK_FALSE(stop.Allows(std::nullopt, kTimeout, kEnds - Millis(1'499)));
+  CHECK_FALSE(stop.Allows(std::nullopt, Millis(10'000), kListeningUntil));
+  // Load balancers still send new callers.
+  CHECK(stop.Allows(std::nullopt, Millis(10'000), Millis(2'999)));
+}
+
+TEST_CASE(
+    "service time: nearly all requests take less than the longest usual") {
+  ServiceTime times;
+  CHECK_FALSE(times.LongestUsual("r").has_value());
+  for (int i = 0; i < 400; ++i) {
+    times.OnServed("r", Millis(100 + i * 37 % 100));
+  }
+  REQUIRE(times.LongestUsual("r").has_value());
+  CHECK(*times.LongestUsual("r") > Millis(199));
+  CHECK(*times.LongestUsual("r") < Millis(400));
+}
+
+}  // namespace
+}  // namespace bergamotscale::policy
--- /dev/null
+++ b/tests/support/gateway_process.h
@@ -0,0 +1,291 @@
+// Runs the gateway of the deploy file as a real process on loopback addresses,
+// beside stand-ins of the platform's store, of servers and of clients.
+#ifndef BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_PROCESS_H_
+#define BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::tests {
+
+// @return the time of the steady clock.
+Millis SteadyNow();
+void SleepFor(Millis time);
+
+// @return a loopback address that only this process uses.
+std::string LoopbackIp(int number);
+
+// A blocking TCP connection. Thread safety: Shutdown() from any thread, all
+// else from one.
+class Wire {
+ public:
+  explicit Wire(int fd) : fd_(fd) {}
+  ~Wire();
+  Wire(const Wire&) = delete;
+  Wire& operator=(const Wire&) = delete;
+
+  // @return null if no connection was made.
+  static std::unique_ptr<Wire> Open(const std::string& address);
+
+  bool Write(const std::string& bytes);
+  bool ReadLine(std::string* line);
+  bool ReadExactly(size_t size, std::string* bytes);
+  // Reads up to and including the empty line.
+  bool ReadHead(std::string* head);
+  // Reads a body in chunks. @return whether it ended with its last chunk.
+  bool ReadChunks(std::string* body);
+  bool PeerHasClosed() const;
+  // A read fails after this time without a byte.
+  void SetReadTimeout(Millis timeout);
+  // Ends the connection; with a reset if asked for.
+  void Shutdown(bool reset = false);
+
+ private:
+  bool Fill();
+
+  const int fd_;
+  std::string buffer_;
+};
+
+// @return the value of a header of the head; empty if missing.
+std::string HeaderOf(const std::string& head, const std::string& name);
+
+// Listens on an address and serves each connection in a thread.
+class WireListener {
+ public:
+  using Serve = std::function<void(Wire&)>;
+
+  // @param port zero for any free one.
+  WireListener(const std::string& ip, uint16_t port, Serve serve);
+  // Closes the listener and all connections, and waits for their threads.
+  ~WireListener();
+  WireListener(const WireListener&) = delete;
+  WireListener& operator=(const WireListener&) = delete;
+
+  uint16_t port() const { return port_; }
+  // Resets all connections; further ones are accepted.
+  void ResetConnections();
+
+ private:
+  void Accept();
+
+  const Serve serve_;
+  int fd_ = -1;
+  uint16_t port_ = 0;
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::list<std::unique_ptr<Wire>> wires_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+// The parts of the platform's store that a gateway reads. Thread safety: safe.
+class StoreStandIn {
+ public:
+  enum class Mode { kServing, kResetting, kSilent };
+
+  explicit StoreStandIn(const std::string& ip);
+  ~StoreStandIn();
+
+  std::string address() const;
+  // Appends a record; an empty value removes the key.
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value);
+  void SetMode(Mode mode);
+
+ private:
+  struct Entry {
+    std::string key_;
+    std::string value_;
+  };
+
+  void Serve(Wire& wire);
+  std::string Newest(const std::string& topic);
+  std::string Read(const std::string& topic, size_t from, Millis wait);
+
+  const std::string ip_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, std::vector<Entry>> topics_;
+  Mode mode_ = Mode::kServing;
+  bool stopping_ = false;
+  std::unique_ptr<WireListener> listener_;
+};
+
+// A request that a server has read.
+struct ServerCall {
+  std::string head_;
+  std::string id_;
+  std::string body_;
+
+  // @return the value of a numeric header.
+  int64_t Number(const std::string& name, int64_t fallback) const;
+};
+
+// @return the head of a server's answer to the call.
+std::string AnswerHead(const ServerCall& call,
+                       const std::string& status,
+                       const std::string& headers);
+// Answers after the time of the header X-Work-Ms with as many bytes as
+// X-Answer-Bytes says.
+bool AnswerWhole(const ServerCall& call, Wire& wire);
+// Sends as many events as X-Events says, one each X-Pace-Ms.
+bool AnswerEvents(const ServerCall& call, Wire& wire);
+// Sends bytes until the connection ends: X-Endless is "answer" for a body
+// without a length or "event" for one event.
+bool AnswerEndless(const ServerCall& call, Wire& wire);
+// One of the above, by the headers of the call.
+bool AnswerAsAsked(const ServerCall& call, Wire& wire);
+
+// A server of a service, registered in the store. It answers 421 if another
+// instance is expected. Thread safety: safe.
+class ServerStandIn {
+ public:
+  // Runs a call. @return false to close the connection. The run counts as
+  // begun unless `did_run` is set to false.
+  using Run =
+      std::function<bool(const ServerCall& call, Wire& wire, bool* did_run)>;
+
+  ServerStandIn(StoreStandIn& store,
+                std::string id,
+                std::string service,
+                const std::string& ip,
+                Run run);
+  ~ServerStandIn();
+
+  void SetDraining();
+  // Removes the entry and writes no further heartbeat.
+  void Leave();
+  // Ends all connections and refuses new ones. The entry stays.
+  void Crash();
+  // Starts again under the same id and address.
+  void Restart();
+
+  // @return how often calls with this id ran here.
+  int RunsOf(const std::string& id);
+  int runs();
+
+ private:
+  void Serve(Wire& wire);
+  void WriteEntry();
+  void SendHeartbeats();
+
+  StoreStandIn& store_;
+  const std::string id_;
+  const std::string service_;
+  const std::string ip_;
+  const Run run_;
+  std::mutex mutex_;
+  std::condition_variable stopped_;
+  std::map<std::string, int> runs_;
+  int64_t born_ = 0;
+  int64_t seq_ = 0;
+  bool draining_ = false;
+  bool silent_ = false;
+  bool stopping_ = false;
+  uint16_t port_ = 0;
+  std::unique_ptr<WireListener> listener_;
+  std::thread heartbeats_;
+};
+
+// A deployment's values for the settings template, by the names of the
+// platform's pages, each as JSON.
+using TemplateFields = std::map<std::string, std::string>;
+
+// @return the template with its values filled in, as the platform does it.
+std::string FillTemplate(const std::string& text, const TemplateFields& fields);
+
+// A gateway on its own loopback address. The log is kept in `folder`.
+class GatewayProcess {
+ public:
+  GatewayProcess(std::string folder,
+                 const std::string& ip,
+                 const std::string& store,
+                 TemplateFields fields = {});
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+  // Writes the settings and starts the program.
+  void Start();
+  void WriteSettings();
+  void SetField(const std::string& name, const std::string& value);
+  // @return false if it ended or was not ready within the time.
+  bool AwaitReady(Millis timeout);
+  void Signal(int signal);
+  // @return whether the process has ended.
+  bool HasEnded();
+  // Waits for the end; kills the process after the time, as the platform does.
+  // @return whether it ended by itself.
+  bool AwaitEnd(Millis timeout);
+  // @return what waitpid() told of the last end.
+  int status() const { return status_; }
+  // @return the peak of its resident memory.
+  Bytes PeakMemory() const;
+  // @return the metrics page; empty if it doesn't answer.
+  std::string Metrics() const;
+
+  const std::string& address() const { return callers_; }
+  const std::string& log_file() const { return log_file_; }
+
+ private:
+  TemplateFields fields_;
+  std::string callers_;
+  std::string ready_;
+  std::string operators_;
+  std::string settings_file_;
+  std::string log_file_;
+  pid_t pid_ = -1;
+  int status_ = 0;
+};
+
+struct CallerRequest {
+  std::string method_ = "POST";
+  std::string path_;
+  std::string id_;
+  std::string key_ = "key1";
+  Millis patience_ = Millis(3'000);
+  std::string headers_;  // further ones, each with its line end
+  std::string body_;
+
+  std::string Head() const;
+};
+
+struct CallerAnswer {
+  bool is_sent_ = false;  // the whole request was written
+  Millis sent_at_;
+  Millis ended_at_;
+  int status_ = 0;  // zero: no head arrived
+  std::string head_;
+  std::string body_;
+  bool is_whole_ = false;
+  bool closes_ = false;  // the answer announces the close
+};
+
+// Reads the answer to a request that was sent.
+CallerAnswer ReadAnswer(Wire& wire, const CallerRequest& request);
+// Sends the request and reads its answer.
+CallerAnswer Exchange(Wire& wire, const CallerRequest& request);
+
+// @return a configuration with the routes "/stream/", "/resume/" (service
+// "llm"), "/order/" and "/read/" (service "app") of host "h.example", and the
+// key "key1".
+std::string MakeConfig(int64_t version);
+
+}  // namespace bergamotscale::tests
+
+#endif  // BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_PROCESS_H_
