Keyed log: a read that ends before the log's end confirms nothing

The follower took any read as proof that all records up to its time were delivered; the decoder dropped the log's end that the answer states.

Change: Tail has the end. A read that didn't reach it confirms nothing and the next one follows at once. A read that returned only records of no key counted as held for its whole wait and confirmed too much; it doesn't any more. The registry of upstreams is read by the same follower.

--- a/src/keyed_log/follower.cc
+++ b/src/keyed_log/follower.cc
@@ -94,7 +94,7 @@
       return;
     }
     const Tail tail = std::move(result).value();
-    next_ = tail.next_;
+    const LogOffset from = std::exchange(next_, tail.next_);
     for (const Record& record : tail.records_) {
       const auto found = newest_.find(record.key_);
       if (found == newest_.end() || found->second < record.offset_) {
@@ -102,9 +102,19 @@
         hooks_.on_record_(record);
       }
     }
-    // A read without records was held for the whole wait, so no record was
-    // accepted before its end.
-    const bool empty = tail.records_.empty();
+    // After an outage, one read may return only the oldest of the records that
+    // were missed. What is still missing may contradict them.
+    if (tail.next_ < tail.end_) {
+      if (tail.next_ > from) {
+        ReadTail();
+      } else {
+        ScheduleAfter(options_.pause_, false);
+      }
+      return;
+    }
+    // A read that returned nothing was held for the whole wait, so no record
+    // was accepted before its end.
+    const bool empty = tail.next_ == from;
     const Millis as_of = empty ? requested_at_ + options_.wait_ : requested_at_;
     hooks_.on_confirmed_(std::min(as_of, boot_.Now()));
     if (empty && options_.wait_ > Millis(0)) {
--- a/src/keyed_log/keyed_log.h
+++ b/src/keyed_log/keyed_log.h
@@ -26,10 +26,13 @@
   LogOffset end_;  // end of the log when the page was read
 };
 
-// Records ordered by offset.
+// Records ordered by offset. A read is limited in size, so the log may have
+// more of them than it returned.
 struct Tail {
   std::vector<Record> records_;
-  LogOffset next_;
+  LogOffset next_;  // where the next read continues
+  // End of the log when it was read.
+  LogOffset end_ = {};
 };
 
 // Reads one log. Each call is answered exactly once, asynchronously, on the
--- a/tests/keyed_follower_test.cc
+++ b/tests/keyed_follower_test.cc
@@ -126,6 +126,38 @@
   CHECK(log.confirmed_ == std::vector<int64_t>{100, 1'100, 1'100});
 }
 
+// A key that had been revoked was served: after an outage, a first part of the
+// missed records counted as all of them.
+TEST_CASE("keyed log: a part of the missed records confirms nothing") {
+  ScriptedLog log;
+  log.now_ = Millis(100);
+  log.pages_.emplace_back(NewestPage{{}, false, LogOffset(0)});
+  log.tails_.emplace_back(
+      Tail{{MakeRecord("a", 0)}, LogOffset(1), LogOffset(3)});
+  log.tails_.emplace_back(
+      Tail{{MakeRecord("a", 1)}, LogOffset(2), LogOffset(4)});
+  log.tails_.emplace_back(Error(ErrorCode::kLogUnavailable));
+  log.tails_.emplace_back(Tail{
+      {MakeRecord("a", 2), MakeRecord("a", 3)}, LogOffset(4), LogOffset(4)});
+  log.Run();
+  // The reads were made at 100, 1,100, 2,100 and 3,100.
+  CHECK(log.confirmed_ == std::vector<int64_t>{100, 3'100});
+  CHECK(log.tail_calls_ == std::vector<int64_t>{0, 1, 2, 2, 4});
+  CHECK(log.events_ ==
+        std::vector<std::string>{"snapshot", "a@0", "a@1", "a@2", "a@3"});
+}
+
+// The upstream registry is read without a wait, and records that concern no key
+// end a read early.
+TEST_CASE("keyed log: a read that returns records of no key ends early") {
+  ScriptedLog log;
+  log.now_ = Millis(100);
+  log.pages_.emplace_back(NewestPage{{}, false, LogOffset(0)});
+  log.tails_.emplace_back(Tail{{}, LogOffset(1), LogOffset(1)});
+  log.Run();
+  CHECK(log.confirmed_ == std::vector<int64_t>{100, 100});
+}
+
 TEST_CASE("keyed log: a failed read is reported and retried without losses") {
   ScriptedLog log;
   log.pages_.emplace_back(Error(ErrorCode::kLogUnavailable));
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -182,6 +182,8 @@
 TEST_CASE(
     "platform: records are decoded, and one without a value removes a key") {
   std::string bytes(16, '\0');
+  bytes[6] = 0x03;  // the log's end, 0x034c
+  bytes[7] = 0x4c;
   bytes += std::string("\0\0\0\x05\x02", 5) + "abXY";
   bytes += std::string("\0\0\0\x03\x02", 5) + "cd";
   const auto read = DecodeTail(LogOffset(840), bytes);
@@ -193,6 +195,7 @@
   CHECK_FALSE(read.value().records_[1].value_.has_value());
   CHECK(read.value().records_[1].offset_ == LogOffset(841));
   CHECK(read.value().next_ == LogOffset(842));
+  CHECK(read.value().end_ == LogOffset(844));
   CHECK_FALSE(DecodeTail(LogOffset(0), bytes.substr(0, 20)).ok());
   CHECK_FALSE(DecodeTail(LogOffset(0), "short").ok());
 }
