Directory: an entry that was written before the last one is ignored

Cause: the store may carry out a write seconds late. The directory replaced an entry by any later record, also by an earlier heartbeat; seq was not decoded.

Change: entries have a sequence number, and one that is older, by start time and number, than the last one of its upstream is ignored and logged. The number is kept for 60 s after a removal, so that a late heartbeat doesn't bring back a server that has left. Directory::Put() tells an outdated entry from a heartbeat; its tests follow, as strict.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -198,13 +198,20 @@
       LogUnreadable(record, entry.error());
       return;
     }
-    if (directory_.Put(entry.value())) {
-      changed_ = true;
-      log_->Write(LogLine("upstream_changed")
-                      .Add("upstream", record.key_)
-                      .Add("group", entry.value().group_.value())
-                      .Add("draining", entry.value().draining_ ? 1 : 0));
+    const auto change = directory_.Put(entry.value(), boot_.Now());
+    if (change == route::Directory::Change::kNone) {
+      return;
     }
+    const bool is_outdated = change == route::Directory::Change::kOutdated;
+    changed_ = changed_ || !is_outdated;
+    log_->Write(
+        LogLine(is_outdated ? "upstream_entry_outdated" : "upstream_changed")
+            .Add("upstream", record.key_)
+            .Add("group", entry.value().group_.value())
+            .Add("draining", entry.value().draining_ ? 1 : 0)
+            .Add("started_at", entry.value().started_at_)
+            .Add("sequence", entry.value().sequence_)
+            .Add("offset", record.offset_.value()));
   }
 
   // @return the time since the registry was last read up to its end.
--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -2,11 +2,24 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace bergamotscale::route {
 namespace {
 
+// How long the number of an upstream's last entry is kept after its removal; a
+// write that the registry carries out late comes well within it.
+constexpr Millis kRemovedLifetime = Millis(60'000);
+
+// @return whether the entry was written before one with these numbers.
+bool IsBefore(const UpstreamEntry& entry,
+              int64_t started_at,
+              int64_t sequence) {
+  return std::tie(entry.started_at_, entry.sequence_) <
+         std::tie(started_at, sequence);
+}
+
 bool SameUpstream(const UpstreamEntry& a, const UpstreamEntry& b) {
   return a.started_at_ == b.started_at_ && a.group_ == b.group_ &&
          a.ip_ == b.ip_ && a.port_ == b.port_ && a.zone_ == b.zone_ &&
@@ -17,18 +30,46 @@
 
 Directory::Directory(Millis grace_period) : grace_period_(grace_period) {}
 
-bool Directory::Put(const UpstreamEntry& entry) {
+bool Directory::IsOutdated(const UpstreamEntry& entry, Millis now) const {
+  const auto listed = upstreams_.find(entry.id_);
+  if (listed != upstreams_.end()) {
+    const UpstreamEntry& last = listed->second.entry_;
+    return IsBefore(entry, last.started_at_, last.sequence_);
+  }
+  const auto removed = removed_.find(entry.id_);
+  return removed != removed_.end() &&
+         now < removed->second.at_ + kRemovedLifetime &&
+         IsBefore(entry, removed->second.started_at_,
+                  removed->second.sequence_);
+}
+
+Directory::Change Directory::Put(const UpstreamEntry& entry, Millis now) {
+  if (IsOutdated(entry, now)) {
+    return Change::kOutdated;
+  }
+  removed_.erase(entry.id_);
   const auto found = upstreams_.find(entry.id_);
   if (found == upstreams_.end()) {
     upstreams_[entry.id_] = Upstream{entry, false};
-    return true;
+    return Change::kChanged;
   }
   const bool had_expired = std::exchange(found->second.expired_, false);
-  if (SameUpstream(found->second.entry_, entry) && !had_expired) {
-    return false;
-  }
+  const bool is_heartbeat =
+      SameUpstream(found->second.entry_, entry) && !had_expired;
   found->second.entry_ = entry;
-  return true;
+  return is_heartbeat ? Change::kNone : Change::kChanged;
+}
+
+void Directory::Drop(std::map<InstanceId, Upstream>::iterator upstream,
+                     Millis now) {
+  for (auto removed = removed_.begin(); removed != removed_.end();) {
+    removed = now >= removed->second.at_ + kRemovedLifetime
+                  ? removed_.erase(removed)
+                  : std::next(removed);
+  }
+  const UpstreamEntry& last = upstream->second.entry_;
+  removed_[last.id_] = Removed{last.started_at_, last.sequence_, now};
+  upstreams_.erase(upstream);
 }
 
 bool Directory::Remove(const InstanceId& id, Millis now) {
@@ -42,7 +83,7 @@
     found->second.expired_ = true;
     return false;
   }
-  upstreams_.erase(found);
+  Drop(found, now);
   return true;
 }
 
@@ -50,7 +91,7 @@
   std::set<InstanceId> present;
   for (const UpstreamEntry& entry : entries) {
     present.insert(entry.id_);
-    Put(entry);
+    Put(entry, now);
   }
   std::vector<InstanceId> missing;
   for (const auto& [id, upstream] : upstreams_) {
@@ -84,7 +125,7 @@
   bool dropped = false;
   for (auto upstream = upstreams_.begin(); upstream != upstreams_.end();) {
     if (upstream->second.expired_) {
-      upstream = upstreams_.erase(upstream);
+      Drop(upstream++, now);
       dropped = true;
     } else {
       ++upstream;
--- a/src/route/directory.h
+++ b/src/route/directory.h
@@ -28,6 +28,8 @@
   InstanceId id_;
   // Start time in Unix milliseconds; distinguishes incarnations of one id.
   int64_t started_at_ = 0;
+  // Number of this entry among those of its incarnation.
+  int64_t sequence_ = 0;
   GroupId group_;
   std::string ip_;
   uint16_t port_ = 0;
@@ -43,6 +45,9 @@
 // it, so it is kept until a grace period after the registry is available again.
 // Whether the registry or only the path to it was down shows in the other
 // entries: an outage of the registry makes most of them expire.
+// The registry may carry out a write seconds after later ones, so an entry that
+// is older than the last one of its upstream is ignored, also shortly after the
+// upstream was removed.
 // Thread safety: none.
 class Directory {
  public:
@@ -50,10 +55,14 @@
   // the registry is available again.
   explicit Directory(Millis grace_period);
 
+  enum class Change {
+    kNone,      // a heartbeat
+    kChanged,   // anything else changed, or the entry had expired
+    kOutdated,  // ignored: older than the last entry of the upstream
+  };
+
   // Adds or updates an entry.
-  // @return whether anything but the heartbeat time changed, or the entry had
-  // expired.
-  bool Put(const UpstreamEntry& entry);
+  Change Put(const UpstreamEntry& entry, Millis now);
 
   // Handles the removal of an entry from the registry.
   // @return whether the upstream was dropped at once.
@@ -84,7 +93,20 @@
     bool expired_ = false;
   };
 
+  // The last entry of an upstream that was removed.
+  struct Removed {
+    int64_t started_at_ = 0;
+    int64_t sequence_ = 0;
+    Millis at_;
+  };
+
+  // @return whether the entry was written before the last one of its upstream.
+  bool IsOutdated(const UpstreamEntry& entry, Millis now) const;
+  // Forgets the upstream, but keeps the number of its last entry for a while.
+  void Drop(std::map<InstanceId, Upstream>::iterator upstream, Millis now);
+
   const Millis grace_period_;
+  std::map<InstanceId, Removed> removed_;
   std::map<InstanceId, Upstream> upstreams_;
   bool registry_unavailable_ = false;
   bool in_grace_ = false;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -71,6 +71,7 @@
   CHECK(read.value().port_ == 8080);
   CHECK(read.value().draining_);
   CHECK(read.value().started_at_ == 1'700'000'000'123);
+  CHECK(read.value().sequence_ == 4);
 }
 
 TEST_CASE("platform: malformed upstream entries are rejected") {
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -170,18 +170,30 @@
   return entry;
 }
 
+using Change = Directory::Change;
+constexpr Millis kNow = Millis(1);
+
+UpstreamEntry MakeNumbered(int64_t started_at,
+                           int64_t sequence,
+                           bool draining) {
+  UpstreamEntry entry = MakeEntry("a", started_at);
+  entry.sequence_ = sequence;
+  entry.draining_ = draining;
+  return entry;
+}
+
 TEST_CASE("directory: a heartbeat is no change, a restart is one") {
   Directory directory(Millis(2'000));
-  CHECK(directory.Put(MakeEntry("a")));
-  CHECK_FALSE(directory.Put(MakeEntry("a")));
-  CHECK(directory.Put(MakeEntry("a", 2)));
+  CHECK(directory.Put(MakeEntry("a"), kNow) == Change::kChanged);
+  CHECK(directory.Put(MakeEntry("a"), kNow) == Change::kNone);
+  CHECK(directory.Put(MakeEntry("a", 2), kNow) == Change::kChanged);
   CHECK(directory.Entries().size() == 1);
 }
 
 TEST_CASE(
     "directory: an entry removed while the registry is up is dropped at once") {
   Directory directory(Millis(2'000));
-  directory.Put(MakeEntry("a"));
+  directory.Put(MakeEntry("a"), kNow);
   CHECK(directory.Remove(InstanceId("a"), Millis(10)));
   CHECK(directory.Entries().empty());
 }
@@ -189,14 +201,14 @@
 TEST_CASE(
     "directory: entries that expire in an outage last for the grace period") {
   Directory directory(Millis(2'000));
-  directory.Put(MakeEntry("alive"));
-  directory.Put(MakeEntry("dead"));
+  directory.Put(MakeEntry("alive"), kNow);
+  directory.Put(MakeEntry("dead"), kNow);
   directory.OnRegistryUnavailable();
   directory.OnRegistryAvailable(Millis(10'000));
   CHECK_FALSE(directory.Remove(InstanceId("alive"), Millis(10'010)));
   CHECK_FALSE(directory.Remove(InstanceId("dead"), Millis(10'010)));
   CHECK(directory.Entries().size() == 2);
-  directory.Put(MakeEntry("alive"));
+  directory.Put(MakeEntry("alive"), Millis(10'020));
   CHECK_FALSE(directory.Expire(Millis(11'999)));
   CHECK(directory.Expire(Millis(12'000)));
   REQUIRE(directory.Entries().size() == 1);
@@ -207,7 +219,7 @@
   Directory directory(Millis(2'000));
   UpstreamEntry entry = MakeEntry("a");
   entry.draining_ = true;
-  directory.Put(entry);
+  directory.Put(entry, kNow);
   directory.OnRegistryUnavailable();
   directory.OnRegistryAvailable(Millis(10));
   CHECK(directory.Remove(InstanceId("a"), Millis(20)));
@@ -215,12 +227,61 @@
 
 TEST_CASE("directory: Replace() removes the entries that it does not contain") {
   Directory directory(Millis(2'000));
-  directory.Put(MakeEntry("a"));
-  directory.Put(MakeEntry("b"));
+  directory.Put(MakeEntry("a"), kNow);
+  directory.Put(MakeEntry("b"), kNow);
   directory.Replace({MakeEntry("b"), MakeEntry("c")}, Millis(5));
   REQUIRE(directory.Entries().size() == 2);
   CHECK(directory.Entries()[0].id_ == InstanceId("b"));
 }
 
+// A heartbeat that the registry carried out seconds late made a draining
+// upstream ready again; orders went there and were cut off by its exit.
+TEST_CASE("directory: a late heartbeat doesn't end the draining") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeNumbered(1, 2, false), kNow);
+  CHECK(directory.Put(MakeNumbered(1, 6, true), kNow) == Change::kChanged);
+  CHECK(directory.Put(MakeNumbered(1, 3, false), kNow) == Change::kOutdated);
+  REQUIRE(directory.Entries().size() == 1);
+  CHECK(directory.Entries()[0].draining_);
+  // In a list of the newest records as well.
+  directory.Replace({MakeNumbered(1, 3, false)}, kNow);
+  REQUIRE(directory.Entries().size() == 1);
+  CHECK(directory.Entries()[0].draining_);
+  CHECK(directory.Put(MakeNumbered(1, 7, true), kNow) == Change::kNone);
+}
+
+TEST_CASE("directory: a late entry of an earlier incarnation is ignored") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeNumbered(1, 90, true), kNow);
+  CHECK(directory.Put(MakeNumbered(2, 1, false), kNow) == Change::kChanged);
+  CHECK(directory.Put(MakeNumbered(1, 91, true), kNow) == Change::kOutdated);
+  REQUIRE(directory.Entries().size() == 1);
+  CHECK_FALSE(directory.Entries()[0].draining_);
+  CHECK(directory.Entries()[0].started_at_ == 2);
+}
+
+TEST_CASE("directory: a late heartbeat doesn't bring a removed upstream back") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeNumbered(1, 6, true), kNow);
+  CHECK(directory.Remove(InstanceId("a"), Millis(3'000)));
+  CHECK(directory.Put(MakeNumbered(1, 3, false), Millis(8'000)) ==
+        Change::kOutdated);
+  CHECK(directory.Entries().empty());
+  // The upstream itself registers again.
+  CHECK(directory.Put(MakeNumbered(1, 7, false), Millis(8'000)) ==
+        Change::kChanged);
+  CHECK(directory.Entries().size() == 1);
+}
+
+TEST_CASE("directory: the number of a removed upstream is kept for a while") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeNumbered(1, 6, false), kNow);
+  CHECK(directory.Remove(InstanceId("a"), Millis(3'000)));
+  CHECK(directory.Put(MakeNumbered(1, 3, false), Millis(62'999)) ==
+        Change::kOutdated);
+  CHECK(directory.Put(MakeNumbered(1, 3, false), Millis(63'000)) ==
+        Change::kChanged);
+}
+
 }  // namespace
 }  // namespace bergamotscale::route
