Gateway: all that is in progress at the end of a stop gets an answer

Cause: at the end of the grace time the event loop was stopped, and exchanges that waited for admission, an upstream or a response went with it, as did requests that were half read.

Change: 300 ms before the end of the grace time every exchange ends with a response: 503 with Retry-After if it can't have run, 502 if it may have; streams are broken off. Half-read requests get 503. The process ends with its last connection, 100 ms before the end of the grace time at the latest.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -110,6 +110,9 @@
 
   void Start() {
     context_.metrics_.Add("bergamot_gateway_requests");
+    context_.end_exchange_[number_] = [self = shared_from_this()] {
+      self->Fail(kStopping);
+    };
     context_.link_budget_.RecordReceived(RequestBytes() + kHeaderBytes, Now());
     if (info_.id_.empty()) {
       Reject(kStatusBadRequest, "no request id", false);
@@ -951,7 +954,7 @@
   // Never shorter than the time for which all upstreams asked for no requests.
   Millis RetryAfter() const {
     if (context_.stop_.is_stopping()) {
-      return kRetryAfterStop;
+      return std::max(kRetryAfterStop, upstream_pause_);
     }
     Millis wait = kRetryAfter;
     if (info_.patience_ > Millis(0)) {
@@ -983,6 +986,7 @@
       return;
     }
     ended_ = true;
+    context_.end_exchange_.erase(number_);
     ReleaseUpstream(CallOutcome::kCancelled);
     if (is_queued_) {
       context_.admission_.Dequeue(admission_id_);
@@ -1048,6 +1052,15 @@
           limits.idle_timeout_};
 }
 
+void EndAllExchanges(ExchangeContext& context) {
+  // Each exchange removes itself.
+  const auto all = std::move(context.end_exchange_);
+  context.end_exchange_.clear();
+  for (const auto& [number, end] : all) {
+    end();
+  }
+}
+
 web::CallerHooks StartExchange(ExchangeContext& context,
                                web::IncomingRequest call,
                                std::shared_ptr<web::Responder> responder) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #define BERGAMOTSCALE_SRC_GATEWAY_EXCHANGE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -56,6 +57,8 @@
   int64_t num_calls_ = 0;
   policy::ServiceTime service_time_ = {};
   policy::StopDeadline stop_ = {};
+  // The exchanges in progress, by their numbers: ends one with a response.
+  std::map<int64_t, std::function<void()>> end_exchange_ = {};
 };
 
 // @return the session limits for these caller limits. Thread safety: safe.
@@ -67,6 +70,11 @@
                                web::IncomingRequest call,
                                std::shared_ptr<web::Responder> responder);
 
+// Ends all exchanges: what was not run is rejected with a Retry-After, what may
+// have run gets an error, and streams are broken off.
+// Thread safety: use from the traffic thread.
+void EndAllExchanges(ExchangeContext& context);
+
 }  // namespace bergamotscale::gateway
 
 #endif  // BERGAMOTSCALE_SRC_GATEWAY_EXCHANGE_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,7 +40,8 @@
 constexpr Millis kAcceptWhileStopping = Millis(3'000);
 // Parts of the grace time that are reserved for the last responses and the exit
 // of the process.
-constexpr Millis kStopMargin = Millis(300);
+constexpr Millis kLastResponsesTime = Millis(200);
+constexpr Millis kExitTime = Millis(100);
 constexpr Millis kStopCheckInterval = Millis(20);
 // Interval for flushing the log and updating the load shedding.
 constexpr Millis kMaintenanceInterval = Millis(200);
@@ -501,14 +502,24 @@
 
   void CheckStop() {
     const Millis since = boot_.Now() - stop_began_;
-    const Millis ends = settings_.stop_grace_ - kStopMargin;
+    const Millis exit = settings_.stop_grace_ - kExitTime;
+    const Millis ends = exit - kLastResponsesTime;
     context_.stop_.Set(stop_began_ + kAcceptWhileStopping, stop_began_ + ends);
-    if (since >= kAcceptWhileStopping) {
+    const bool is_ending = since >= ends;
+    if (since >= kAcceptWhileStopping || is_ending) {
       callers_.StopAccepting();
       callers_.CloseIdle();
     }
-    const bool idle = since >= kAcceptWhileStopping && callers_.sessions() == 0;
-    if (idle || since >= ends) {
+    // After a pause of the process, the responses are still written first.
+    const bool may_exit = ending_ && since >= exit;
+    if (is_ending) {
+      ending_ = true;
+      EndAllExchanges(context_);
+      callers_.RejectUnread();
+    }
+    const bool idle = (since >= kAcceptWhileStopping || is_ending) &&
+                      callers_.sessions() == 0;
+    if (idle || may_exit) {
       sessions_cut_ = callers_.sessions();
       io_.stop();
       return;
@@ -554,6 +565,7 @@
   std::string not_ready_reason_;
   bool readiness_logged_ = false;
   bool stopping_ = false;
+  bool ending_ = false;  // the last responses are written
   Millis stop_began_;
   size_t sessions_cut_ = 0;
 };
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -26,6 +26,10 @@
 constexpr int kStatusTimeout = 408;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
+constexpr int kStatusUnavailable = 503;
+// Retry-After, in seconds, of a request that was rejected while it was read:
+// other processes can take it.
+constexpr char kRetryAfter[] = "0.1";
 // The source pauses while more than this is buffered for the caller.
 constexpr size_t kWriteHighWater = size_t{256} << 10;
 // Time for which input is still read after a rejection, so that closing the
@@ -65,6 +69,13 @@
     }
   }
 
+  void RejectUnread() {
+    const bool is_reading = parser_.has_value() && !closed_ && !refused_;
+    if (is_reading) {
+      Refuse(kStatusUnavailable, "the process is stopping");
+    }
+  }
+
   // Methods of Responder for the request in progress.
   void Reply(int status, HeaderList headers, std::string body) {
     if (closed_) {
@@ -324,6 +335,9 @@
     hooks_.on_refused_(status, reason);
     HeaderList headers;
     headers.Add("Content-Type", "text/plain");
+    if (status == kStatusUnavailable) {
+      headers.Add("Retry-After", kRetryAfter);
+    }
     Reply(status, headers, reason + "\n");
   }
 
@@ -521,6 +535,10 @@
   impl_->Start();
 }
 
+void CallerSession::RejectUnread() {
+  impl_->RejectUnread();
+}
+
 void CallerSession::CloseIfIdle() {
   impl_->CloseIfIdle();
 }
--- a/src/web/caller_session.h
+++ b/src/web/caller_session.h
@@ -67,7 +67,7 @@
   // on the request, and returns its hooks.
   std::function<CallerHooks(IncomingRequest, std::shared_ptr<Responder>)>
       on_request_;
-  // The session itself rejected a malformed request.
+  // The session itself rejected a request that it could not read.
   std::function<void(int status, const std::string& reason)> on_refused_;
   std::function<void()> on_closed_;
   // @return whether the process is stopping: responses then close the
@@ -88,6 +88,8 @@
   void Start();
   // Closes the connection if no request is in progress.
   void CloseIfIdle();
+  // Rejects a request that was not read as a whole, with 503.
+  void RejectUnread();
 
  private:
   class Impl;
--- a/src/web/listener.cc
+++ b/src/web/listener.cc
@@ -81,20 +81,24 @@
     accept_timer_.cancel();
   }
 
+  void CloseIdle() { ForEachSession(&CallerSession::CloseIfIdle); }
+
+  void RejectUnread() { ForEachSession(&CallerSession::RejectUnread); }
+
+  size_t sessions() const { return sessions_.size(); }
+
+ private:
   // Iterates over a copy, because closing a session removes it from the map.
-  void CloseIdle() {
+  void ForEachSession(void (CallerSession::*act)()) {
     std::vector<CallerSession*> all;
     for (const auto& [number, session] : sessions_) {
       all.push_back(session.get());
     }
     for (CallerSession* session : all) {
-      session->CloseIfIdle();
+      (session->*act)();
     }
   }
 
-  size_t sessions() const { return sessions_.size(); }
-
- private:
   void Accept() {
     acceptor_.async_accept([self = shared_from_this()](const error_code& error,
                                                        tcp::socket socket) {
@@ -199,6 +203,10 @@
   impl_->CloseIdle();
 }
 
+void Listener::RejectUnread() {
+  impl_->RejectUnread();
+}
+
 size_t Listener::sessions() const {
   return impl_->sessions();
 }
--- a/src/web/listener.h
+++ b/src/web/listener.h
@@ -37,6 +37,9 @@
   void StopAccepting();
   // Closes the sessions without a request in progress.
   void CloseIdle();
+  // Rejects the requests that were not read as a whole, with 503. The process
+  // ends soon.
+  void RejectUnread();
   // @return the number of open sessions.
   size_t sessions() const;
 
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -164,5 +164,61 @@
   CHECK(served > 0);
 }
 
+// Requests that waited for an engine were dropped without an answer when the
+// process ended.
+TEST_CASE("gateway stop: requests that are held get an answer") {
+  constexpr int kHeld = 6;
+  StopBench bench;
+  const auto make_plan = [](const std::string& id) {
+    CallerRequest plan;
+    plan.path_ = "/resume/1";
+    plan.id_ = id;
+    plan.patience_ = Millis(8'000);
+    plan.headers_ =
+        "X-Work-Ms: 20000\r\n"
+        "X-Bergamotscale-Token-Counts: 17020,120\r\n"
+        "X-Bergamotscale-Prefix-Hash: 5c1e07a2:13300," +
+        id + ":3720\r\n";
+    plan.body_ = std::string(17'000, 'p');
+    return plan;
+  };
+  std::vector<CallerRequest> requests;
+  std::vector<CallerAnswer> answers(kHeld + 1);
+  std::vector<std::thread> clients;
+  for (int i = 0; i <= kHeld; ++i) {
+    requests.push_back(make_plan("plan" + std::to_string(i)));
+  }
+  const auto send = [&](int i) {
+    clients.emplace_back([&, i] {
+      const auto wire = Wire::Open(bench.gateway_.address());
+      if (wire != nullptr) {
+        answers[i] = Exchange(*wire, requests[i]);
+      }
+    });
+    SleepFor(Millis(100));
+  };
+  // The engine has a prompt to read, so the gateway holds the others.
+  send(0);
+  bench.gateway_.Signal(SIGTERM);
+  for (int i = 1; i <= kHeld; ++i) {
+    send(i);
+  }
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int held = 0;
+  for (int i = 0; i <= kHeld; ++i) {
+    CAPTURE(i);
+    CHECK(answers[i].is_whole_);
+    if (bench.RunsOf(requests[i].id_) == 0) {
+      ++held;
+      CHECK(answers[i].status_ == 503);
+      CHECK(HeaderOf(answers[i].head_, "Retry-After") != "");
+    }
+  }
+  CHECK(held > 0);
+}
+
 }  // namespace
 }  // namespace bergamotscale::tests
