Web: a response to HEAD ends with its head

Cause: Reply() set the length to 0 and left the body in the message. On a route of streams, chunks followed the head as well.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -84,12 +84,11 @@
     responded_ = true;
     auto message = std::make_shared<http::response<http::string_body>>();
     FillHead(&message->base(), status, headers);
-    message->body() = std::move(body);
-    if (is_head_request_) {
-      message->content_length(0);
-    } else {
-      message->content_length(message->body().size());
+    // A response to HEAD ends with its head.
+    if (!is_head_request_) {
+      message->body() = std::move(body);
     }
+    message->content_length(message->body().size());
     http::async_write(socket_, *message,
                       [self = shared_from_this(), message](
                           const error_code& error, size_t /*bytes*/) {
@@ -103,8 +102,10 @@
     }
     http::response_header<> head;
     FillHead(&head, status, headers);
-    chunked_ = version_ == 11;
-    if (chunked_) {
+    chunked_ = version_ == 11 && !is_head_request_;
+    if (is_head_request_) {
+      // Neither a length nor a body follows.
+    } else if (chunked_) {
       head.set(http::field::transfer_encoding, "chunked");
     } else {
       keeps_open_ = false;
@@ -129,7 +130,7 @@
     if (closed_) {
       return true;
     }
-    if (!bytes.empty()) {
+    if (!bytes.empty() && !is_head_request_) {
       AppendChunk(bytes);
       Flush();
     }
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -759,6 +759,36 @@
   CHECK(answers.find("one") < answers.find("two"));
 }
 
+// The text of a rejection stood where the next response begins.
+TEST_CASE("gateway: a response to HEAD ends with its head") {
+  RawServer server([](int, const std::string& request, auto& socket) {
+    const bool is_stream = request.find(" /stream/") != std::string::npos;
+    std::string answer = is_stream ? StreamHead() : GatewayBench::Answer("");
+    Write(socket, answer);
+    return true;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  for (const std::string path : {"/none/1", "/read/1", "/stream/1"}) {
+    CAPTURE(path);
+    std::string head = GatewayBench::Request(path);
+    head.replace(0, 4, "HEAD");
+    caller.Send(head);
+  }
+  caller.Send(GatewayBench::Request("/none/2"));
+  const std::string answers = caller.ReadUntil("no such route");
+  std::vector<std::string> starts;
+  for (size_t at = 0; (at = answers.find("HTTP/1.1 ", at)) != answers.npos;
+       ++at) {
+    const bool follows_head =
+        at == 0 || answers.compare(at - 4, 4, "\r\n\r\n") == 0;
+    CHECK(follows_head);
+    starts.push_back(answers.substr(at + 9, 3));
+  }
+  CHECK(starts == std::vector<std::string>{"404", "200", "200", "404"});
+}
+
 TEST_CASE("gateway: without an upstream the caller soon gets 503") {
   GatewayBench bench;
   bench.SetUpstreams({});
