Web: a stream to an HTTP/1.0 caller ends with its connection

Callers saw: nothing; found while reading Reply()'s neighbours. A caller that speaks HTTP/1.0 waited for the end of a stream until its own timeout.

Cause: without chunks there is no last chunk to write, so when all events were already written, nothing led to the close.

Evidence: "gateway: a stream to an HTTP/1.0 caller ends with its connection" fails with the former code and passes now.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -147,6 +147,12 @@
       pending_output_ += "0\r\n\r\n";
     }
     Flush();
+    // Without a last chunk, everything may have been written already.
+    if (!writing_) {
+      boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->OnResponseWritten({});
+      });
+    }
   }
 
   void Abort() { Close(); }
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -759,6 +759,30 @@
   CHECK(answers.find("one") < answers.find("two"));
 }
 
+// The connection stayed open, and the caller waited for more events.
+TEST_CASE("gateway: a stream to an HTTP/1.0 caller ends with its connection") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    Write(socket, "0\r\n\r\n");
+    return true;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  std::string request = GatewayBench::Request("/stream/1");
+  request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  caller.Send(request);
+  auto all = std::async(std::launch::async, [&] { return caller.ReadAll(); });
+  // Well below the idle timeout.
+  const bool ended =
+      all.wait_for(std::chrono::seconds(3)) == std::future_status::ready;
+  CHECK(ended);
+  if (!ended) {
+    caller.Shutdown();
+  }
+}
+
 // The text of a rejection stood where the next response begins.
 TEST_CASE("gateway: a response to HEAD ends with its head") {
   RawServer server([](int, const std::string& request, auto& socket) {
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -39,6 +39,11 @@
   }
   std::string ReadAll() { return ReadUntil("\x01never"); }
   void Close() { socket_.close(); }
+  // Ends a read in another thread.
+  void Shutdown() {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  }
 
  private:
   boost::asio::io_context io_;
