Settings: bounds may be fractions, and may be missing

Operators saw: with grace_s 8.0 (as the site files write it) or 7.5, fractional windows or milliseconds, the gateway ended at every start; at a reload the settings were refused.

Cause: the template appended 000 to seconds, and durations had to be integers.

Change: durations may be fractions, rounded down to milliseconds; stop_grace_s and retries.window_s take seconds. stop_grace_ms and window_ms stay. The fields of "retries" are optional like all others.

--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -12,10 +12,13 @@
 constexpr double kMaxLinkMbps = 1e6;
 
 void ReadRetries(FieldReader& reader, policy::RetryBounds* bounds) {
-  reader.Number("ratio", FieldReader::Need::kRequired, 0, 10, &bounds->ratio_);
-  reader.Number("extra", FieldReader::Need::kRequired, 0, 1e6, &bounds->extra_);
-  reader.Duration("window_ms", FieldReader::Need::kRequired, Millis(100),
-                  kMaxBound, &bounds->window_);
+  constexpr auto kOptional = FieldReader::Need::kOptional;
+  reader.Number("ratio", kOptional, 0, 10, &bounds->ratio_);
+  reader.Number("extra", kOptional, 0, 1e6, &bounds->extra_);
+  reader.Duration("window_ms", kOptional, Millis(100), kMaxBound,
+                  &bounds->window_);
+  reader.Seconds("window_s", kOptional, Millis(100), kMaxBound,
+                 &bounds->window_);
 }
 
 auto ReloadableFields(const GatewaySettings& settings) {
@@ -48,6 +51,8 @@
                   &settings->max_drain_delay_);
   reader.Duration("stop_grace_ms", kOptional, Millis(100), kMaxBound,
                   &settings->stop_grace_);
+  reader.Seconds("stop_grace_s", kOptional, Millis(100), kMaxBound,
+                 &settings->stop_grace_);
   reader.Integer("max_descriptors", kOptional, 64, kMaxDescriptors,
                  &settings->max_descriptors_);
   reader.Number("link_mbps", kOptional, 0, kMaxLinkMbps, &settings->link_mbps_);
--- a/src/settings/field_reader.cc
+++ b/src/settings/field_reader.cc
@@ -142,9 +142,30 @@
                            Millis minimum,
                            Millis maximum,
                            Millis* target) {
-  int64_t count = target->count();
-  Integer(key, need, minimum.count(), maximum.count(), &count);
-  *target = Millis(count);
+  ReadTime(key, need, 1, minimum, maximum, target);
+}
+
+void FieldReader::Seconds(const char* key,
+                          Need need,
+                          Millis minimum,
+                          Millis maximum,
+                          Millis* target) {
+  constexpr double kMillisPerSecond = 1'000;
+  ReadTime(key, need, kMillisPerSecond, minimum, maximum, target);
+}
+
+void FieldReader::ReadTime(const char* key,
+                           Need need,
+                           double unit_ms,
+                           Millis minimum,
+                           Millis maximum,
+                           Millis* target) {
+  double value = static_cast<double>(target->count()) / unit_ms;
+  Number(key, need, static_cast<double>(minimum.count()) / unit_ms,
+         static_cast<double>(maximum.count()) / unit_ms, &value);
+  // Decimal fractions have no exact value, so 0.29 s is a little less.
+  constexpr double kTolerance = 1e-6;
+  *target = Millis(static_cast<int64_t>(value * unit_ms + kTolerance));
 }
 
 void FieldReader::Strings(const char* key,
--- a/src/settings/field_reader.h
+++ b/src/settings/field_reader.h
@@ -64,11 +64,17 @@
               double minimum,
               double maximum,
               double* target);
+  // Read a number of milliseconds or seconds, rounded down to milliseconds.
   void Duration(const char* key,
                 Need need,
                 Millis minimum,
                 Millis maximum,
                 Millis* target);
+  void Seconds(const char* key,
+               Need need,
+               Millis minimum,
+               Millis maximum,
+               Millis* target);
   void Strings(const char* key, Need need, std::vector<std::string>* target);
 
   // Calls read for a nested object and then Finish() of the nested reader.
@@ -87,6 +93,12 @@
   void Finish();
 
  private:
+  void ReadTime(const char* key,
+                Need need,
+                double unit_ms,
+                Millis minimum,
+                Millis maximum,
+                Millis* target);
   const nlohmann::json* Find(const char* key, Need need);
   std::string MakePath(const std::string& key) const;
 
