Gateway: the bytes of all requests and responses share a memory budget

Callers saw (report of other operators): upstreams that sent without end used up the memory of the machine that had called them, and all its requests ended.

Cause: every limit stood for one request; nothing bounded their sum, and the process did not know its own limit.

Change: limits.memory_mb goes into the settings. policy::BufferBudget gives up the heaviest buffer when kept responses, partial events, requests and unread output exceed 0.4 of it; responses without a length weigh four times, requests once. What is given up is logged and counted. Freed large buffers return to the system at once.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <xxhash.h>
+#include <boost/asio/post.hpp>
 
 #include "src/gateway/event_splitter.h"
 #include "src/gateway/retry_rule.h"
@@ -54,6 +55,7 @@
 // Approximate size of a request's headers on the link.
 constexpr Bytes kHeaderBytes = Bytes(600);
 
+constexpr char kNoMemory[] = "no memory for the request";
 constexpr char kStopping[] = "this gateway is stopping";
 
 std::string FormatSeconds(Millis time) {
@@ -161,6 +163,7 @@
       }
     }
     splitter_.set_last_id(info_.last_event_id_);
+    OpenRequestAccount();
     context_.retry_budget_.OnRequest(group_, Now());
     StartDeadline();
     FindUpstream();
@@ -263,6 +266,63 @@
         context_.service_time_.LongestUsual(route_->name_), TimeLeft(), Now());
   }
 
+  // @return a hook that acts later, as accounts must not change in it.
+  template <typename Act>
+  std::function<void()> GiveUpHook(Act act) {
+    return [weak = weak_from_this(), act] {
+      if (const auto self = weak.lock()) {
+        boost::asio::post(self->context_.io_, [self, act] {
+          if (!self->ended_) {
+            act(*self);
+          }
+        });
+      }
+    };
+  }
+
+  void OpenRequestAccount() {
+    if (context_.buffers_ != nullptr && !call_.body_.empty()) {
+      request_account_.emplace(
+          *context_.buffers_, policy::BufferUse::kRequest,
+          GiveUpHook([](Exchange& self) { self.OnRequestGivenUp(); }));
+      request_account_->SetSize(call_.body_.size());
+    }
+  }
+
+  // A request that is being served does without the copy for a retry.
+  void OnRequestGivenUp() {
+    if (sends_ > 0 && connection_ != nullptr) {
+      DropRequestBody();
+    } else {
+      Fail(kNoMemory);
+    }
+  }
+
+  void DropRequestBody() {
+    request_dropped_ = true;
+    std::string().swap(call_.body_);
+    request_account_.reset();
+  }
+
+  void OpenResponseAccount() {
+    response_account_.reset();
+    if (context_.buffers_ != nullptr) {
+      response_account_.emplace(
+          *context_.buffers_, policy::BufferUse::kUnboundedResponse,
+          GiveUpHook([send = sends_](Exchange& self) {
+            if (self.holds_upstream_ && self.sends_ == send) {
+              self.OnOverlong("no memory for the response");
+            }
+          }));
+    }
+  }
+
+  void CountResponse(size_t size) {
+    if (response_account_.has_value()) {
+      response_account_->SetSize(size);
+    }
+  }
+
   void StartDeadline() {
     deadline_timer_.StartDeadlineTimer(time_limit_,
                                        [self = shared_from_this()] {
@@ -504,10 +564,14 @@
         context_.header_codec_.encode_headers_(call_.headers_, info);
     const bool may_retry = sends_ + 1 < kMaxSends;
     outgoing.body_ = may_retry ? call_.body_ : std::move(call_.body_);
+    if (!may_retry) {
+      request_account_.reset();
+    }
     ++sends_;
     ++executions_;
     body_.clear();
     body_size_ = 0;
+    OpenResponseAccount();
     Log("send")
         .Add("route", route_->name_)
         .Add("upstream", choice_.upstream_.id_.value())
@@ -598,7 +662,12 @@
   }
 
   // MatchesRequest() has already decoded the headers.
-  void OnHead(const web::ResponseHead& head) { response_head_ = head; }
+  void OnHead(const web::ResponseHead& head) {
+    response_head_ = head;
+    if (response_account_.has_value() && head.has_length_) {
+      response_account_->SetUse(policy::BufferUse::kResponse);
+    }
+  }
 
   // @return whether the response is forwarded as it arrives.
   bool IsStreamed() const {
@@ -629,6 +698,7 @@
       return KeepBody(bytes);
     }
     std::string events = splitter_.ExtractEvents(bytes);
+    CountResponse(splitter_.remainder_size());
     if (splitter_.remainder_size() > kMaxEvent) {
       OnOverlong("event without end");
       return false;
@@ -650,6 +720,7 @@
     const bool authentic = IsAuthentic();
     if (authentic) {
       body_ += bytes;
+      CountResponse(body_.size());
     }
     body_size_ += bytes.size();
     if (body_size_ > (authentic ? kMaxWholeResponse : kMaxUnusedBody)) {
@@ -663,7 +734,8 @@
   void OnOverlong(const char* reason) {
     pause_timer_.Cancel();
     context_.metrics_.Add("bergamot_gateway_overlong_answers");
-    body_.clear();
+    std::string().swap(body_);
+    response_account_.reset();
     if (IsRejection()) {
       HandleRejection(reason);
       return;
@@ -877,7 +949,9 @@
     // Drops the incomplete event, which the next upstream sends again.
     splitter_.ExtractRemainder();
     const bool blocked = FindQuarantine() != nullptr;
-    const bool can_resume = !response_started_ || !splitter_.last_id().empty();
+    const bool can_resume =
+        (!response_started_ || !splitter_.last_id().empty()) &&
+        !request_dropped_;
     const bool retry = !caller_left_ && !blocked && can_resume &&
                        ChooseNextStep(failed) == NextStep::kRetry &&
                        context_.retry_budget_.TryRetry(group_, Now());
@@ -994,6 +1068,8 @@
     deadline_timer_.Cancel();
     pause_timer_.Cancel();
     responder_.reset();
+    request_account_.reset();
+    response_account_.reset();
   }
 
   ExchangeContext& context_;
@@ -1019,6 +1095,8 @@
   web::ResponseHead response_head_;
   ResponseInfo response_info_;
   EventSplitter splitter_;
+  std::optional<policy::BufferBudget::Account> request_account_;
+  std::optional<policy::BufferBudget::Account> response_account_;
   std::string body_;
   size_t body_size_ = 0;  // of the response so far, kept or not
   Millis sent_at_;
@@ -1040,6 +1118,7 @@
   bool reused_ = false;       // the connection of the latest send
   bool has_events_ = false;   // of the latest send
   bool is_answered_ = false;  // the upstream of the latest send has answered
+  bool request_dropped_ = false;  // the copy of its body for a retry
   bool was_suspect_ = false;
   bool caller_left_ = false;
   bool ended_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -15,6 +15,7 @@
 #include "src/gateway/header_codec.h"
 #include "src/gateway/upstream_set.h"
 #include "src/metrics/metrics.h"
+#include "src/policy/buffer_budget.h"
 #include "src/policy/link_budget.h"
 #include "src/policy/part_quarantine.h"
 #include "src/policy/quarantine.h"
@@ -57,6 +58,8 @@
   int64_t num_calls_ = 0;
   policy::ServiceTime service_time_ = {};
   policy::StopDeadline stop_ = {};
+  // Bounds what exchanges keep in memory; may be null. Must outlive them.
+  policy::BufferBudget* buffers_ = nullptr;
   // The exchanges in progress, by their numbers: ends one with a response.
   std::map<int64_t, std::function<void()>> end_exchange_ = {};
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -56,6 +56,10 @@
 // One Mbit/s in bytes per millisecond.
 constexpr double kBytesPerMsPerMbps = 125;
 constexpr double kKbpsPerMbps = 1'000;
+constexpr double kBytesPerMb = 1e6;
+// Share of the memory that requests and responses may use; sockets, tables,
+// logs and the program itself need the rest.
+constexpr double kBufferShare = 0.4;
 // Assumed number of gateways that share the retry budget while no peers are
 // known.
 constexpr int kInitialMembers = 10;
@@ -78,6 +82,8 @@
  public:
   explicit Impl(GatewayParts parts)
       : settings_(std::move(parts.settings_)),
+        buffers_(Bytes(static_cast<int64_t>(settings_.memory_mb_ * kBytesPerMb *
+                                            kBufferShare))),
         header_codec_(std::move(parts.header_codec_)),
         log_(STDOUT_FILENO, Clock::Wall()),
         upstreams_(io_, boot_, settings_.zone_),
@@ -124,6 +130,10 @@
                 settings_,
                 MakeReloadHooks(std::move(parts.reload_)),
                 &log_) {
+    context_.buffers_ = &buffers_;
+    buffers_.SetGiveUpHook([this](policy::BufferUse use, size_t size) {
+      OnBufferGivenUp(use, size);
+    });
     retry_budget_.SetMembers(kInitialMembers);
     part_quarantine_.SetChangeHook(
         [this](const policy::SuspectParts& parts) { OnPartChange(parts); });
@@ -288,6 +298,16 @@
                  change.size_);
   }
 
+  void OnBufferGivenUp(policy::BufferUse use, size_t size) {
+    metrics_.Add("bergamot_gateway_buffers_given_up",
+                 policy::BufferUseName(use));
+    log_.Write(LogLine("buffer_given_up")
+                   .Add("use", policy::BufferUseName(use))
+                   .Add("bytes", static_cast<int64_t>(size))
+                   .Add("held_bytes", static_cast<int64_t>(buffers_.held()))
+                   .Add("limit_bytes", buffers_.limit().count()));
+  }
+
   void BroadcastSuspects() {
     if (peers_ != nullptr) {
       peers_->SendUpdateSoon();
@@ -335,6 +355,7 @@
     // While the gateway sheds load, closed connections make callers use other
     // gateways.
     hooks.stopping_ = [this] { return stopping_ || shedding_.is_shedding(); };
+    hooks.buffers_ = &buffers_;
     return hooks;
   }
 
@@ -366,6 +387,8 @@
                    static_cast<double>(callers_.sessions()));
       metrics_.Set("bergamot_gateway_connections_opened", "",
                    static_cast<double>(upstreams_.connections_opened()));
+      metrics_.Set("bergamot_gateway_buffered_bytes", "",
+                   static_cast<double>(buffers_.held()));
       metrics_.Set("bergamot_gateway_log_lines_dropped", "",
                    static_cast<double>(log_.dropped()));
       responder.Reply(kStatusOk, headers, metrics_.Render());
@@ -533,6 +556,8 @@
   }
 
   GatewaySettings settings_;
+  // Exchanges and sessions are held by the handlers of io_ and refer to it.
+  policy::BufferBudget buffers_;
   const HeaderCodec header_codec_;
   const Clock boot_ = Clock::Boot();
   boost::asio::io_context io_{1};
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -10,6 +10,7 @@
 constexpr Millis kMaxBound = Millis(600'000);
 constexpr int kMaxDescriptors = 1'000'000;
 constexpr double kMaxLinkMbps = 1e6;
+constexpr double kMaxMemoryMb = 1e6;
 
 void ReadRetries(FieldReader& reader, policy::RetryBounds* bounds) {
   constexpr auto kOptional = FieldReader::Need::kOptional;
@@ -55,6 +56,7 @@
                  &settings->stop_grace_);
   reader.Integer("max_descriptors", kOptional, 64, kMaxDescriptors,
                  &settings->max_descriptors_);
+  reader.Number("memory_mb", kOptional, 0, kMaxMemoryMb, &settings->memory_mb_);
   reader.Number("link_mbps", kOptional, 0, kMaxLinkMbps, &settings->link_mbps_);
   reader.Object("retries", kOptional, [settings](FieldReader& nested) {
     ReadRetries(nested, &settings->retries_);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -40,6 +40,8 @@
   policy::RetryBounds retries_;
   // Limit of open sockets and files of the process.
   int max_descriptors_ = 1'024;
+  // Limit of the memory of the process, in MB; zero if unknown.
+  double memory_mb_ = 0;
   // Bandwidth of this machine's link in each direction; zero if unknown.
   double link_mbps_ = 0;
 };
--- /dev/null
+++ b/src/policy/buffer_budget.h
@@ -0,0 +1,89 @@
+// Bounds the bytes that a process keeps in memory for requests and responses.
+#ifndef BERGAMOTSCALE_SRC_POLICY_BUFFER_BUDGET_H_
+#define BERGAMOTSCALE_SRC_POLICY_BUFFER_BUDGET_H_
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <utility>
+
+#include "bergamotscale/units.h"
+
+namespace bergamotscale::policy {
+
+// What a buffer holds.
+enum class BufferUse {
+  kUnboundedResponse,  // of an upstream that announced no length
+  kResponse,           // of an upstream that announced a length
+  kOutput,             // for a caller that hasn't read it yet
+  kRequest,            // of a caller
+};
+
+// @return the use as it is logged and counted.
+const char* BufferUseName(BufferUse use);
+
+// Limits on single requests don't bound the memory of the process: a hundred
+// upstreams that sent without end at once, each within the limit of a response,
+// used up all of it. When the buffers together exceed the limit, the one that
+// weighs most is given up: a response without a length weighs four times its
+// size, a request just its size, so that small and sound ones come last.
+// Thread safety: none.
+class BufferBudget {
+ public:
+  // @param limit zero for none.
+  explicit BufferBudget(Bytes limit) : limit_(limit) {}
+  BufferBudget(const BufferBudget&) = delete;
+  BufferBudget& operator=(const BufferBudget&) = delete;
+
+ private:
+  struct Buffer {
+    BufferUse use_;
+    size_t size_ = 0;
+    bool given_up_ = false;
+    std::function<void()> on_give_up_;
+  };
+
+ public:
+  // One buffer. Must not outlive the budget.
+  class Account {
+   public:
+    // @param on_give_up called from SetSize() of any account, once until the
+    // size of this one is zero again. It must not change accounts at once, but
+    // release the buffer soon.
+    Account(BufferBudget& budget,
+            BufferUse use,
+            std::function<void()> on_give_up);
+    ~Account();
+    Account(const Account&) = delete;
+    Account& operator=(const Account&) = delete;
+
+    void SetSize(size_t size);
+    void SetUse(BufferUse use) { buffer_->use_ = use; }
+
+   private:
+    BufferBudget& budget_;
+    const std::list<Buffer>::iterator buffer_;
+  };
+
+  // @param hook called for each buffer that is given up.
+  void SetGiveUpHook(std::function<void(BufferUse, size_t size)> hook) {
+    on_give_up_ = std::move(hook);
+  }
+
+  // @return the size of all buffers that are not given up.
+  size_t held() const { return held_; }
+  Bytes limit() const { return limit_; }
+
+ private:
+  void SetSize(Buffer& buffer, size_t size);
+  void GiveUpHeaviest();
+
+  const Bytes limit_;
+  std::list<Buffer> buffers_;
+  size_t held_ = 0;
+  std::function<void(BufferUse, size_t)> on_give_up_;
+};
+
+}  // namespace bergamotscale::policy
+
+#endif  // BERGAMOTSCALE_SRC_POLICY_BUFFER_BUDGET_H_
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -39,6 +39,15 @@
 constexpr size_t kMaxLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
 
+// Keeps the memory of a small buffer for the next use.
+void ReleaseBuffer(std::string* buffer) {
+  if (buffer->capacity() > kWriteHighWater) {
+    std::string().swap(*buffer);
+  } else {
+    buffer->clear();
+  }
+}
+
 int StatusForError(const error_code& error) {
   if (error == http::error::header_limit) {
     return kStatusHeadersTooLarge;
@@ -60,6 +69,12 @@
 
   void Start() {
     SetConnectionOptions(socket_);
+    if (hooks_.buffers_ != nullptr) {
+      request_account_.emplace(*hooks_.buffers_, policy::BufferUse::kRequest,
+                               GiveUpHook(&Impl::OnRequestGivenUp));
+      output_account_.emplace(*hooks_.buffers_, policy::BufferUse::kOutput,
+                              GiveUpHook(&Impl::OnOutputGivenUp));
+    }
     AwaitRequest();
   }
 
@@ -89,6 +104,7 @@
       message->body() = std::move(body);
     }
     message->content_length(message->body().size());
+    CountOutput(message->body().size());
     http::async_write(socket_, *message,
                       [self = shared_from_this(), message](
                           const error_code& error, size_t /*bytes*/) {
@@ -134,6 +150,7 @@
       AppendChunk(bytes);
       Flush();
     }
+    CountOutput(write_buffer_.size() + pending_output_.size());
     over_high_water_ = pending_output_.size() > kWriteHighWater;
     return !over_high_water_;
   }
@@ -160,6 +177,43 @@
  private:
   class CallResponder;
 
+  // @return a hook that acts later, as accounts must not change in it.
+  std::function<void()> GiveUpHook(void (Impl::*act)()) {
+    return [weak = weak_from_this(), act] {
+      if (const auto self = weak.lock()) {
+        boost::asio::post(self->socket_.get_executor(),
+                          [self, act] { (*self.*act)(); });
+      }
+    };
+  }
+
+  // Rejects the request that is being read.
+  void OnRequestGivenUp() {
+    if (parser_.has_value() && !closed_ && !refused_) {
+      Refuse(kStatusUnavailable, "no memory for the request");
+    }
+  }
+
+  // Disconnects the caller, unless it has read everything meanwhile.
+  void OnOutputGivenUp() {
+    if (output_size_ > 0) {
+      HandleDisconnect();
+    }
+  }
+
+  void CountOutput(size_t size) {
+    output_size_ = size;
+    if (output_account_.has_value()) {
+      output_account_->SetSize(size);
+    }
+  }
+
+  void CountRequest(size_t size) {
+    if (request_account_.has_value()) {
+      request_account_->SetSize(size);
+    }
+  }
+
   void FillHead(http::response_header<>* head,
                 int status,
                 const HeaderList& headers) {
@@ -198,6 +252,7 @@
     writing_ = true;
     write_buffer_.swap(pending_output_);
     pending_output_.clear();
+    CountOutput(write_buffer_.size());
     boost::asio::async_write(
         socket_, boost::asio::buffer(write_buffer_),
         [self = shared_from_this()](const error_code& error, size_t /*bytes*/) {
@@ -207,7 +262,8 @@
 
   void OnFlushed(const error_code& error) {
     writing_ = false;
-    write_buffer_.clear();
+    ReleaseBuffer(&write_buffer_);
+    CountOutput(pending_output_.size());
     if (closed_) {
       return;
     }
@@ -316,6 +372,7 @@
           if (error) {
             self->OnReadFailed(error);
           } else {
+            self->CountRequest(self->parser_->get().body().size());
             self->ReadBody();
           }
         });
@@ -339,6 +396,11 @@
   void Refuse(int status, const std::string& reason) {
     refused_ = true;
     keeps_open_ = false;
+    // The parser itself may still be in use by a read.
+    if (parser_.has_value()) {
+      std::string().swap(parser_->get().body());
+    }
+    CountRequest(0);
     hooks_.on_refused_(status, reason);
     HeaderList headers;
     headers.Add("Content-Type", "text/plain");
@@ -387,6 +449,7 @@
   }
 
   void OnResponseWritten(const error_code& error) {
+    CountOutput(0);
     if (closed_) {
       return;
     }
@@ -459,6 +522,8 @@
     }
     closed_ = true;
     caller_hooks_ = CallerHooks();
+    request_account_.reset();
+    output_account_.reset();
     timer_.Cancel();
     error_code ignored;
     socket_.close(ignored);
@@ -468,6 +533,8 @@
   tcp::socket socket_;
   OneShotTimer timer_;
   const SessionHooks hooks_;
+  std::optional<policy::BufferBudget::Account> request_account_;
+  std::optional<policy::BufferBudget::Account> output_account_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   CallerHooks caller_hooks_;
@@ -475,6 +542,7 @@
   std::string write_buffer_;
   std::vector<char> discard_buffer_;
   size_t discarded_bytes_ = 0;
+  size_t output_size_ = 0;  // not written yet
   int version_ = 11;
   bool awaiting_request_ = false;
   bool in_call_ = false;
@@ -520,6 +588,7 @@
     call.body_ = std::move(message.body());
   }
   parser_.reset();
+  CountRequest(0);
   is_head_request_ = call.method_ == "HEAD";
   in_call_ = true;
   WatchForDisconnect();
--- a/src/web/caller_session.h
+++ b/src/web/caller_session.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "bergamotscale/units.h"
+#include "src/policy/buffer_budget.h"
 #include "src/web/header_list.h"
 
 namespace bergamotscale::web {
@@ -73,6 +74,8 @@
   // @return whether the process is stopping: responses then close the
   // connection.
   std::function<bool()> stopping_;
+  // Bounds what sessions keep in memory; may be null. Must outlive them.
+  policy::BufferBudget* buffers_ = nullptr;
 };
 
 // Serves requests on an accepted socket. Once started, it owns itself until the
--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -239,6 +239,7 @@
     ResponseHead head;
     head.status_ = status;
     head.headers_ = EndToEndHeaders(message.base());
+    head.has_length_ = !message[http::field::content_length].empty();
     keep_alive_ = ReadKeepAlive(message[http::field::keep_alive]);
     keeps_open_ = keeps_open_ && parser_->keep_alive();
     // A hook may close this connection, which releases the hooks.
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -24,6 +24,7 @@
 struct ResponseHead {
   int status_ = 0;
   HeaderList headers_;  // end-to-end
+  bool has_length_ = false;
 };
 
 // How a request ended.
