--- a/tests/gateway_settings_template_test.cc
+++ b/tests/gateway_settings_template_test.cc
@@ -1,9 +1,9 @@
 // Fills in the settings template of the deploy file with values that a
 // deployment may have.
 #include <fstream>
-#include <map>
 #include <sstream>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -72,18 +72,21 @@
 }
 
 TEST_CASE("settings template: 8 s, 8.0 s and 0.29 s are read as such") {
-  for (const auto& [text, expected] :
-       std::map<std::string, int64_t>{{"8", 8'000},
-                                      {"8.0", 8'000},
-                                      {"8e0", 8'000},
-                                      {"0.29", 290},
-                                      {"1.001", 1'001}}) {
-    CAPTURE(text);
+  struct Grace {
+    std::string text_;
+    int64_t expected_ms_;
+  };
+  for (const Grace& grace : std::vector<Grace>{{"8", 8'000},
+                                               {"8.0", 8'000},
+                                               {"8e0", 8'000},
+                                               {"0.29", 290},
+                                               {"1.001", 1'001}}) {
+    CAPTURE(grace.text_);
     tests::TemplateFields fields = MakeFields();
-    fields["bounds.grace_s"] = text;
+    fields["bounds.grace_s"] = grace.text_;
     const auto read = Read(fields);
     REQUIRE(read.ok());
-    CHECK(read.value().stop_grace_ == Millis(expected));
+    CHECK(read.value().stop_grace_ == Millis(grace.expected_ms_));
   }
 }
 
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -4,7 +4,6 @@
 #include <fstream>
 #include <sstream>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -37,22 +36,26 @@
   StartBench() { store_.Put("keyed.op", "config", MakeConfig(1)); }
 };
 
-const std::vector<std::pair<std::string, std::string>>& FractionalBounds() {
-  static const std::vector<std::pair<std::string, std::string>> bounds = {
+struct Bound {
+  std::string name_;
+  std::string value_;
+};
+
+std::vector<Bound> FractionalBounds() {
+  return {
       {"bounds.grace_s", "7.5"},           {"bounds.grace_s", "8.0"},
       {"bounds.budget_window_s", "2.5"},   {"bounds.budget_window_s", "10.0"},
       {"bounds.revoke_ms", "4500.5"},      {"bounds.drain_ms", "2000.0"},
       {"bounds.config_apply_ms", "1999.5"}};
-  return bounds;
 }
 
 // The process ended at each start with such a bound.
 TEST_CASE("gateway start: it starts with bounds that are fractions") {
   StartBench bench;
-  for (const auto& [name, value] : FractionalBounds()) {
-    CAPTURE(name);
-    CAPTURE(value);
-    bench.gateway_.SetField(name, value);
+  for (const Bound& bound : FractionalBounds()) {
+    CAPTURE(bound.name_);
+    CAPTURE(bound.value_);
+    bench.gateway_.SetField(bound.name_, bound.value_);
     bench.gateway_.Start();
     CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
     bench.gateway_.Signal(SIGKILL);
@@ -65,8 +68,8 @@
   bench.gateway_.SetField("bounds.grace_s", "8");
   bench.gateway_.Start();
   REQUIRE(bench.gateway_.AwaitReady(kReadyTimeout));
-  for (const auto& [name, value] : FractionalBounds()) {
-    bench.gateway_.SetField(name, value);
+  for (const Bound& bound : FractionalBounds()) {
+    bench.gateway_.SetField(bound.name_, bound.value_);
     bench.gateway_.WriteSettings();
     bench.gateway_.Signal(SIGHUP);
     SleepFor(Millis(100));
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -25,7 +25,6 @@
 
 constexpr Millis kHeartbeat = Millis(1'200);
 constexpr size_t kMaxReadBytes = size_t{1'024} << 10;
-constexpr char kConfigTopic[] = "keyed.op";
 constexpr char kServersTopic[] = "keyed.servers";
 
 sockaddr_in ParseAddress(const std::string& address) {
@@ -754,17 +753,22 @@
   }
 }
 
+bool GatewayProcess::IsReady() const {
+  const auto probe = Wire::Open(ready_);
+  std::string head;
+  if (probe == nullptr) {
+    return false;
+  }
+  probe->SetReadTimeout(Millis(1'000));
+  return probe->Write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n") &&
+         probe->ReadHead(&head) && head.rfind("HTTP/1.1 200", 0) == 0;
+}
+
 bool GatewayProcess::AwaitReady(Millis timeout) {
   const Millis until = SteadyNow() + timeout;
   while (SteadyNow() < until && !HasEnded()) {
-    const auto probe = Wire::Open(ready_);
-    std::string head;
-    if (probe != nullptr) {
-      probe->SetReadTimeout(Millis(1'000));
-      if (probe->Write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n") &&
-          probe->ReadHead(&head) && head.rfind("HTTP/1.1 200", 0) == 0) {
-        return true;
-      }
+    if (IsReady()) {
+      return true;
     }
     SleepFor(Millis(20));
   }
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -224,6 +224,8 @@
   void Start();
   void WriteSettings();
   void SetField(const std::string& name, const std::string& value);
+  // @return whether its readiness probe answers 200.
+  bool IsReady() const;
   // @return false if it ended or was not ready within the time.
   bool AwaitReady(Millis timeout);
   void Signal(int signal);
