Service time: the longest of the latest requests tells what a stop allows

Cause: the mean and four mean deviations are less than the time of the longest streams, as a quarter of them lasts several times as long as the rest.

Change: the longest of the latest 100 to 200 requests and a quarter more; fewer say nothing, and the request's own limit counts. In the first 3 s, in which balancers still send new callers, all are served, as refusing most of them for the rare long ones would serve callers worse.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -527,7 +527,9 @@
     const Millis since = boot_.Now() - stop_began_;
     const Millis exit = settings_.stop_grace_ - kExitTime;
     const Millis ends = exit - kLastResponsesTime;
-    context_.stop_.Set(stop_began_ + kAcceptWhileStopping, stop_began_ + ends);
+    // A short grace time leaves no time for long requests that come later.
+    const Millis listening = std::min(kAcceptWhileStopping, ends / 2);
+    context_.stop_.Set(stop_began_ + listening, stop_began_ + ends);
     const bool is_ending = since >= ends;
     if (since >= kAcceptWhileStopping || is_ending) {
       callers_.StopAccepting();
--- a/src/policy/service_time.cc
+++ b/src/policy/service_time.cc
@@ -1,7 +1,7 @@
 #include "src/policy/service_time.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace bergamotscale::policy {
 namespace {
@@ -11,46 +11,42 @@
 constexpr int kMinSamples = 10;
 // Answers shorter than the mean are common, so less than the mean is required.
 constexpr double kMinShare = 0.5;
-// Mean deviations above the mean that nearly all answers stay within.
-constexpr double kUsualDeviations = 4;
+// The longest of so many requests is exceeded by one in as many.
+constexpr int kLongestSamples = 100;
+constexpr int kMarginShare = 4;
 
 }  // namespace
 
 void ServiceTime::OnServed(const std::string& route, Millis elapsed) {
-  Mean& mean = routes_[route];
-  ++mean.samples_;
-  const double weight = std::max(kLatestWeight, 1.0 / mean.samples_);
-  const double difference =
-      static_cast<double>(elapsed.count()) - mean.elapsed_ms_;
-  mean.elapsed_ms_ += difference * weight;
-  // The first sample differs from no mean.
-  if (mean.samples_ > 1) {
-    mean.deviation_ms_ += (std::abs(difference) - mean.deviation_ms_) * weight;
+  Samples& samples = routes_[route];
+  ++samples.count_;
+  const double weight = std::max(kLatestWeight, 1.0 / samples.count_);
+  samples.mean_ms_ +=
+      (static_cast<double>(elapsed.count()) - samples.mean_ms_) * weight;
+  if (++samples.in_longest_ > kLongestSamples) {
+    samples.former_longest_ = std::exchange(samples.longest_, Millis(0));
+    samples.in_longest_ = 1;
   }
-}
-
-const ServiceTime::Mean* ServiceTime::Find(const std::string& route) const {
-  const auto found = routes_.find(route);
-  return found == routes_.end() || found->second.samples_ < kMinSamples
-             ? nullptr
-             : &found->second;
+  samples.longest_ = std::max(samples.longest_, elapsed);
 }
 
 Millis ServiceTime::MinTimeLeft(const std::string& route) const {
-  const Mean* const mean = Find(route);
-  return mean == nullptr
-             ? Millis(0)
-             : Millis(static_cast<int64_t>(mean->elapsed_ms_ * kMinShare));
+  const auto found = routes_.find(route);
+  if (found == routes_.end() || found->second.count_ < kMinSamples) {
+    return Millis(0);
+  }
+  return Millis(static_cast<int64_t>(found->second.mean_ms_ * kMinShare));
 }
 
 std::optional<Millis> ServiceTime::LongestUsual(
     const std::string& route) const {
-  const Mean* const mean = Find(route);
-  if (mean == nullptr) {
+  const auto found = routes_.find(route);
+  if (found == routes_.end() || found->second.count_ < kLongestSamples) {
     return std::nullopt;
   }
-  return Millis(static_cast<int64_t>(mean->elapsed_ms_ +
-                                     mean->deviation_ms_ * kUsualDeviations));
+  const Millis longest =
+      std::max(found->second.longest_, found->second.former_longest_);
+  return longest + longest / kMarginShare;
 }
 
 }  // namespace bergamotscale::policy
--- a/src/policy/service_time.h
+++ b/src/policy/service_time.h
@@ -25,20 +25,22 @@
   // sending; zero if nothing is known.
   Millis MinTimeLeft(const std::string& route) const;
 
-  // @return the time within which nearly all requests of the route are served;
-  // nullopt if too little is known.
+  // @return the time within which nearly all requests of the route are served:
+  // the longest of the latest ones and a margin, as the mean says little about
+  // streams that differ in length. nullopt if too little is known.
   std::optional<Millis> LongestUsual(const std::string& route) const;
 
  private:
-  struct Mean {
-    double elapsed_ms_ = 0;
-    double deviation_ms_ = 0;
-    int samples_ = 0;
+  struct Samples {
+    double mean_ms_ = 0;
+    int count_ = 0;
+    // The longest of the latest samples, and of as many before them.
+    Millis longest_;
+    Millis former_longest_;
+    int in_longest_ = 0;
   };
 
-  const Mean* Find(const std::string& route) const;
-
-  std::unordered_map<std::string, Mean> routes_;
+  std::unordered_map<std::string, Samples> routes_;
 };
 
 }  // namespace bergamotscale::policy
--- a/src/policy/stop_deadline.cc
+++ b/src/policy/stop_deadline.cc
@@ -21,10 +21,11 @@
     return true;
   }
   const Millis left = ends_ - now;
-  if (expected.has_value()) {
-    return left >= std::min(*expected, limit) && left > Millis(0);
+  if (left <= Millis(0)) {
+    return false;
   }
-  return left >= limit || (now < listening_until_ && left > Millis(0));
+  return now < listening_until_ ||
+         left >= std::min(expected.value_or(limit), limit);
 }
 
 }  // namespace bergamotscale::policy
--- a/src/policy/stop_deadline.h
+++ b/src/policy/stop_deadline.h
@@ -15,7 +15,8 @@
 class StopDeadline {
  public:
   // Records that the process stops; call again to move the end.
-  // @param listening_until until when load balancers may send new callers.
+  // @param listening_until until when load balancers may send new callers;
+  // their requests are sent, as most can be answered.
   // @param ends when the requests in progress are ended.
   void Set(Millis listening_until, Millis ends);
 
@@ -27,8 +28,8 @@
   // @param expected longest time that requests of this kind usually take, if
   // known.
   // @param limit longest time that this request may take.
-  // @return whether a request should still be sent. Of a request whose time is
-  // not known, only one that load balancers may have sent here is.
+  // @return whether a request should still be sent. Where `expected` is not
+  // known, the process must have the time for `limit`.
   bool Allows(std::optional<Millis> expected, Millis limit, Millis now) const;
 
  private:
