--- a/tests/process/gateway_memory_test.cc
+++ b/tests/process/gateway_memory_test.cc
@@ -19,15 +19,11 @@
 // Limits of a front machine and of a weak one.
 constexpr int kMemoryLimitsMb[] = {260, 160};
 
-bool RunAsAsked(const ServerCall& call, Wire& wire, bool* /*did_run*/) {
-  return AnswerAsAsked(call, wire);
-}
-
 struct MemoryBench {
   ScratchFolder folder_;
   StoreStandIn store_{LoopbackIp(1)};
-  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2), RunAsAsked};
-  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3), RunAsAsked};
+  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2)};
+  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3)};
   GatewayProcess gateway_{folder_.File(""), LoopbackIp(4), store_.address()};
   std::vector<std::thread> callers_;
   std::atomic<int> unanswered_{0};
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -23,14 +23,10 @@
   return text.str();
 }
 
-bool RunAsAsked(const ServerCall& call, Wire& wire, bool* /*did_run*/) {
-  return AnswerAsAsked(call, wire);
-}
-
 struct StartBench {
   ScratchFolder folder_;
   StoreStandIn store_{LoopbackIp(1)};
-  ServerStandIn app_{store_, "i-1", "app", LoopbackIp(2), RunAsAsked};
+  ServerStandIn app_{store_, "i-1", "app", LoopbackIp(2)};
   GatewayProcess gateway_{folder_.File(""), LoopbackIp(3), store_.address()};
 
   StartBench() { store_.Put("keyed.op", "config", MakeConfig(1)); }
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -18,16 +18,12 @@
 
 constexpr Millis kGrace = Millis(8'000);
 
-bool RunAsAsked(const ServerCall& call, Wire& wire, bool* /*did_run*/) {
-  return AnswerAsAsked(call, wire);
-}
-
 // A gateway before an engine and an application server.
 struct StopBench {
   ScratchFolder folder_;
   StoreStandIn store_{LoopbackIp(1)};
-  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2), RunAsAsked};
-  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3), RunAsAsked};
+  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2)};
+  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3)};
   GatewayProcess gateway_{folder_.File(""), LoopbackIp(4), store_.address()};
 
   StopBench() {
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -515,6 +515,18 @@
                                                   : AnswerEvents(call, wire);
 }
 
+ServerStandIn::ServerStandIn(StoreStandIn& store,
+                             std::string id,
+                             std::string service,
+                             const std::string& ip)
+    : ServerStandIn(store,
+                    std::move(id),
+                    std::move(service),
+                    ip,
+                    [](const ServerCall& call, Wire& wire, bool* /*did_run*/) {
+                      return AnswerAsAsked(call, wire);
+                    }) {}
+
 ServerStandIn::ServerStandIn(StoreStandIn& store,
                              std::string id,
                              std::string service,
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -160,6 +160,11 @@
   using Run =
       std::function<bool(const ServerCall& call, Wire& wire, bool* did_run)>;
 
+  // Runs each call by AnswerAsAsked().
+  ServerStandIn(StoreStandIn& store,
+                std::string id,
+                std::string service,
+                const std::string& ip);
   ServerStandIn(StoreStandIn& store,
                 std::string id,
                 std::string service,
