Soak: a request counts as sent when the write of its last bytes begins

The excuse now goes by the time before the write; the time after it still decides whether a request that wasn't run counts as read.

--- a/tests/process/gateway_memory_test.cc
+++ b/tests/process/gateway_memory_test.cc
@@ -41,13 +41,14 @@
   void Send(const CallerRequest& request, Millis reads_after = Millis(0)) {
     callers_.emplace_back([this, request, reads_after] {
       const auto wire = Wire::Open(gateway_.address());
+      const Millis began = SteadyNow();
       if (wire == nullptr || !wire->Write(request.Head() + request.body_)) {
         ++unanswered_;
         return;
       }
       SleepFor(reads_after);
       // A caller that didn't read may be cut off.
-      const CallerAnswer answer = ReadAnswer(*wire, request);
+      const CallerAnswer answer = ReadAnswer(*wire, request, began);
       if (answer.status_ == 0 && reads_after == Millis(0)) {
         ++unanswered_;
       }
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -139,8 +139,9 @@
         wire->Write(all.substr(at, step));
       }
       SleepFor(end - SteadyNow());
+      const Millis began = SteadyNow();
       if (wire->Write(all.substr(at))) {
-        answers[i] = ReadAnswer(*wire, requests[i]);
+        answers[i] = ReadAnswer(*wire, requests[i], began);
       }
     });
   }
--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -245,13 +245,15 @@
         const std::string all = sent.request_.Head() + sent.request_.body_;
         constexpr size_t kParts = 5;
         const size_t part = all.size() / kParts + 1;
+        Millis began = SteadyNow();
         bool ok = wire->Write(all.substr(0, part));
         for (size_t at = part; ok && at < all.size(); at += part) {
           SleepFor(Millis(random.Between(1, longest_pause)));
+          began = SteadyNow();
           ok = wire->Write(all.substr(at, part));
         }
         if (ok) {
-          sent.answer_ = ReadAnswer(*wire, sent.request_);
+          sent.answer_ = ReadAnswer(*wire, sent.request_, began);
         }
       } else {
         sent.answer_ = Exchange(*wire, sent.request_);
@@ -379,7 +381,7 @@
   static bool IsCutByStop(const Gateway& gateway, const Sent& sent) {
     return std::any_of(
         gateway.stops_.begin(), gateway.stops_.end(), [&sent](Millis stop) {
-          return sent.answer_.sent_at_ <= stop + kAcceptWindow &&
+          return sent.answer_.last_write_began_ <= stop + kAcceptWindow &&
                  sent.answer_.ended_at_ >= stop + kGrace * 5 / 6 &&
                  sent.answer_.ended_at_ <= stop + kGrace + kFaultMargin;
         });
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -851,8 +851,11 @@
          "\r\n";
 }
 
-CallerAnswer ReadAnswer(Wire& wire, const CallerRequest& request) {
+CallerAnswer ReadAnswer(Wire& wire,
+                        const CallerRequest& request,
+                        Millis last_write_began) {
   CallerAnswer answer;
+  answer.last_write_began_ = last_write_began;
   answer.is_sent_ = true;
   answer.sent_at_ = SteadyNow();
   wire.SetReadTimeout(request.patience_ + Millis(1'000));
@@ -879,12 +882,14 @@
 }
 
 CallerAnswer Exchange(Wire& wire, const CallerRequest& request) {
+  const Millis began = SteadyNow();
   if (!wire.Write(request.Head() + request.body_)) {
     CallerAnswer answer;
+    answer.last_write_began_ = began;
     answer.sent_at_ = answer.ended_at_ = SteadyNow();
     return answer;
   }
-  return ReadAnswer(wire, request);
+  return ReadAnswer(wire, request, began);
 }
 
 std::string MakeConfig(int64_t version) {
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -274,6 +274,9 @@
 
 struct CallerAnswer {
   bool is_sent_ = false;  // the whole request was written
+  // Right before and after the last bytes were written. The caller's thread may
+  // have waited for the processor in between.
+  Millis last_write_began_;
   Millis sent_at_;
   Millis ended_at_;
   int status_ = 0;  // zero: no head arrived
@@ -284,7 +287,10 @@
 };
 
 // Reads the answer to a request that was sent.
-CallerAnswer ReadAnswer(Wire& wire, const CallerRequest& request);
+// @param last_write_began when the write of its last bytes began.
+CallerAnswer ReadAnswer(Wire& wire,
+                        const CallerRequest& request,
+                        Millis last_write_began);
 // Sends the request and reads its answer.
 CallerAnswer Exchange(Wire& wire, const CallerRequest& request);
 
