--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -84,12 +84,7 @@
     }
   }
 
-  void RejectUnread() {
-    const bool is_reading = parser_.has_value() && !closed_ && !refused_;
-    if (is_reading) {
-      Refuse(kStatusUnavailable, "the process is stopping");
-    }
-  }
+  void RejectUnread() { RejectIfReading("the process is stopping"); }
 
   // Methods of Responder for the request in progress.
   void Reply(int status, HeaderList headers, std::string body) {
@@ -119,11 +114,9 @@
     http::response_header<> head;
     FillHead(&head, status, headers);
     chunked_ = version_ == 11 && !is_head_request_;
-    if (is_head_request_) {
-      // Neither a length nor a body follows.
-    } else if (chunked_) {
+    if (chunked_) {
       head.set(http::field::transfer_encoding, "chunked");
-    } else {
+    } else if (!is_head_request_) {
       keeps_open_ = false;
       head.set(http::field::connection, "close");
     }
@@ -187,10 +180,12 @@
     };
   }
 
-  // Rejects the request that is being read.
-  void OnRequestGivenUp() {
+  void OnRequestGivenUp() { RejectIfReading("no memory for the request"); }
+
+  // Rejects a request that has not been read as a whole.
+  void RejectIfReading(const char* reason) {
     if (parser_.has_value() && !closed_ && !refused_) {
-      Refuse(kStatusUnavailable, "no memory for the request");
+      Refuse(kStatusUnavailable, reason);
     }
   }
 
