Decision log: a thread of its own writes the lines

That the log was the reason is likely, not shown.

Cause: the traffic thread wrote its log lines itself. O_NONBLOCK has no effect on a file, so a write could wait for the disk.

The pipes of the log's tests now outlive the log, which duplicates its descriptor and would get SIGPIPE in the tests otherwise.

--- a/src/gateway/decision_log.h
+++ b/src/gateway/decision_log.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 
 #include "bergamotscale/clock.h"
 
@@ -25,29 +26,37 @@
   std::string text_;
 };
 
-// Buffers lines and writes them without blocking. If the reader is slow, lines
-// beyond the buffer's limit are dropped, and the number of dropped lines is
-// logged once the buffer is empty. glog is not used because it writes each line
-// synchronously and blocks while the reader doesn't read. Thread safety: safe.
+// Buffers lines, which a thread of its own writes, because a write to a file
+// may wait for the disk. If the output is slow, lines beyond the buffer's limit
+// are dropped, and the number of dropped lines is logged once the buffer is
+// empty. glog is not used because it writes each line synchronously and blocks
+// while the reader doesn't read. Thread safety: safe.
 class DecisionLog {
  public:
-  // @param fd file descriptor for the lines; it is set to non-blocking.
+  // @param fd file descriptor for the lines; it is set to non-blocking and
+  // duplicated.
   DecisionLog(int fd, Clock wall);
+  // Flushes first. If the output still blocks then, the remaining lines are
+  // lost.
   ~DecisionLog();
   DecisionLog(const DecisionLog&) = delete;
   DecisionLog& operator=(const DecisionLog&) = delete;
 
+  // Never waits for the output.
   void Write(const LogLine& line);
-  // Writes buffered lines until the write would block. Call it a few times a
-  // second and before exit.
-  void Flush();
+  // Waits a bounded time until the buffered lines are written or the output
+  // would block. Not needed for the lines to be written.
+  // @return false if a write hasn't returned in that time.
+  bool Flush();
 
   // @return the number of lines dropped since the start.
   int64_t dropped() const;
 
  private:
-  struct Impl;
-  std::unique_ptr<Impl> impl_;
+  class Writer;
+  // Shared with the thread, which may outlive the log in a blocked write.
+  std::shared_ptr<Writer> writer_;
+  std::thread thread_;
 };
 
 }  // namespace bergamotscale::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -160,7 +160,6 @@
     io_.run();
     log_.Write(LogLine("stopped").Add("sessions_cut",
                                       static_cast<int64_t>(sessions_cut_)));
-    log_.Flush();
     return Done{};
   }
 
@@ -435,7 +434,6 @@
       if (!error) {
         UpdateShedding();
         ReportUpstreams();
-        log_.Flush();
         ScheduleMaintenance();
       }
     });
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -148,10 +148,32 @@
   CHECK(LogLine("x").Add("a", "").text() == "event=x a=\"\"");
 }
 
+class Pipe {
+ public:
+  Pipe() { REQUIRE(pipe(ends_.data()) == 0); }
+  ~Pipe() {
+    close(reader());
+    CloseWriter();
+  }
+  Pipe(const Pipe&) = delete;
+  Pipe& operator=(const Pipe&) = delete;
+
+  int reader() const { return ends_[0]; }
+  int writer() const { return ends_[1]; }
+  void CloseWriter() {
+    if (writer() >= 0) {
+      close(writer());
+      ends_[1] = -1;
+    }
+  }
+
+ private:
+  std::array<int, 2> ends_{};
+};
+
 TEST_CASE("decision log: a full pipe holds only whole lines") {
-  std::array<int, 2> ends{};
-  REQUIRE(pipe(ends.data()) == 0);
-  DecisionLog log(ends[1], Clock([] { return Millis(1); }));
+  Pipe pipe;
+  DecisionLog log(pipe.writer(), Clock([] { return Millis(1); }));
   // The line length is not a power of two, and the lines exceed the pipe's
   // capacity.
   const std::string value(177, 'v');
@@ -160,17 +182,14 @@
   }
   log.Flush();
   std::array<char, 262144> buffer{};
-  const ssize_t got = read(ends[0], buffer.data(), buffer.size());
+  const ssize_t got = read(pipe.reader(), buffer.data(), buffer.size());
   REQUIRE(got > 0);
   CHECK(buffer.at(static_cast<size_t>(got) - 1) == '\n');
-  close(ends[0]);
-  close(ends[1]);
 }
 
 TEST_CASE("decision log: a reader that does not read never blocks the writer") {
-  std::array<int, 2> ends{};
-  REQUIRE(pipe(ends.data()) == 0);
-  DecisionLog log(ends[1], Clock([] { return Millis(1); }));
+  Pipe pipe;
+  DecisionLog log(pipe.writer(), Clock([] { return Millis(1); }));
   const std::string value(1'000, 'v');
   for (int i = 0; i < 2'000; ++i) {
     log.Write(LogLine("e").Add("v", value));
@@ -179,9 +198,9 @@
   // Once the reader reads, it gets whole lines and the number of dropped ones.
   std::string read_bytes;
   std::array<char, 65536> buffer{};
-  fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  fcntl(pipe.reader(), F_SETFL, O_NONBLOCK);
   for (int i = 0; i < 100; ++i) {
-    const ssize_t got = read(ends[0], buffer.data(), buffer.size());
+    const ssize_t got = read(pipe.reader(), buffer.data(), buffer.size());
     if (got > 0) {
       read_bytes.append(buffer.data(), static_cast<size_t>(got));
     }
@@ -189,18 +208,15 @@
   }
   CHECK(read_bytes.find("event=log_lines_dropped lines=") != std::string::npos);
   CHECK(read_bytes.back() == '\n');
-  close(ends[0]);
-  close(ends[1]);
 }
 
 // A gateway that logged to a file made no step for 3.9 s while the disk was
 // busy (soak, planned stops only, seed 3003).
 TEST_CASE("decision log: an output that blocks holds up no request") {
-  std::array<int, 2> ends{};
-  REQUIRE(pipe(ends.data()) == 0);
-  auto log = std::make_unique<DecisionLog>(ends[1], Clock::Wall());
+  Pipe pipe;
+  auto log = std::make_unique<DecisionLog>(pipe.writer(), Clock::Wall());
   // A file on a disk ignores O_NONBLOCK.
-  REQUIRE(fcntl(ends[1], F_SETFL, 0) == 0);
+  REQUIRE(fcntl(pipe.writer(), F_SETFL, 0) == 0);
   std::atomic<bool> done{false};
   std::thread requests([&] {
     constexpr int kLines = 5'000;
@@ -214,19 +230,36 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   CHECK(done);
-  // Lets the thread end.
-  REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
-  std::array<char, 4'096> buffer{};
-  while (!done) {
-    if (read(ends[0], buffer.data(), buffer.size()) <= 0) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  // Lets the threads end.
+  pipe.CloseWriter();
+  std::thread reader([&] {
+    std::array<char, 4'096> buffer{};
+    while (read(pipe.reader(), buffer.data(), buffer.size()) > 0) {
     }
-  }
+  });
   requests.join();
-  REQUIRE(fcntl(ends[1], F_SETFL, O_NONBLOCK) == 0);
   log.reset();
-  close(ends[0]);
-  close(ends[1]);
+  reader.join();
+}
+
+// The same, at the process's exit.
+TEST_CASE("decision log: an output that blocks holds up no exit") {
+  Pipe pipe;
+  auto log = std::make_unique<DecisionLog>(pipe.writer(), Clock::Wall());
+  REQUIRE(fcntl(pipe.writer(), F_SETFL, 0) == 0);
+  const std::string value(1'000, 'v');
+  for (int i = 0; i < 200; ++i) {
+    log->Write(LogLine("e").Add("v", value));
+  }
+  const Clock clock = Clock::Boot();
+  const Millis begin = clock.Now();
+  log.reset();
+  CHECK(clock.Now() - begin < Millis(1'000));
+  // The write returns, and the rest is lost.
+  pipe.CloseWriter();
+  std::array<char, 4'096> buffer{};
+  while (read(pipe.reader(), buffer.data(), buffer.size()) > 0) {
+  }
 }
 
 TEST_CASE("gateway settings: each invalid field is reported") {
--- a/tests/settings_reload_test.cc
+++ b/tests/settings_reload_test.cc
@@ -42,6 +42,7 @@
     reload_->Start();
   }
   ~ReloadBench() {
+    log_.reset();
     close(pipe_[0]);
     close(pipe_[1]);
   }
