Sidecar: a probe that is accepted and lost is repeated

Callers saw nothing: the interrupted answer was resumed.

Cause: a killed engine may close its connections before its listening socket. The probe after the lost connection is then accepted and reset, which counted as silence; only a refused connection counts as a crash.

Change: a probe that is lost before its timeout is repeated up to twice, 100 ms apart; one that meets the timeout isn't.

--- a/src/sidecar/upstream_monitor.cc
+++ b/src/sidecar/upstream_monitor.cc
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "bergamotscale/clock.h"
+#include "src/core/chrono_time.h"
 #include "src/http/client.h"
 
 namespace bergamotscale::sidecar {
@@ -21,6 +23,11 @@
 // be detected.
 const Millis kProbeTimeout(900);
 const Millis kSilentProbeInterval(100);
+// A killed process may close its connections before its listening socket, so a
+// probe that was accepted and then lost is repeated to tell a crash from an
+// upstream that doesn't answer.
+constexpr int kMaxProbeRepeats = 2;
+const Millis kProbeRepeatDelay(100);
 
 wire::LoadedModel ReadLoadedModel(const json& listed) {
   wire::LoadedModel loaded;
@@ -93,15 +100,25 @@
         interval_(interval),
         on_report_(std::move(on_report)) {}
 
-  void Probe(ReportHook hook) {
+  // @param repeats how often a probe that is lost may be repeated.
+  void Probe(ReportHook hook, int repeats = kMaxProbeRepeats) {
     http::Call call;
     call.url_ = url_;
     call.timeout_ = kProbeTimeout;
-    auto self = shared_from_this();
-    http::CallOnce(call, [self, hook](const Result<http::Reply>& reply) {
+    const Millis begin = clock_.Now();
+    http::CallOnce(call, [self = shared_from_this(), hook = std::move(hook),
+                          begin, repeats](const Result<http::Reply>& reply) {
       const UpstreamReport report = MakeReport(reply);
-      boost::asio::post(self->io_, [self, hook, report] {
-        if (!self->stopped_) {
+      const bool lost = report.state_ == UpstreamState::kSilent &&
+                        !reply.ok() &&
+                        self->clock_.Now() - begin < kProbeTimeout;
+      boost::asio::post(self->io_, [self, hook, report, lost, repeats] {
+        if (self->stopped_) {
+          return;
+        }
+        if (lost && repeats > 0) {
+          self->RepeatProbe(hook, repeats - 1);
+        } else {
           hook(report);
         }
       });
@@ -123,6 +140,17 @@
   }
 
  private:
+  void RepeatProbe(ReportHook hook, int repeats) {
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+    timer->expires_after(ToChrono(kProbeRepeatDelay));
+    timer->async_wait([self = shared_from_this(), timer, hook = std::move(hook),
+                       repeats](const boost::system::error_code& error) {
+      if (!error && !self->stopped_) {
+        self->Probe(hook, repeats);
+      }
+    });
+  }
+
   void ScheduleProbe(Millis delay) {
     auto self = shared_from_this();
     timer_.expires_after(std::chrono::milliseconds(delay.count()));
@@ -138,6 +166,7 @@
   std::string url_;
   Millis interval_;
   ReportHook on_report_;
+  const Clock clock_ = Clock::Steady();
   bool stopped_ = false;
 };
 
--- a/src/sidecar/upstream_monitor.h
+++ b/src/sidecar/upstream_monitor.h
@@ -49,7 +49,7 @@
 
   // Starts the periodic probes.
   void Start();
-  // Probes once, immediately.
+  // Probes immediately, and a few times more if the connection is lost.
   void Probe(ReportHook hook);
 
  private:
