Tests: one copy of the bounds and of the system around a gateway

The last reading of the change found the template's limits and bounds written in both gateway_process.cc and gateway_settings_template_test.cc, and the same stand-ins in the benches of the stop and memory tests. MakeBounds() and SmallSystem serve both now. The template tests start from a grace time of "8.0" instead of "8"; the case that reads both stays. No check or bound changes, and no code of the product.

--- a/tests/gateway_settings_template_test.cc
+++ b/tests/gateway_settings_template_test.cc
@@ -14,24 +14,16 @@
 namespace {
 
 tests::TemplateFields MakeFields() {
-  return {{"node_name", "\"front-1\""},
-          {"zone", "\"z1\""},
-          {"ip", "\"10.0.0.1\""},
-          {"listen.front", "\"10.0.0.1:8227\""},
-          {"listen.ready", "\"10.0.0.1:8220\""},
-          {"port_range.0", "7340"},
-          {"seeds", "[\"10.0.0.1:8229\",\"10.0.0.2:8229\"]"},
-          {"platform.address", "\"10.0.0.9:8223\""},
-          {"limits.link_mbps", "1000.0"},
-          {"limits.max_fds", "4100"},
-          {"limits.memory_mb", "260"},
-          {"bounds.revoke_ms", "5000"},
-          {"bounds.config_apply_ms", "2000"},
-          {"bounds.drain_ms", "2000"},
-          {"bounds.grace_s", "8"},
-          {"bounds.retry_budget_ratio", "0.2"},
-          {"bounds.budget_window_s", "10"},
-          {"bounds.budget_extra", "54"}};
+  tests::TemplateFields fields = tests::MakeBounds();
+  fields.insert({{"node_name", "\"front-1\""},
+                 {"zone", "\"z1\""},
+                 {"ip", "\"10.0.0.1\""},
+                 {"listen.front", "\"10.0.0.1:8227\""},
+                 {"listen.ready", "\"10.0.0.1:8220\""},
+                 {"port_range.0", "7340"},
+                 {"seeds", "[\"10.0.0.1:8229\",\"10.0.0.2:8229\"]"},
+                 {"platform.address", "\"10.0.0.9:8223\""}});
+  return fields;
 }
 
 Result<gateway::GatewaySettings> Read(const tests::TemplateFields& fields) {
--- a/tests/process/gateway_memory_test.cc
+++ b/tests/process/gateway_memory_test.cc
@@ -8,7 +8,6 @@
 
 #include <doctest/doctest.h>
 
-#include "tests/support/child_process.h"
 #include "tests/support/gateway_process.h"
 
 namespace bergamotscale::tests {
@@ -19,21 +18,13 @@
 // Limits of a front machine and of a weak one.
 constexpr int kMemoryLimitsMb[] = {260, 160};
 
-struct MemoryBench {
-  ScratchFolder folder_;
-  StoreStandIn store_{LoopbackIp(1)};
-  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2)};
-  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3)};
-  GatewayProcess gateway_{folder_.File(""), LoopbackIp(4), store_.address()};
+struct MemoryBench : SmallSystem {
   std::vector<std::thread> callers_;
   std::atomic<int> unanswered_{0};
 
   explicit MemoryBench(int memory_mb) {
-    store_.Put("keyed.op", "config", MakeConfig(1));
     gateway_.SetField("limits.memory_mb", std::to_string(memory_mb));
-    gateway_.Start();
-    REQUIRE(gateway_.AwaitReady(Millis(10'000)));
-    SleepFor(Millis(300));
+    REQUIRE(Start(Millis(300)));
   }
 
   // Sends a request in a thread of its own. @param reads_after how long the
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -10,7 +10,6 @@
 #include <doctest/doctest.h>
 #include <boost/filesystem.hpp>
 
-#include "tests/support/child_process.h"
 #include "tests/support/gateway_process.h"
 
 namespace bergamotscale::tests {
@@ -18,20 +17,8 @@
 
 constexpr Millis kGrace = Millis(8'000);
 
-// A gateway before an engine and an application server.
-struct StopBench {
-  ScratchFolder folder_;
-  StoreStandIn store_{LoopbackIp(1)};
-  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2)};
-  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3)};
-  GatewayProcess gateway_{folder_.File(""), LoopbackIp(4), store_.address()};
-
-  StopBench() {
-    store_.Put("keyed.op", "config", MakeConfig(1));
-    gateway_.Start();
-    REQUIRE(gateway_.AwaitReady(Millis(10'000)));
-    SleepFor(Millis(500));
-  }
+struct StopBench : SmallSystem {
+  StopBench() { REQUIRE(Start(Millis(500))); }
 
   int RunsOf(const std::string& id) {
     return engine_.RunsOf(id) + app_.RunsOf(id);
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -692,6 +692,15 @@
   return out + text.substr(at);
 }
 
+TemplateFields MakeBounds() {
+  return {
+      {"limits.link_mbps", "1000.0"},     {"limits.max_fds", "4100"},
+      {"limits.memory_mb", "260"},        {"bounds.revoke_ms", "5000"},
+      {"bounds.config_apply_ms", "2000"}, {"bounds.drain_ms", "2000"},
+      {"bounds.grace_s", "8.0"},          {"bounds.retry_budget_ratio", "0.2"},
+      {"bounds.budget_window_s", "10"},   {"bounds.budget_extra", "54"}};
+}
+
 GatewayProcess::GatewayProcess(std::string folder,
                                const std::string& ip,
                                const std::string& store,
@@ -711,18 +720,10 @@
       {"port_range.0", "7340"},
       {"seeds", "[" + Quote(ip + ":8229") + "]"},
       {"platform.address", Quote(store)},
-      {"limits.link_mbps", "1000.0"},
-      {"limits.max_fds", "4100"},
-      {"limits.memory_mb", "260"},
-      {"bounds.revoke_ms", "5000"},
-      {"bounds.config_apply_ms", "2000"},
-      {"bounds.drain_ms", "2000"},
-      {"bounds.grace_s", "8.0"},
-      {"bounds.retry_budget_ratio", "0.2"},
-      {"bounds.budget_window_s", "10"},
-      {"bounds.budget_extra", "54"},
   };
   fields_.insert(defaults.begin(), defaults.end());
+  const TemplateFields bounds = MakeBounds();
+  fields_.insert(bounds.begin(), bounds.end());
 }
 
 GatewayProcess::~GatewayProcess() {
@@ -922,4 +923,13 @@
          "\"priority\":1}]}";
 }
 
+bool SmallSystem::Start(Millis settle_time) {
+  constexpr Millis kReadyTimeout = Millis(10'000);
+  store_.Put("keyed.op", "config", MakeConfig(1));
+  gateway_.Start();
+  const bool is_ready = gateway_.AwaitReady(kReadyTimeout);
+  SleepFor(settle_time);
+  return is_ready;
+}
+
 }  // namespace bergamotscale::tests
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "bergamotscale/units.h"
+#include "tests/support/child_process.h"
 
 namespace bergamotscale::tests {
 
@@ -214,6 +215,9 @@
 // @return the template with its values filled in, as the platform does it.
 std::string FillTemplate(const std::string& text, const TemplateFields& fields);
 
+// @return the limits and bounds of a usual deployment.
+TemplateFields MakeBounds();
+
 // A gateway on its own loopback address. The log is kept in `folder`.
 class GatewayProcess {
  public:
@@ -299,6 +303,20 @@
 // key "key1".
 std::string MakeConfig(int64_t version);
 
+// A gateway before an engine and an application server.
+struct SmallSystem {
+  ScratchFolder folder_;
+  StoreStandIn store_{LoopbackIp(1)};
+  ServerStandIn engine_{store_, "i-1", "llm", LoopbackIp(2)};
+  ServerStandIn app_{store_, "i-2", "app", LoopbackIp(3)};
+  GatewayProcess gateway_{folder_.File(""), LoopbackIp(4), store_.address()};
+
+  // Publishes a configuration and starts the gateway.
+  // @param settle_time how long to wait once it is ready.
+  // @return whether it became ready.
+  bool Start(Millis settle_time);
+};
+
 }  // namespace bergamotscale::tests
 
 #endif  // BERGAMOTSCALE_TESTS_SUPPORT_GATEWAY_PROCESS_H_
