Tests: starts, half-closed callers and memory without a limit, failing

Seen: SIGHUP and SIGTERM during the start end the process, as does an address in use (callers, readiness, metrics, peers); a caller that has shut down its sending side gets no answer; settings without memory_mb bound nothing.

'gateway: a request whose caller has left is not sent' and 'gateway: without an answer yet, a caller's close still cancels' pass; they guard the other side of the half-closed caller.

--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -278,6 +278,23 @@
   CHECK(detail.find("file:other") != std::string::npos);
 }
 
+// Without a limit in the settings, nothing bounded the buffers.
+TEST_CASE("gateway settings: a missing or zero memory limit bounds memory") {
+  for (const std::string limit : {"", R"(, "memory_mb": 0)"}) {
+    CAPTURE(limit);
+    GatewaySettings settings;
+    const Status read = settings::ReadDocument(
+        R"({"instance": "i", "zone": "z", "listen_callers": "127.0.0.1:1",
+            "listen_ready": "127.0.0.1:2", "log_address": "127.0.0.1:3")" +
+            limit + "}",
+        "file", [&settings](settings::FieldReader& reader) {
+          ReadGatewaySettings(reader, &settings);
+        });
+    REQUIRE(read.ok());
+    CHECK(settings.memory_mb_ > 0);
+  }
+}
+
 // Entries that all read as often as the tightest bound needs made store calls
 // the dearest part of a fleet.
 TEST_CASE("control options: reads are as rare as the bounds allow") {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -636,6 +636,78 @@
   CHECK(cancelled);
 }
 
+// Callers that only shut down their sending side got no answer.
+TEST_CASE("gateway: a caller that sends nothing more still gets its answer") {
+  for (const std::string path : {"/read/1", "/order/1", "/stream/1"}) {
+    CAPTURE(path);
+    const bool is_stream = path == "/stream/1";
+    RawServer server(
+        [is_stream](int, const std::string&, RawServer::Socket& socket) {
+          std::this_thread::sleep_for(std::chrono::milliseconds(400));
+          if (!is_stream) {
+            Write(socket, GatewayBench::Answer("whole"));
+            return true;
+          }
+          Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+          std::this_thread::sleep_for(std::chrono::milliseconds(200));
+          Write(socket, Chunk("id: 2\ndata: whole\n\n") + "0\r\n\r\n");
+          return true;
+        });
+    GatewayBench bench;
+    bench.SetUpstreams({server.url()});
+    RawCaller caller(bench.port());
+    caller.Send(GatewayBench::Request(path));
+    caller.ShutdownSend();
+    const std::string answer = caller.ReadAll();
+    CHECK(answer.find("HTTP/1.1 200") != std::string::npos);
+    CHECK(answer.find("whole") != std::string::npos);
+    if (is_stream) {
+      CHECK(answer.find("0\r\n\r\n") != std::string::npos);
+    }
+    CHECK(server.requests().size() == 1);
+  }
+}
+
+TEST_CASE("gateway: without an answer yet, a caller's close still cancels") {
+  std::promise<void> closed;
+  RawServer server([&closed](int, const std::string&, RawServer::Socket& sent) {
+    boost::system::error_code error;
+    char byte = 0;
+    sent.read_some(boost::asio::buffer(&byte, 1), error);
+    closed.set_value();
+    return false;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/read/1"));
+  while (server.requests().empty()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  caller.Close();
+  CHECK(closed.get_future().wait_for(std::chrono::milliseconds(500)) ==
+        std::future_status::ready);
+}
+
+TEST_CASE("gateway: a request whose caller has left is not sent") {
+  constexpr int kCallers = 50;
+  RawServer server(Always(GatewayBench::Answer("body")));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(bench.port()));
+  }
+  bench.Do([&callers] {
+    for (const auto& caller : callers) {
+      caller->Send(GatewayBench::Request("/order/1"));
+      caller->Close();
+    }
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(server.requests().empty());
+}
+
 TEST_CASE("gateway: malformed requests are rejected and not forwarded") {
   const std::string order =
       "POST /order/1 HTTP/1.1\r\nHost: h\r\n"
--- a/tests/process/gateway_memory_test.cc
+++ b/tests/process/gateway_memory_test.cc
@@ -2,6 +2,7 @@
 // don't read.
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,8 +23,13 @@
   std::vector<std::thread> callers_;
   std::atomic<int> unanswered_{0};
 
-  explicit MemoryBench(int memory_mb) {
-    gateway_.SetField("limits.memory_mb", std::to_string(memory_mb));
+  // @param memory_mb not stated in the settings if missing.
+  explicit MemoryBench(std::optional<int> memory_mb) {
+    if (memory_mb.has_value()) {
+      gateway_.SetField("limits.memory_mb", std::to_string(*memory_mb));
+    } else {
+      gateway_.RemoveField("limits.memory_mb");
+    }
     REQUIRE(Start(Millis(300)));
   }
 
@@ -133,6 +139,22 @@
   }
 }
 
+// Without a limit in the settings, nothing bounded the memory.
+TEST_CASE("gateway memory: it is bounded if the settings state no limit") {
+  constexpr int kCallers = 200;
+  constexpr int kDefaultLimitMb = 256;
+  MemoryBench bench(std::nullopt);
+  for (int i = 0; i < kCallers; ++i) {
+    CallerRequest request = MakeFaulty("/read/1", i);
+    request.headers_ = "X-Endless: answer\r\n";
+    bench.Send(request);
+  }
+  CHECK(bench.SendSound() == kSound);
+  bench.Join();
+  CHECK(bench.unanswered_ == 0);
+  bench.CheckHeld(kDefaultLimitMb);
+}
+
 TEST_CASE("gateway memory: large uploads leave room for others") {
   for (const int memory_mb : kMemoryLimitsMb) {
     MemoryBench bench(memory_mb);
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -1,7 +1,11 @@
 // Starts and reloads of a gateway with settings that a deployment may have.
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <csignal>
 
 #include <fstream>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -15,6 +19,7 @@
 namespace {
 
 constexpr Millis kReadyTimeout = Millis(10'000);
+constexpr Millis kGrace = Millis(8'000);
 
 std::string ReadLog(const GatewayProcess& gateway) {
   std::ifstream file(gateway.log_file());
@@ -30,6 +35,51 @@
   GatewayProcess gateway_{folder_.File(""), LoopbackIp(3), store_.address()};
 
   StartBench() { store_.Put("keyed.op", "config", MakeConfig(1)); }
+
+  // @return whether the gateway serves a request.
+  bool AnswersReads() {
+    CallerRequest read;
+    read.path_ = "/read/1";
+    read.id_ = "read";
+    const auto wire = Wire::Open(gateway_.address());
+    return wire != nullptr && tests::Exchange(*wire, read).status_ == 200;
+  }
+};
+
+// Makes a gateway wait for its settings during its start.
+class SettingsFifo {
+ public:
+  explicit SettingsFifo(GatewayProcess& gateway) : gateway_(gateway) {
+    gateway.ReplaceSettingsByFifo();
+  }
+  ~SettingsFifo() { Release(); }
+  SettingsFifo(const SettingsFifo&) = delete;
+  SettingsFifo& operator=(const SettingsFifo&) = delete;
+
+  // @return whether the gateway has begun to read its settings.
+  bool AwaitReader() {
+    const Millis until = SteadyNow() + kReadyTimeout;
+    while (fd_ < 0 && SteadyNow() < until) {
+      fd_ = gateway_.OpenSettingsFifo();
+      SleepFor(Millis(1));
+    }
+    return fd_ >= 0;
+  }
+
+  // Lets the gateway read its settings.
+  void Release() {
+    if (fd_ >= 0) {
+      if (!gateway_.HasEnded()) {
+        gateway_.WriteSettings(fd_);
+      }
+      close(fd_);
+      fd_ = -1;
+    }
+  }
+
+ private:
+  GatewayProcess& gateway_;
+  int fd_ = -1;
 };
 
 struct Bound {
@@ -80,5 +130,74 @@
   CHECK(bench.gateway_.AwaitEnd(Millis(1'500)));
 }
 
+// A signal that came before its handler was installed ended the process.
+TEST_CASE("gateway start: a reload signal during the start doesn't end it") {
+  StartBench bench;
+  SettingsFifo settings(bench.gateway_);
+  bench.gateway_.Start();
+  REQUIRE(settings.AwaitReader());
+  for (int i = 0; i < 3; ++i) {
+    bench.gateway_.Signal(SIGHUP);
+    SleepFor(Millis(20));
+  }
+  REQUIRE_FALSE(bench.gateway_.HasEnded());
+  settings.Release();
+  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+}
+
+TEST_CASE("gateway start: a stop signal during the start ends it in order") {
+  StartBench bench;
+  SettingsFifo settings(bench.gateway_);
+  bench.gateway_.Start();
+  REQUIRE(settings.AwaitReader());
+  bench.gateway_.Signal(SIGTERM);
+  SleepFor(Millis(20));
+  settings.Release();
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  CHECK(bench.gateway_.status() == 0);
+}
+
+// One failed bind ended the process.
+TEST_CASE("gateway start: it waits for an address that is still in use") {
+  StartBench bench;
+  const GatewayProcess& gateway = bench.gateway_;
+  struct UsedAddress {
+    std::string address_;
+    int type_ = SOCK_STREAM;
+  };
+  for (const UsedAddress& used :
+       std::vector<UsedAddress>{{gateway.address(), SOCK_STREAM},
+                                {gateway.ready_address(), SOCK_STREAM},
+                                {gateway.operators_address(), SOCK_STREAM},
+                                {gateway.peers_address(), SOCK_DGRAM}}) {
+    CAPTURE(used.address_);
+    auto holder = std::make_unique<AddressHolder>(used.address_, used.type_);
+    REQUIRE(holder->is_held());
+    bench.gateway_.Start();
+    SleepFor(Millis(700));
+    CHECK_FALSE(bench.gateway_.HasEnded());
+    holder.reset();
+    CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+    CHECK(bench.AnswersReads());
+    CHECK(bench.gateway_.AwaitMetrics(kReadyTimeout));
+    bench.gateway_.Signal(SIGTERM);
+    CHECK(bench.gateway_.AwaitEnd(kGrace));
+    CHECK(bench.gateway_.status() == 0);
+  }
+}
+
+// Metrics have a fixed port, which a second gateway on the machine can't have.
+TEST_CASE("gateway start: it serves callers without its metrics address") {
+  StartBench bench;
+  const AddressHolder holder(bench.gateway_.operators_address(), SOCK_STREAM);
+  REQUIRE(holder.is_held());
+  bench.gateway_.Start();
+  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+  CHECK(bench.AnswersReads());
+  bench.gateway_.Signal(SIGTERM);
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  CHECK(bench.gateway_.status() == 0);
+}
+
 }  // namespace
 }  // namespace bergamotscale::tests
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -163,6 +163,21 @@
   return std::make_unique<Wire>(fd);
 }
 
+AddressHolder::AddressHolder(const std::string& address, int type)
+    : fd_(socket(AF_INET, type | SOCK_CLOEXEC, 0)) {
+  // Connections of an earlier gateway may remain.
+  const int reuse = type == SOCK_STREAM ? 1 : 0;
+  setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  const sockaddr_in parsed = ParseAddress(address);
+  is_held_ = bind(fd_, reinterpret_cast<const sockaddr*>(&parsed),
+                  sizeof(parsed)) == 0 &&
+             (type == SOCK_DGRAM || listen(fd_, 1) == 0);
+}
+
+AddressHolder::~AddressHolder() {
+  close(fd_);
+}
+
 bool Wire::Write(const std::string& bytes) {
   size_t sent = 0;
   while (sent < bytes.size()) {
@@ -709,6 +724,7 @@
       callers_(ip + ":" + std::to_string(FindFreePort(ip))),
       ready_(ip + ":" + std::to_string(FindFreePort(ip))),
       operators_(ip + ":9464"),
+      peers_(ip + ":7340"),
       settings_file_(folder + "/" + ip + ".conf"),
       log_file_(folder + "/" + ip + ".log") {
   const TemplateFields defaults = {
@@ -738,18 +754,46 @@
   fields_[name] = value;
 }
 
+void GatewayProcess::RemoveField(const std::string& name) {
+  fields_.erase(name);
+}
+
+std::string GatewayProcess::SettingsText() const {
+  return FillTemplate(ReadWholeFile(std::string(BERGAMOTSCALE_DEPLOY_DIR) +
+                                    "/gateway_settings.json"),
+                      fields_);
+}
+
 void GatewayProcess::WriteSettings() {
-  const std::string text =
-      FillTemplate(ReadWholeFile(std::string(BERGAMOTSCALE_DEPLOY_DIR) +
-                                 "/gateway_settings.json"),
-                   fields_);
   // The platform replaces the file at once.
-  std::ofstream(settings_file_ + ".new") << text;
+  std::ofstream(settings_file_ + ".new") << SettingsText();
   std::rename((settings_file_ + ".new").c_str(), settings_file_.c_str());
 }
 
-void GatewayProcess::Start() {
+void GatewayProcess::ReplaceSettingsByFifo() {
+  std::remove(settings_file_.c_str());
+  has_fifo_ = mkfifo(settings_file_.c_str(), 0600) == 0;
+}
+
+int GatewayProcess::OpenSettingsFifo() const {
+  return open(settings_file_.c_str(), O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+}
+
+void GatewayProcess::WriteSettings(int fifo) {
+  const std::string text = SettingsText();
+  // The process may read the path again soon.
   WriteSettings();
+  has_fifo_ = false;
+  const ssize_t written = write(fifo, text.data(), text.size());
+  if (written != static_cast<ssize_t>(text.size())) {
+    std::perror("write the settings");
+  }
+}
+
+void GatewayProcess::Start() {
+  if (!has_fifo_) {
+    WriteSettings();
+  }
   const std::string program =
       std::string(BERGAMOTSCALE_BIN_DIR) + "/bergamot_gateway";
   const std::string variable = "BERGAMOTSCALE_NODE_FILE=" + settings_file_;
@@ -840,6 +884,17 @@
   return body;
 }
 
+bool GatewayProcess::AwaitMetrics(Millis timeout) const {
+  const Millis until = SteadyNow() + timeout;
+  while (Metrics().empty()) {
+    if (SteadyNow() >= until) {
+      return false;
+    }
+    SleepFor(Millis(20));
+  }
+  return true;
+}
+
 std::string CallerRequest::Head() const {
   return method_ + " " + path_ +
          " HTTP/1.1\r\nHost: h.example\r\nX-Bergamotscale-Request-Id: " + id_ +
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -93,6 +93,22 @@
   std::thread acceptor_;
 };
 
+// Occupies an address, as a process that is about to end does.
+class AddressHolder {
+ public:
+  // @param type SOCK_STREAM or SOCK_DGRAM.
+  AddressHolder(const std::string& address, int type);
+  ~AddressHolder();
+  AddressHolder(const AddressHolder&) = delete;
+  AddressHolder& operator=(const AddressHolder&) = delete;
+
+  bool is_held() const { return is_held_; }
+
+ private:
+  const int fd_;
+  bool is_held_ = false;
+};
+
 // The parts of the platform's store that a gateway reads. Thread safety: safe.
 class StoreStandIn {
  public:
@@ -233,6 +249,15 @@
   void Start();
   void WriteSettings();
   void SetField(const std::string& name, const std::string& value);
+  // Leaves a field of the template out.
+  void RemoveField(const std::string& name);
+  // Until the next Start() the process reads its settings from a FIFO, and
+  // waits there for them.
+  void ReplaceSettingsByFifo();
+  // @return the writing end of the FIFO; negative if nobody reads it yet.
+  int OpenSettingsFifo() const;
+  // Writes the settings to the FIFO and replaces it by a file.
+  void WriteSettings(int fifo);
   // @return whether its readiness probe answers 200.
   bool IsReady() const;
   // @return false if it ended or was not ready within the time.
@@ -249,17 +274,26 @@
   Bytes PeakMemory() const;
   // @return the metrics page; empty if it doesn't answer.
   std::string Metrics() const;
+  // @return whether the metrics page answers within the time.
+  bool AwaitMetrics(Millis timeout) const;
 
   const std::string& address() const { return callers_; }
+  const std::string& ready_address() const { return ready_; }
+  const std::string& operators_address() const { return operators_; }
+  const std::string& peers_address() const { return peers_; }
   const std::string& log_file() const { return log_file_; }
 
  private:
+  std::string SettingsText() const;
+
   TemplateFields fields_;
   std::string callers_;
   std::string ready_;
   std::string operators_;
+  std::string peers_;
   std::string settings_file_;
   std::string log_file_;
+  bool has_fifo_ = false;
   pid_t pid_ = -1;
   int status_ = 0;
 };
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -39,6 +39,11 @@
   }
   std::string ReadAll() { return ReadUntil("\x01never"); }
   void Close() { socket_.close(); }
+  // Sends nothing more, and still reads.
+  void ShutdownSend() {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
   // Ends a read in another thread.
   void Shutdown() {
     boost::system::error_code ignored;
