Gateway: a failed bind is retried and ends no process

Seen: one failed bind ended the process: an earlier process that had not ended yet, a socket on the port of the peers, and the port for metrics, which is fixed and so can't be had by a second gateway on the same address.

Until the listener for callers is started, the gateway is not ready and says why. Only a malformed address still ends the start.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,7 @@
 
 #include "src/core/chrono_time.h"
 #include "src/gateway/exchange.h"
+#include "src/gateway/listen_retry.h"
 #include "src/gateway/peers.h"
 #include "src/gateway/settings_reload.h"
 #include "src/web/listener.h"
@@ -68,6 +69,7 @@
 constexpr int kOwnDescriptorShare = 4;
 // Limit of sessions of probes and operators.
 constexpr size_t kMaxProbeSessions = 32;
+constexpr char kCallersListener[] = "callers";
 
 // @return the number as callers write the id of a prompt part.
 std::string FormatHex(uint64_t number) {
@@ -123,6 +125,7 @@
         callers_(io_, CallerSessionHooks(), MaxCallers()),
         probes_(io_, ProbeHooks(), kMaxProbeSessions),
         operators_(io_, ProbeHooks(), kMaxProbeSessions),
+        listen_retry_(io_, &log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         maintenance_timer_(io_),
         stop_timer_(io_),
@@ -178,26 +181,36 @@
     AwaitSignal();
     ScheduleMaintenance();
     reload_.Start();
-    Status status = Listen(callers_, settings_.listen_callers_);
+    Status status =
+        Listen(kCallersListener, settings_.listen_callers_, callers_);
     if (status.ok()) {
-      status = Listen(probes_, settings_.listen_ready_);
+      status = Listen("ready", settings_.listen_ready_, probes_);
     }
     if (status.ok() && !settings_.listen_operators_.empty()) {
-      status = Listen(operators_, settings_.listen_operators_);
+      status = Listen("operators", settings_.listen_operators_, operators_);
     }
     if (status.ok() && !settings_.listen_peers_.empty()) {
-      status = StartPeers();
+      status = ListenForPeers();
     }
     return status;
   }
 
-  static Status Listen(web::Listener& listener, const std::string& address) {
+  // @return an error if the address is malformed.
+  Status Listen(const char* name,
+                const std::string& address,
+                web::Listener& listener) {
     const Result<tcp::endpoint> endpoint = web::ParseEndpoint(address);
-    return endpoint.ok() ? listener.Start(endpoint.value())
-                         : Status(endpoint.error());
+    if (!endpoint.ok()) {
+      return endpoint.error();
+    }
+    listen_retry_.Add(name, address, [&listener, at = endpoint.value()] {
+      return listener.Start(at);
+    });
+    return Done{};
   }
 
-  Status StartPeers() {
+  // @return an error if the address is malformed.
+  Status ListenForPeers() {
     const Result<tcp::endpoint> own =
         web::ParseEndpoint(settings_.listen_peers_);
     if (!own.ok()) {
@@ -207,7 +220,9 @@
     peers_ = std::make_unique<Peers>(io_, boot_,
                                      udp::endpoint(own.value().address(), port),
                                      SeedPeers(port), MakePeerHooks());
-    return peers_->Start();
+    listen_retry_.Add("peers", settings_.listen_peers_,
+                      [this] { return peers_->Start(); });
+    return Done{};
   }
 
   // All gateways listen for datagrams on the same port; the ports in the
@@ -401,6 +416,9 @@
     if (stopping_) {
       return "stopping";
     }
+    if (listen_retry_.IsPending(kCallersListener)) {
+      return "address for callers is in use";
+    }
     if (state_.table_.Read() == nullptr) {
       return "no configuration yet";
     }
@@ -514,6 +532,7 @@
       return;
     }
     stopping_ = true;
+    listen_retry_.Stop();
     stop_began_ = boot_.Now();
     log_.Write(LogLine("stopping")
                    .Add("reason", reason)
@@ -582,6 +601,7 @@
   web::Listener probes_;
   web::Listener operators_;
   std::unique_ptr<Peers> peers_;
+  ListenRetry listen_retry_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer maintenance_timer_;
   boost::asio::steady_timer stop_timer_;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -81,8 +81,9 @@
       socket_.bind(own_address_, error);
     }
     if (error) {
-      return Error(ErrorCode::kInternal,
-                   "listen for peers: " + error.message());
+      const std::string reason = error.message();
+      socket_.close(error);
+      return Error(ErrorCode::kInternal, "listen for peers: " + reason);
     }
     socket_.non_blocking(true, error);
     Receive();
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -57,6 +57,7 @@
   Peers(const Peers&) = delete;
   Peers& operator=(const Peers&) = delete;
 
+  // Binds the own address. May be called again after it has failed.
   Status Start();
   // Sends new suspects or a new state of this gateway without waiting for the
   // next periodic datagram. Updates in quick succession share a datagram, so
--- a/src/web/listener.cc
+++ b/src/web/listener.cc
@@ -62,6 +62,8 @@
       acceptor_.listen(kBacklog, error);
     }
     if (error) {
+      error_code ignored;
+      acceptor_.close(ignored);
       return Error(ErrorCode::kInternal, "listen on " +
                                              address.address().to_string() +
                                              ": " + error.message());
--- a/src/web/listener.h
+++ b/src/web/listener.h
@@ -31,6 +31,7 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // Listens on the address. May be called again after it has failed.
   Status Start(const boost::asio::ip::tcp::endpoint& address);
   // Accepts the connections that have arrived so far and closes the listening
   // socket; sessions continue.
