--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -57,6 +57,9 @@
   reader.Integer("max_descriptors", kOptional, 64, kMaxDescriptors,
                  &settings->max_descriptors_);
   reader.Number("memory_mb", kOptional, 0, kMaxMemoryMb, &settings->memory_mb_);
+  if (settings->memory_mb_ == 0) {
+    settings->memory_mb_ = kDefaultMemoryMb;
+  }
   reader.Number("link_mbps", kOptional, 0, kMaxLinkMbps, &settings->link_mbps_);
   reader.Object("retries", kOptional, [settings](FieldReader& nested) {
     ReadRetries(nested, &settings->retries_);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -13,6 +13,9 @@
 
 namespace bergamotscale::gateway {
 
+// Limit of the memory of a process if the settings state none.
+inline constexpr double kDefaultMemoryMb = 256;
+
 struct GatewaySettings {
   std::string instance_;
   ZoneId zone_;
@@ -40,8 +43,8 @@
   policy::RetryBounds retries_;
   // Limit of open sockets and files of the process.
   int max_descriptors_ = 1'024;
-  // Limit of the memory of the process, in MB; zero if unknown.
-  double memory_mb_ = 0;
+  // Limit of the memory of the process, in MB.
+  double memory_mb_ = kDefaultMemoryMb;
   // Bandwidth of this machine's link in each direction; zero if unknown.
   double link_mbps_ = 0;
 };
