Gateway: a caller that has shut down its sending side is answered

Seen: a caller that shuts down its sending side behind a whole request and reads on got no answer at all, as the end of its input counted as a disconnect.

The end of the input alone doesn't tell a closed connection from a half-closed one; a write does. While no part of the response was sent, the session sends an interim response (100 Continue, HTTP/1.1 callers only), which a closed connection answers with a reset. 20 ms later a connection without a reset is taken as half-closed; later ones are looked for every 100 ms. In the middle of a response nothing can be sent to find out, so there the end of the input still counts as a disconnect.

A request is not sent to an upstream while it is unknown whether its caller has left; the caller's socket is looked at right before the send, too.

'gateway: a caller that sends nothing more still gets its answer' failed before and passes now; the tests that a close cancels pass before and after.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -503,6 +503,15 @@
       Fail("no time left");
       return false;
     }
+    if (responder_->MayHaveLeft()) {
+      ReleaseUpstream(CallOutcome::kCancelled);
+      pause_timer_.Start(web::kResetCheckTime, [self = shared_from_this()] {
+        if (!self->ended_) {
+          self->FindUpstream();
+        }
+      });
+      return false;
+    }
     if (!CanEndBeforeStop()) {
       ReleaseUpstream(CallOutcome::kCancelled);
       Fail(kStopping);
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -1,5 +1,6 @@
 #include "src/web/caller_session.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -38,6 +39,11 @@
 // Limit of the input that is discarded from a rejected caller.
 constexpr size_t kMaxLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
+// A caller whose input has ended may still read. An interim response tells: a
+// closed connection answers it with a reset. The first one may be lost.
+constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr int kMaxInterimResponses = 2;
+constexpr Millis kResetCheckInterval = Millis(100);
 
 // Keeps the memory of a small buffer for the next use.
 void ReleaseBuffer(std::string* buffer) {
@@ -167,6 +173,13 @@
 
   void Abort() { Close(); }
 
+  bool MayHaveLeft() {
+    if (!closed_ && !input_ended_ && Peek() == 0) {
+      OnInputEnded();
+    }
+    return input_ended_ && !is_still_reading_;
+  }
+
  private:
   class CallResponder;
 
@@ -212,6 +225,7 @@
   void FillHead(http::response_header<>* head,
                 int status,
                 const HeaderList& headers) {
+    head_sent_ = true;
     head->version(11);
     head->result(static_cast<unsigned>(status));
     for (const auto& [name, value] : headers.all()) {
@@ -285,6 +299,10 @@
   void AwaitRequest() {
     awaiting_request_ = true;
     responded_ = false;
+    head_sent_ = false;
+    input_ended_ = false;
+    is_still_reading_ = false;
+    interim_responses_ = 0;
     in_call_ = false;
     caller_hooks_ = CallerHooks();
     StartTimer(hooks_.limits_().idle_timeout_,
@@ -346,7 +364,7 @@
     }
     if (boost::beast::iequals(message[http::field::expect], "100-continue") &&
         !parser_->is_done()) {
-      pending_output_ += "HTTP/1.1 100 Continue\r\n\r\n";
+      pending_output_ += kInterimResponse;
       Flush();
     }
     ReadBody();
@@ -422,18 +440,84 @@
     if (closed_ || !in_call_ || responded_) {
       return;
     }
-    char byte = 0;
-    const ssize_t received = recv(socket_.native_handle(), &byte, sizeof(byte),
-                                  MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t received = Peek();
     const bool would_block =
         received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
     if (would_block) {
       WatchForDisconnect();
-    } else if (received <= 0) {
+    } else if (received == 0) {
+      OnInputEnded();
+    } else if (received < 0) {
       HandleDisconnect();
     }
   }
 
+  ssize_t Peek() {
+    char byte = 0;
+    return recv(socket_.native_handle(), &byte, sizeof(byte),
+                MSG_PEEK | MSG_DONTWAIT);
+  }
+
+  // The caller's input has ended behind its request: it closed the connection,
+  // or only its sending side. In the middle of a response, nothing can be sent
+  // to find out, and it counts as closed.
+  void OnInputEnded() {
+    if (input_ended_) {
+      return;
+    }
+    input_ended_ = true;
+    keeps_open_ = false;
+    if (head_sent_) {
+      DisconnectSoon();
+      return;
+    }
+    SendInterimResponse();
+    StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
+  }
+
+  void DisconnectSoon() {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (!self->closed_) {
+        self->HandleDisconnect();
+      }
+    });
+  }
+
+  void CheckForReset() {
+    if (!in_call_ || responded_) {
+      return;
+    }
+    if (HasReset()) {
+      HandleDisconnect();
+      return;
+    }
+    is_still_reading_ = true;
+    SendInterimResponse();
+    StartTimer(kResetCheckInterval, [](Impl& self) { self.CheckForReset(); });
+  }
+
+  bool HasReset() {
+    pollfd state{socket_.native_handle(), 0, 0};
+    return poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
+  }
+
+  // Sends an interim response if the caller understands it and still awaits the
+  // head of its response. A failure shows as a reset.
+  void SendInterimResponse() {
+    if (version_ < 11 || head_sent_ || writing_ ||
+        interim_responses_ >= kMaxInterimResponses) {
+      return;
+    }
+    ++interim_responses_;
+    constexpr size_t kSize = sizeof(kInterimResponse) - 1;
+    // The send buffer is empty and takes all of it.
+    if (send(socket_.native_handle(), kInterimResponse, kSize,
+             MSG_DONTWAIT | MSG_NOSIGNAL) != static_cast<ssize_t>(kSize)) {
+      DisconnectSoon();
+    }
+  }
+
   // The caller disconnected while its request was in progress.
   void HandleDisconnect() {
     const auto on_disconnect = caller_hooks_.on_disconnect_;
@@ -537,7 +621,8 @@
   std::string write_buffer_;
   std::vector<char> discard_buffer_;
   size_t discarded_bytes_ = 0;
-  size_t output_size_ = 0;  // not written yet
+  size_t output_size_ = 0;     // not written yet
+  int interim_responses_ = 0;  // sent for this request
   int version_ = 11;
   bool awaiting_request_ = false;
   bool in_call_ = false;
@@ -545,6 +630,9 @@
   bool keeps_open_ = true;
   bool chunked_ = false;
   bool writing_ = false;
+  bool head_sent_ = false;
+  bool input_ended_ = false;       // behind the request in progress
+  bool is_still_reading_ = false;  // although its input has ended
   bool responded_ = false;
   bool refused_ = false;
   bool closed_ = false;
@@ -565,6 +653,7 @@
   bool Write(std::string bytes) override { return session_->Write(bytes); }
   void EndStream() override { session_->EndStream(); }
   void Abort() override { session_->Abort(); }
+  bool MayHaveLeft() override { return session_->MayHaveLeft(); }
 
  private:
   const std::shared_ptr<Impl> session_;
--- a/src/web/caller_session.h
+++ b/src/web/caller_session.h
@@ -33,6 +33,10 @@
   Millis idle_timeout_;
 };
 
+// How long it takes to find out whether a caller whose input has ended still
+// reads.
+inline constexpr Millis kResetCheckTime = Millis(20);
+
 // Writes the response to one request. Call exactly one of Reply() and
 // BeginStream(); end a stream with EndStream() or Abort().
 // Thread safety: use from the thread of the session.
@@ -53,11 +57,16 @@
   // Closes the connection so that the caller can't take the response as
   // complete.
   virtual void Abort() = 0;
+  // @return whether the caller's input has ended and it isn't known yet whether
+  // the caller still reads. If it doesn't, on_disconnect_ is called within
+  // kResetCheckTime.
+  virtual bool MayHaveLeft() = 0;
 };
 
 // Notifications to the handler of a request while it is in progress.
 struct CallerHooks {
-  // The caller closed its connection; nothing more can be written.
+  // The caller closed its connection; nothing more can be written. A caller
+  // that only sends nothing more still gets its response.
   std::function<void()> on_disconnect_;
   std::function<void()> on_writable_;
 };
