--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -471,7 +471,7 @@
   return "HTTP/1.1 " + status + "\r\nX-Bergamotscale-Request-Id: " + call.id_ +
          "\r\nX-Bergamotscale-Response-Seal: seal\r\n"
          "Keep-Alive: timeout=15\r\n" +
-         headers + "\r\n";
+         call.answer_headers_ + headers + "\r\n";
 }
 
 bool AnswerWhole(const ServerCall& call, Wire& wire) {
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -148,6 +148,7 @@
   std::string head_;
   std::string id_;
   std::string body_;
+  std::string answer_headers_;  // of its answer, each with its line end
 
   // @return the value of a numeric header.
   int64_t Number(const std::string& name, int64_t fallback) const;
