--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -695,6 +695,7 @@
   GatewayBench bench;
   bench.SetUpstreams({server.url()});
   std::vector<std::unique_ptr<RawCaller>> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(std::make_unique<RawCaller>(bench.port()));
   }
