Gateway: gateways share the request rate that an upstream has asked for

Cause: no gateway read the header, so the rate at the server did not change when it was stated. The class of fault is a bound that holds for all instances of a process together: each one by itself can't keep it.

The limit is divided among the gateways. A share accumulates to at least one request, so many gateways with a small share each would exceed a low limit at once; floor(limit) + 2 gateways use a limit, chosen by a hash of the upstream and the gateway (SharedRateLimits, ComputeRateShare), and the others send elsewhere. Which gateways exist follows from their datagrams; one that loses sight of the others keeps counting them unless it sees a majority (GatewayMembers), so that a partition makes no share larger. Gateways tell each other what upstreams told them. Only an answer to a request that was sent after the limit was known ends it. Every send takes a permission, first sends, retries and resumed streams alike, and it is checked again right before the send.

Where all upstreams of a group are limited, requests that can be served in time wait in the order of urgency; others are rejected as not run with times to return that follow one another at the rate (RateQueue).

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -342,7 +342,7 @@
       return;
     }
     if (!LinkHasCapacity() || !EngineHasCapacity()) {
-      WaitForAdmission();
+      WaitForAdmission("engine or link busy");
       return;
     }
     ConnectToUpstream();
@@ -377,7 +377,7 @@
     return Bytes(static_cast<int64_t>(call_.body_.size()));
   }
 
-  void WaitForAdmission() {
+  void WaitForAdmission(const char* reason) {
     policy::QueuedRequest waiting;
     waiting.priority_ = rank_.priority_;
     waiting.route_priority_ = rank_.route_priority_;
@@ -391,6 +391,7 @@
     context_.metrics_.Add("bergamot_gateway_waited");
     Log("waits_for_room")
         .Add("route", route_->name_)
+        .Add("reason", reason)
         .Add("priority", int64_t{rank_.priority_})
         .Add("route_priority", int64_t{rank_.route_priority_})
         .Add("upstream", choice_.upstream_.id_.value())
@@ -409,6 +410,7 @@
     }
     if (TimeLeft() < context_.service_time_.MinTimeLeft(route_->name_)) {
       is_queued_ = false;
+      rate_ticket_.reset();
       Fail("too late to be served in time");
       return true;
     }
@@ -421,12 +423,13 @@
       return false;
     }
     is_queued_ = false;
+    rate_ticket_.reset();
     ConnectToUpstream();
     return true;
   }
 
   void ConnectToUpstream() {
-    context_.upstreams_.Begin(choice_, placement_request_);
+    context_.upstreams_.Begin(&choice_, placement_request_);
     holds_upstream_ = true;
     prefill_done_ = false;
     // Retries use a new connection, because an idle one may be dead without
@@ -439,8 +442,34 @@
         });
   }
 
+  // Waits for the turn of this request if all upstreams are limited, or rejects
+  // it if that would be too late.
+  // @return false if not all of them are limited.
+  bool WaitForRate() {
+    const auto forecast = context_.upstreams_.ForecastRate(group_);
+    if (!forecast.has_value() || sends_ > 0) {
+      return false;
+    }
+    const auto wait =
+        context_.rate_queue_.ExpectedWait(group_, rank_.priority_, *forecast);
+    if (wait.has_value() &&
+        *wait <
+            TimeLeft() - context_.service_time_.MinTimeLeft(route_->name_)) {
+      rate_ticket_.emplace(context_.rate_queue_, group_, rank_.priority_);
+      WaitForAdmission("upstreams limit the rate");
+      return true;
+    }
+    upstream_pause_ =
+        context_.rate_queue_.ReserveReturn(group_, *forecast, Now());
+    Fail("all upstreams limit the rate");
+    return true;
+  }
+
   // Tries again after a pause, because an upstream may recover or register.
   void WaitForUsableUpstream() {
+    if (WaitForRate()) {
+      return;
+    }
     const Millis limit = route_->target_ / kNoUpstreamWaitShare;
     upstream_pause_ = context_.upstreams_.TimeUntilUnpaused(group_);
     if (Now() - arrived_ + upstream_pause_ > limit && sends_ == 0 &&
@@ -517,7 +546,7 @@
       Fail(kStopping);
       return false;
     }
-    if (!context_.upstreams_.IsUsable(choice_.upstream_)) {
+    if (!context_.upstreams_.MaySend(&choice_)) {
       ReleaseUpstream(CallOutcome::kCancelled);
       FindUpstream();
       return false;
@@ -659,6 +688,7 @@
           .Write();
       context_.metrics_.Add("bergamot_gateway_upstreams_leaving");
     }
+    RecordRate();
     if (response_info_.pause_ > Millis(0)) {
       context_.upstreams_.Pause(upstream, response_info_.pause_);
       Log("upstream_paused")
@@ -670,6 +700,20 @@
     }
   }
 
+  // Only the response to this request tells that a limit has ended: the
+  // upstream had none at some time after the request was sent.
+  void RecordRate() {
+    const bool is_limit = response_info_.requests_per_second_.has_value();
+    const bool is_own =
+        response_info_.request_ == info_.id_ &&
+        (response_info_.is_authentic_ || response_info_.not_executed_);
+    if (response_info_.tells_rate_ && (is_limit || is_own)) {
+      context_.upstreams_.OnRateStated(
+          choice_.upstream_,
+          {response_info_.requests_per_second_, is_limit ? Now() : sent_at_});
+    }
+  }
+
   // MatchesRequest() has already decoded the headers.
   void OnHead(const web::ResponseHead& head) {
     response_head_ = head;
@@ -1034,7 +1078,8 @@
     End();
   }
 
-  // Never shorter than the time for which all upstreams asked for no requests.
+  // Never shorter than the time for which all upstreams asked for no requests,
+  // or until their limits allow one.
   Millis RetryAfter() const {
     if (context_.stop_.is_stopping()) {
       return std::max(kRetryAfterStop, upstream_pause_);
@@ -1074,6 +1119,7 @@
     if (is_queued_) {
       context_.admission_.Dequeue(admission_id_);
     }
+    rate_ticket_.reset();
     deadline_timer_.Cancel();
     pause_timer_.Cancel();
     responder_.reset();
@@ -1119,6 +1165,7 @@
   int unreachable_ = 0;
   policy::PrefillLimitParams admission_rule_;
   uint64_t admission_id_ = 0;
+  std::optional<policy::RateQueue::Ticket> rate_ticket_;
   bool is_queued_ = false;
   bool wait_logged_ = false;  // whether the wait for an upstream is logged
   bool holds_upstream_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,6 +19,7 @@
 #include "src/policy/link_budget.h"
 #include "src/policy/part_quarantine.h"
 #include "src/policy/quarantine.h"
+#include "src/policy/rate_queue.h"
 #include "src/policy/service_time.h"
 #include "src/policy/shared_retry_budget.h"
 #include "src/policy/stop_deadline.h"
@@ -58,6 +59,7 @@
   int64_t num_calls_ = 0;
   policy::ServiceTime service_time_ = {};
   policy::StopDeadline stop_ = {};
+  policy::RateQueue rate_queue_ = {};
   // Bounds what exchanges keep in memory; may be null. Must outlive them.
   policy::BufferBudget* buffers_ = nullptr;
   // The exchanges in progress, by their numbers: ends one with a response.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,7 +44,7 @@
 constexpr Millis kLastResponsesTime = Millis(200);
 constexpr Millis kExitTime = Millis(100);
 constexpr Millis kStopCheckInterval = Millis(20);
-// Interval for flushing the log and updating the load shedding.
+// Interval for updating the load shedding and the shares of rates.
 constexpr Millis kMaintenanceInterval = Millis(200);
 constexpr double kPercent = 100;
 constexpr double kMillisPerSecond = 1'000;
@@ -78,6 +78,12 @@
   return text;
 }
 
+std::string FormatRate(double per_second) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", per_second);
+  return text;
+}
+
 }  // namespace
 
 class Gateway::Impl {
@@ -142,6 +148,8 @@
         [this](const policy::SuspectParts& parts) { OnPartChange(parts); });
     upstreams_.SetPoolHook(
         [this](const PoolChange& change) { OnPoolChange(change); });
+    upstreams_.SetRateHook(
+        [this](const RateChange& change) { OnRateChange(change); });
   }
 
   ~Impl() {
@@ -217,9 +225,15 @@
       return own.error();
     }
     const uint16_t port = own.value().port();
-    peers_ = std::make_unique<Peers>(io_, boot_,
-                                     udp::endpoint(own.value().address(), port),
-                                     SeedPeers(port), MakePeerHooks());
+    const udp::endpoint address(own.value().address(), port);
+    const std::vector<udp::endpoint> seeds = SeedPeers(port);
+    const bool expects_peers = std::any_of(
+        seeds.begin(), seeds.end(),
+        [&address](const udp::endpoint& seed) { return seed != address; });
+    upstreams_.SetMembers(
+        policy::GatewayMembers(MemberId(address), expects_peers, boot_.Now()));
+    peers_ =
+        std::make_unique<Peers>(io_, boot_, address, seeds, MakePeerHooks());
     listen_retry_.Add("peers", settings_.listen_peers_,
                       [this] { return peers_->Start(); });
     return Done{};
@@ -270,6 +284,13 @@
     hooks.on_suspect_parts_ = [this](const policy::SuspectParts& parts) {
       part_quarantine_.Merge(parts, boot_.Now());
     };
+    hooks.rates_ = [this] { return upstreams_.RateNotices(); };
+    hooks.on_rates_ = [this](const std::vector<policy::RateNotice>& notices) {
+      upstreams_.ApplyPeerRates(notices);
+    };
+    hooks.on_peer_seen_ = [this](uint64_t peer) {
+      upstreams_.OnPeerSeen(peer);
+    };
     hooks.on_member_count_ = [this](int members) {
       // Without known peers, this gateway may be partitioned rather than alone.
       retry_budget_.SetMembers(members > 1 ? members : kInitialMembers);
@@ -312,6 +333,17 @@
                  change.size_);
   }
 
+  void OnRateChange(const RateChange& change) {
+    log_.Write(LogLine("upstream_rate_limit")
+                   .Add("upstream", change.upstream_.id_.value())
+                   .Add("started_at", change.upstream_.started_at_)
+                   .Add("per_second", FormatRate(change.per_second_))
+                   .Add("own_per_second", FormatRate(change.share_.per_second_))
+                   .Add("holders", int64_t{change.share_.holders_})
+                   .Add("members", int64_t{change.members_}));
+    metrics_.Add("bergamot_gateway_rate_limit_changes");
+  }
+
   void OnBufferGivenUp(policy::BufferUse use, size_t size) {
     metrics_.Add("bergamot_gateway_buffers_given_up",
                  policy::BufferUseName(use));
@@ -451,6 +483,7 @@
     maintenance_timer_.async_wait([this](const error_code& error) {
       if (!error) {
         UpdateShedding();
+        upstreams_.UpdateRateShares();
         ReportUpstreams();
         ScheduleMaintenance();
       }
@@ -460,6 +493,8 @@
   void ReportUpstreams() {
     metrics_.Set("bergamot_gateway_upstreams_lapsed", "",
                  state_.lapsed_upstreams_);
+    metrics_.Set("bergamot_gateway_upstreams_rate_limited", "",
+                 upstreams_.rate_limited());
     metrics_.Set("bergamot_gateway_upstreams_age_ms", "",
                  static_cast<double>(state_.UpstreamsAge(boot_.Now()).count()));
   }
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -70,6 +70,12 @@
   // The upstream wants no requests from this gateway for so long; zero if it
   // did not say so.
   Millis pause_;
+  // Whether the response tells which rate of requests the upstream takes. A
+  // malformed value, or a response of another instance, tells nothing.
+  bool tells_rate_ = false;
+  // Requests a second that the upstream takes from all gateways together; none
+  // if it takes any rate.
+  std::optional<double> requests_per_second_;
 };
 
 // Translates between HTTP headers and the types above. Thread safety: the
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -19,6 +19,8 @@
 using PartRow = std::tuple<uint64_t, int64_t>;
 using PromptRow = std::tuple<uint64_t, std::vector<PartRow>>;
 using StatusRow = std::tuple<uint32_t, int64_t, bool, bool>;
+// The rate is in requests per 1,000 seconds; negative for none.
+using RateRow = std::tuple<uint64_t, int64_t, int64_t>;
 using EncodedMessage = std::tuple<int64_t,
                                   int64_t,
                                   std::vector<std::string>,
@@ -27,7 +29,11 @@
                                   std::vector<PromptRow>,
                                   StatusRow,
                                   std::vector<ShortPromptRow>,
-                                  std::vector<SuspectPartsRow>>;
+                                  std::vector<SuspectPartsRow>,
+                                  std::vector<RateRow>>;
+
+constexpr int64_t kNoRate = -1;
+constexpr double kRateUnit = 1'000;
 
 }  // namespace
 
@@ -60,6 +66,14 @@
     }
     std::get<5>(fields).emplace_back(prompt.id_hash_, std::move(parts));
   }
+  for (const policy::RateNotice& rate : message.rates_) {
+    const int64_t encoded =
+        rate.per_second_.has_value()
+            ? static_cast<int64_t>(*rate.per_second_ * kRateUnit)
+            : kNoRate;
+    std::get<9>(fields).emplace_back(rate.upstream_, encoded,
+                                     rate.age_.count());
+  }
   std::get<6>(fields) = {message.status_.zone_hash_, message.status_.link_kbps_,
                          message.status_.is_shedding_, message.has_loads_};
   msgpack::sbuffer buffer;
@@ -102,6 +116,15 @@
       }
       message.prompts_.push_back(std::move(prompt));
     }
+    for (const auto& [upstream, rate, age] : std::get<9>(fields)) {
+      policy::RateNotice notice;
+      notice.upstream_ = upstream;
+      if (rate >= 0) {
+        notice.per_second_ = static_cast<double>(rate) / kRateUnit;
+      }
+      notice.age_ = Millis(age);
+      message.rates_.push_back(notice);
+    }
     const auto& [zone_hash, link_kbps, is_shedding, has_loads] =
         std::get<6>(fields);
     message.status_ = {zone_hash, link_kbps, is_shedding};
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -11,6 +11,7 @@
 #include "src/gateway/upstream_set.h"
 #include "src/policy/part_quarantine.h"
 #include "src/policy/quarantine.h"
+#include "src/policy/shared_rate_limits.h"
 
 namespace bergamotscale::gateway {
 
@@ -35,6 +36,7 @@
   std::vector<policy::CrashRecord> suspects_;
   std::vector<policy::SuspectParts> suspect_parts_;
   std::vector<SentPrompt> prompts_;
+  std::vector<policy::RateNotice> rates_;
 };
 
 // @return the message as msgpack bytes. Thread safety: safe.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -58,6 +58,12 @@
 
 }  // namespace
 
+uint64_t MemberId(const udp::endpoint& address) {
+  constexpr int kPortBits = 16;
+  return (uint64_t{address.address().to_v4().to_uint()} << kPortBits) |
+         address.port();
+}
+
 class Peers::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& io,
@@ -202,6 +208,7 @@
     message.suspects_ = hooks_.suspects_(max_suspects);
     message.suspect_parts_ = hooks_.suspect_parts_(max_suspects);
     message.prompts_ = hooks_.recent_prompts_();
+    message.rates_ = hooks_.rates_();
     return message;
   }
 
@@ -276,7 +283,11 @@
     if (message.has_loads_) {
       hooks_.on_loads_(ToText(sender_), message.loads_);
     }
+    hooks_.on_peer_seen_(MemberId(sender_));
     hooks_.on_prompts_(message.prompts_);
+    if (!message.rates_.empty()) {
+      hooks_.on_rates_(message.rates_);
+    }
     for (const policy::CrashRecord& record : message.suspects_) {
       hooks_.on_suspect_(record);
     }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -16,9 +16,14 @@
 #include "src/gateway/upstream_set.h"
 #include "src/policy/caller_shedding.h"
 #include "src/policy/quarantine.h"
+#include "src/policy/shared_rate_limits.h"
 
 namespace bergamotscale::gateway {
 
+// @return a number that identifies the gateway whose datagrams come from this
+// address. Thread safety: safe.
+uint64_t MemberId(const boost::asio::ip::udp::endpoint& address);
+
 struct PeerHooks {
   std::function<PeerStatus()> own_status_;
   std::function<LoadReport()> own_loads_;
@@ -32,6 +37,11 @@
   // The same for prompt parts.
   std::function<std::vector<policy::SuspectParts>(size_t limit)> suspect_parts_;
   std::function<void(const policy::SuspectParts&)> on_suspect_parts_;
+  // The same for the rates that upstreams have asked for.
+  std::function<std::vector<policy::RateNotice>()> rates_;
+  std::function<void(const std::vector<policy::RateNotice>&)> on_rates_;
+  // A datagram of a peer has arrived. @param peer see MemberId().
+  std::function<void(uint64_t peer)> on_peer_seen_;
   // Report the size of each datagram, because datagrams share the link with
   // traffic.
   std::function<void(Bytes)> on_sent_;
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -262,6 +262,7 @@
 
   bool IsFitForPool(const Instance& instance, Millis now) const {
     return TakesRequests(instance, now) && !instance.health_.IsPaused(now) &&
+           !rate_limits_.IsLimited(RateKey(instance)) &&
            instance.health_.FailureShare(now) < kMaxPoolFailureShare;
   }
 
@@ -361,6 +362,82 @@
     return is_new;
   }
 
+  static policy::SharedRateLimits::Key RateKey(const Instance& instance) {
+    return {instance.entry_.id_, instance.entry_.started_at_};
+  }
+
+  void OnRateStated(const UpstreamKey& key,
+                    const policy::RateStatement& statement) {
+    const Instance* instance = Find(key);
+    if (instance == nullptr) {
+      return;
+    }
+    const auto rate_key = RateKey(*instance);
+    if (rate_limits_.OnStatement(rate_key, instance->id_hash_, statement,
+                                 boot_.Now())) {
+      if (!rate_limits_.IsLimited(rate_key)) {
+        ReportRate(rate_key);
+      }
+      UpdateRateShares();
+    }
+  }
+
+  void ApplyPeerRates(const std::vector<policy::RateNotice>& notices) {
+    const Millis now = boot_.Now();
+    for (const policy::RateNotice& notice : notices) {
+      for (const auto& [id, instance] : instances_) {
+        if (instance.id_hash_ == notice.upstream_) {
+          OnRateStated(KeyOf(instance),
+                       {notice.per_second_, now - notice.age_, true});
+        }
+      }
+    }
+  }
+
+  void UpdateRateShares() {
+    const Millis now = boot_.Now();
+    members_.Expire(now);
+    for (const auto& key : rate_limits_.UpdateShares(members_, now)) {
+      ReportRate(key);
+    }
+    rate_limits_.Expire(now);
+  }
+
+  void ReportRate(const policy::SharedRateLimits::Key& key) {
+    if (on_rate_change_) {
+      on_rate_change_({{key.first, key.second},
+                       rate_limits_.LimitOf(key),
+                       rate_limits_.ShareOf(key),
+                       static_cast<int>(members_.members().size())});
+    }
+  }
+
+  std::optional<policy::RateForecast> ForecastRate(const GroupId& group) const {
+    policy::RateForecast forecast;
+    const Millis now = boot_.Now();
+    bool is_limited = false;
+    for (const auto& [id, instance] : instances_) {
+      if (instance.entry_.group_ != group || !IsOpen(instance) ||
+          PausedUntil(instance) > now) {
+        continue;
+      }
+      const auto key = RateKey(instance);
+      if (!rate_limits_.IsLimited(key)) {
+        return std::nullopt;
+      }
+      is_limited = true;
+      forecast.own_per_second_ += rate_limits_.ShareOf(key).per_second_;
+      forecast.mean_per_second_ +=
+          rate_limits_.LimitOf(key) / members_.CountForShares(now);
+      const auto next_in = rate_limits_.TimeUntilAllowed(key, now);
+      if (next_in.has_value()) {
+        forecast.next_in_ =
+            std::min(*next_in, forecast.next_in_.value_or(*next_in));
+      }
+    }
+    return is_limited ? std::make_optional(forecast) : std::nullopt;
+  }
+
   Millis TimeUntilUnpaused(const GroupId& group) const {
     const Millis now = boot_.Now();
     Millis earliest;
@@ -388,7 +465,8 @@
 
   // @return whether the instance takes requests now.
   bool TakesRequests(const Instance& instance, Millis now) const {
-    return IsOpen(instance) && PausedUntil(instance) <= now;
+    return IsOpen(instance) && PausedUntil(instance) <= now &&
+           rate_limits_.Allows(RateKey(instance), now);
   }
 
   // @return until when the instance has asked for no requests.
@@ -491,6 +569,9 @@
   std::function<void(const PoolChange&)> on_pool_change_;
   Millis peer_loads_checked_at_;
   policy::InstanceNotices notices_;
+  policy::GatewayMembers members_{0, false, Millis(0)};
+  policy::SharedRateLimits rate_limits_;
+  std::function<void(const RateChange&)> on_rate_change_;
   policy::PrefixCacheEstimate cache_estimate_;
   std::map<GroupId, Tokens> cache_capacity_;
   std::deque<RecentPrompt> recent_prompts_;
@@ -617,10 +698,58 @@
   return impl_->Refresh(choice);
 }
 
-bool UpstreamSet::IsUsable(const UpstreamKey& upstream) const {
-  const Instance* instance = impl_->Find(upstream);
-  return instance != nullptr &&
-         impl_->TakesRequests(*instance, impl_->boot_.Now());
+bool UpstreamSet::MaySend(Choice* choice) {
+  const Instance* instance = impl_->Find(choice->upstream_);
+  const Millis now = impl_->boot_.Now();
+  if (instance == nullptr || !impl_->IsOpen(*instance) ||
+      impl_->PausedUntil(*instance) > now) {
+    return false;
+  }
+  // The limit may be newer than the choice.
+  choice->has_permission_ =
+      choice->has_permission_ ||
+      impl_->rate_limits_.TryTake(Impl::RateKey(*instance), now);
+  return choice->has_permission_;
+}
+
+void UpstreamSet::SetRateHook(
+    std::function<void(const RateChange&)> on_rate_change) {
+  impl_->on_rate_change_ = std::move(on_rate_change);
+}
+
+void UpstreamSet::SetMembers(policy::GatewayMembers members) {
+  impl_->members_ = std::move(members);
+}
+
+void UpstreamSet::OnPeerSeen(uint64_t member) {
+  impl_->members_.OnSeen(member, impl_->boot_.Now());
+}
+
+void UpstreamSet::OnRateStated(const UpstreamKey& upstream,
+                               const policy::RateStatement& statement) {
+  impl_->OnRateStated(upstream, statement);
+}
+
+std::vector<policy::RateNotice> UpstreamSet::RateNotices() const {
+  return impl_->rate_limits_.Notices(impl_->boot_.Now());
+}
+
+void UpstreamSet::ApplyPeerRates(
+    const std::vector<policy::RateNotice>& notices) {
+  impl_->ApplyPeerRates(notices);
+}
+
+void UpstreamSet::UpdateRateShares() {
+  impl_->UpdateRateShares();
+}
+
+int UpstreamSet::rate_limited() const {
+  return impl_->rate_limits_.CountLimited();
+}
+
+std::optional<policy::RateForecast> UpstreamSet::ForecastRate(
+    const GroupId& group) const {
+  return impl_->ForecastRate(group);
 }
 
 bool UpstreamSet::MarkLeaving(const UpstreamKey& upstream) {
@@ -662,15 +791,20 @@
   }
 }
 
-void UpstreamSet::Begin(const Choice& choice,
+void UpstreamSet::Begin(Choice* choice,
                         const policy::PlacementRequest& request) {
-  if (choice.short_prompt_) {
-    ++impl_->engine_groups_[choice.group_].running_short_;
-  }
-  if (Instance* instance = impl_->Find(choice.upstream_)) {
+  if (choice->short_prompt_) {
+    ++impl_->engine_groups_[choice->group_].running_short_;
+  }
+  choice->has_permission_ = false;
+  if (Instance* instance = impl_->Find(choice->upstream_)) {
+    const auto key = Impl::RateKey(*instance);
+    choice->has_permission_ =
+        impl_->rate_limits_.IsLimited(key) &&
+        impl_->rate_limits_.TryTake(key, impl_->boot_.Now());
     impl_->RecordPrompt(*instance, request);
     ++instance->running_;
-    instance->unread_tokens_ += choice.unread_tokens_;
+    instance->unread_tokens_ += choice->unread_tokens_;
   }
 }
 
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,7 +13,10 @@
 
 #include "bergamotscale/clock.h"
 #include "bergamotscale/ids.h"
+#include "src/policy/gateway_members.h"
 #include "src/policy/placer.h"
+#include "src/policy/rate_queue.h"
+#include "src/policy/shared_rate_limits.h"
 #include "src/policy/short_prompt_pool.h"
 #include "src/route/directory.h"
 #include "src/web/client_connection.h"
@@ -62,6 +66,15 @@
   }
 };
 
+// The request rate that an upstream takes, or this gateway's share of it, has
+// changed.
+struct RateChange {
+  UpstreamKey upstream_;
+  double per_second_ = 0;  // zero: it takes any rate
+  policy::RateShare share_;
+  int members_ = 0;  // gateways that are taken into account
+};
+
 // How a request to an instance ended.
 enum class CallOutcome {
   kServed,
@@ -90,6 +103,14 @@
   // Sets the function that is told of each change of a pool.
   void SetPoolHook(std::function<void(const PoolChange&)> on_pool_change);
 
+  // Sets the function that is told of each change of a rate.
+  void SetRateHook(std::function<void(const RateChange&)> on_rate_change);
+  // Sets the gateways that share the rates that upstreams take; without it,
+  // this gateway is the only one.
+  void SetMembers(policy::GatewayMembers members);
+  // Records a sign of life of another gateway.
+  void OnPeerSeen(uint64_t member);
+
   // Replaces the list of instances. Instances that are no longer listed get no
   // more requests.
   void Update(const std::vector<route::UpstreamEntry>& entries);
@@ -111,6 +132,9 @@
     bool short_prompt_ = false;
     // Whether the instance's registration has expired in an outage.
     bool lapsed_ = false;
+    // Whether Begin() has taken a permission to send from the instance's rate
+    // limit.
+    bool has_permission_ = false;
   };
 
   // Records a request to engines and classifies its prompt.
@@ -136,6 +160,20 @@
   // for no requests; zero if one of them has not asked, or there is none.
   Millis TimeUntilUnpaused(const GroupId& group) const;
 
+  // Records which rate of requests an upstream takes from all gateways.
+  void OnRateStated(const UpstreamKey& upstream,
+                    const policy::RateStatement& statement);
+  // @return what peers should know of such rates.
+  std::vector<policy::RateNotice> RateNotices() const;
+  void ApplyPeerRates(const std::vector<policy::RateNotice>& notices);
+  // Divides the rates anew. Call it at an interval well below a second.
+  void UpdateRateShares();
+  // @return the number of instances that have stated a rate.
+  int rate_limited() const;
+  // @return the rate at which this gateway may send to the group, if all
+  // instances that could be used are limited, and nothing otherwise.
+  std::optional<policy::RateForecast> ForecastRate(const GroupId& group) const;
+
   // Chooses where to send a request.
   // @param tried instances to which the request was already sent.
   // @return false if no instance is usable; `choice` is then unchanged.
@@ -149,8 +187,8 @@
   // @return false if another instance must be chosen.
   bool Refresh(Choice* choice) const;
 
-  // @return whether the instance may still get requests.
-  bool IsUsable(const UpstreamKey& upstream) const;
+  // Checks again whether a request for which Begin() was called may be sent.
+  bool MaySend(Choice* choice);
 
   // Yields an idle or a new connection through `done`, never from within this
   // call.
@@ -164,7 +202,7 @@
 
   // Counts a request in the instance's load, from before it is sent until
   // End().
-  void Begin(const Choice& choice, const policy::PlacementRequest& request);
+  void Begin(Choice* choice, const policy::PlacementRequest& request);
   // Call when the first bytes of the response arrive: the prompt is prefilled.
   void OnPrefillDone(const Choice& choice);
   // Updates the prefill speed of a group. Only for first bytes of prompts whose
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -119,6 +119,7 @@
   message.suspects_ = {{12, 1, false, Millis(13), 14}};
   message.suspect_parts_ = {{{22, 23}, 2, Millis(24)}};
   message.prompts_ = {{15, {{16, Tokens(17)}}}};
+  message.rates_ = {{25, 1.25, Millis(26)}, {27, std::nullopt, Millis(28)}};
   const auto read = ReadPeerMessage(WritePeerMessage(message));
   REQUIRE(read.ok());
   CHECK(read.value().known_peers_ == message.known_peers_);
@@ -135,6 +136,11 @@
   CHECK(read.value().suspect_parts_[0].is_blocked());
   CHECK(read.value().suspect_parts_[0].expires_in_ == Millis(24));
   CHECK(read.value().prompts_[0].shared_[0].tokens_ == Tokens(17));
+  REQUIRE(read.value().rates_.size() == 2);
+  CHECK(read.value().rates_[0].upstream_ == 25);
+  CHECK(read.value().rates_[0].per_second_ == 1.25);
+  CHECK(read.value().rates_[0].age_ == Millis(26));
+  CHECK_FALSE(read.value().rates_[1].per_second_.has_value());
   CHECK_FALSE(ReadPeerMessage("").ok());
   CHECK_FALSE(ReadPeerMessage("\xc1garbage").ok());
   CHECK_FALSE(ReadPeerMessage(std::string(3, '\x01')).ok());
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -398,6 +398,65 @@
                    "HTTP/1.1 200"));
 }
 
+TEST_CASE(
+    "gateway: an upstream that limits its rate gets no more, another does") {
+  const std::string limited =
+      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 2\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  RawServer first(Always(limited));
+  RawServer second(Always(GatewayBench::Answer("body")));
+  GatewayBench bench;
+  bench.SetUpstreams({first.url(), second.url()});
+  for (int i = 0; i < 40; ++i) {
+    const std::string answer =
+        Call(bench, GatewayBench::Request("/read/1"), "body");
+    CHECK(StartsWith(answer, "HTTP/1.1 200"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  // Two seconds at two a second, and the one that told.
+  CHECK(first.requests().size() >= 1);
+  CHECK(first.requests().size() <= 6);
+  CHECK(second.requests().size() >= 34);
+}
+
+TEST_CASE(
+    "gateway: where only a limited upstream is left, requests take turns") {
+  const std::string limited =
+      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 5\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  RawServer server(Always(limited, false));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  CHECK(StartsWith(Call(bench, GatewayBench::Request("/read/1"), "body"),
+                   "HTTP/1.1 200"));
+  std::vector<std::thread> callers;
+  callers.reserve(20);
+  std::atomic<int> served{0};
+  std::atomic<int> told{0};
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back([&] {
+      RawCaller caller(bench.port());
+      caller.Send(GatewayBench::Request("/read/1"));
+      const std::string answer = caller.ReadUntil("\r\n\r\n");
+      served += StartsWith(answer, "HTTP/1.1 200") ? 1 : 0;
+      told += StartsWith(answer, "HTTP/1.1 503") &&
+                      answer.find("Retry-After: ") != std::string::npos
+                  ? 1
+                  : 0;
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  // The route's timeout is 1.5 s.
+  CHECK(served >= 4);
+  CHECK(served <= 9);
+  CHECK(served + told == 20);
+  CHECK(server.requests().size() == static_cast<size_t>(served) + 1);
+}
+
 TEST_CASE("gateway: while one upstream asks for time, another one serves") {
   RawServer full(Always(Rejection("Retry-After: 30\r\n")));
   RawServer free(Always(GatewayBench::Answer("served"), false));
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -41,6 +41,9 @@
   hooks.on_sent_ = [](Bytes) {};
   hooks.on_received_ = [](Bytes) {};
   hooks.on_member_count_ = [](int) {};
+  hooks.rates_ = [] { return std::vector<policy::RateNotice>(); };
+  hooks.on_rates_ = [](const std::vector<policy::RateNotice>&) {};
+  hooks.on_peer_seen_ = [](uint64_t) {};
   return hooks;
 }
 
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -1,4 +1,8 @@
 // Tests the decoding of the platform's documents and headers.
+#include <optional>
+#include <string>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 #include "platform/decoders.h"
@@ -327,6 +331,42 @@
   CHECK(DecodeHead(503, {}).pause_ == Millis(0));
 }
 
+TEST_CASE("platform: the request rate that an upstream takes is decoded") {
+  struct Case {
+    std::vector<std::string> values_;
+    int status_;
+    bool tells_;
+    std::optional<double> rate_;
+  };
+  for (const Case& example :
+       std::vector<Case>{{{}, 200, true, std::nullopt},
+                         {{"1.2"}, 200, true, 1.2},
+                         {{" 12 "}, 500, true, 12},
+                         {{".5"}, 503, true, 0.5},
+                         {{"0"}, 200, true, 0},
+                         {{"5", "1.5", "3"}, 200, true, 1.5},
+                         {{"x", "2"}, 200, true, 2},
+                         {{"99999999999999999999999999999"}, 200, true, 1e9},
+                         {{"-1"}, 200, false, std::nullopt},
+                         {{""}, 200, false, std::nullopt},
+                         {{"1,2"}, 200, false, std::nullopt},
+                         {{"1e3"}, 200, false, std::nullopt},
+                         {{"nan"}, 200, false, std::nullopt},
+                         {{"inf"}, 200, false, std::nullopt},
+                         // Another instance answers.
+                         {{"1.2"}, 421, false, std::nullopt}}) {
+    web::ResponseHead head;
+    head.status_ = example.status_;
+    for (const std::string& value : example.values_) {
+      CAPTURE(value);
+      head.headers_.Add("server-limit", value);
+    }
+    const gateway::ResponseInfo info = MakeHeaderCodec().decode_response_(head);
+    CHECK(info.tells_rate_ == example.tells_);
+    CHECK(info.requests_per_second_ == example.rate_);
+  }
+}
+
 TEST_CASE("platform: a response with an encoded body is not authentic") {
   web::ResponseHead head;
   head.headers_.Add("X-Bergamotscale-Response-Seal", "s");
