--- a/tests/process/rate_limit_test.cc
+++ b/tests/process/rate_limit_test.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -89,6 +90,19 @@
   }
 };
 
+// @return the lines of a log that contain the text.
+std::string LinesWith(const std::string& file, const std::string& text) {
+  // The gateway writes its log at an interval.
+  SleepFor(Millis(500));
+  std::ifstream lines(file);
+  std::string found;
+  std::string line;
+  while (std::getline(lines, line)) {
+    found += line.find(text) == std::string::npos ? "" : line + "\n";
+  }
+  return found;
+}
+
 struct LimitBench {
   ScratchFolder folder_;
   StoreStandIn store_{LoopbackIp(1)};
@@ -99,7 +113,8 @@
   std::atomic<int> served_{0};
   std::atomic<int> refused_{0};
   std::atomic<int> refused_without_time_{0};
-  std::atomic<int> lost_{0};
+  std::mutex mutex_;
+  std::vector<std::string> lost_;  // what was seen of each lost request
 
   // @param service "llm" or "app".
   explicit LimitBench(const std::string& service, int gateways = kGateways) {
@@ -144,6 +159,12 @@
     callers_.clear();
   }
 
+  void CheckNoneLost() {
+    for (const std::string& lost : lost_) {
+      FAIL_CHECK(lost);
+    }
+  }
+
   void RunCaller(int number, const std::string& path) {
     const GatewayProcess& gateway =
         *gateways_[static_cast<size_t>(number) % gateways_.size()];
@@ -175,7 +196,13 @@
         pause = Millis(
             std::min<int64_t>(500, static_cast<int64_t>(seconds * 1'000)));
       } else {
-        ++lost_;
+        const std::lock_guard<std::mutex> lock(mutex_);
+        lost_.push_back(
+            request.id_ + " at " + gateway.log_file() + ": status " +
+            std::to_string(answer.status_) +
+            (answer.is_whole_ ? "" : ", cut off") + " after " +
+            std::to_string((answer.ended_at_ - answer.sent_at_).count()) +
+            " ms\n" + LinesWith(gateway.log_file(), request.id_ + " "));
       }
       SleepFor(pause);
     }
@@ -194,8 +221,8 @@
   bench.StopCallers();
   limited.CheckLimit(1.2);
   // The others take over, and the server still gets what it takes.
-  CHECK(bench.lost_ == 0);
-  CHECK(bench.refused_ == 0);
+  bench.CheckNoneLost();
+  CHECK(bench.refused_.load() == 0);
   CHECK(limited.CountBetween(limited.first_stated_at_ + kSettleTime,
                              SteadyNow()) > 4);
 }
@@ -223,10 +250,10 @@
   for (const auto& server : bench.servers_) {
     server->CheckLimit(kLimit);
   }
-  MESSAGE(served << " served, " << bench.refused_ << " refused");
-  CHECK(bench.lost_ == 0);
-  CHECK(bench.refused_ > 0);
-  CHECK(bench.refused_without_time_ == 0);
+  MESSAGE(served << " served, " << bench.refused_.load() << " refused");
+  bench.CheckNoneLost();
+  CHECK(bench.refused_.load() > 0);
+  CHECK(bench.refused_without_time_.load() == 0);
   // Half of what the servers take, as some shares have no demand.
   CHECK(served >
         kLimit * kServers * static_cast<double>(kTime.count()) / 2'000);
@@ -241,7 +268,7 @@
   const Millis lifted = SteadyNow();
   SleepFor(Millis(12'000));
   bench.StopCallers();
-  CHECK(bench.lost_ == 0);
+  bench.CheckNoneLost();
   CHECK(limited.CountBetween(lifted + Millis(10'000), lifted + Millis(11'000)) >
         12);
 }
