Gateway: a request behind the one in progress is answered after a shutdown

Seen: of two requests in one write, before the caller shuts down its sending side, only the first was answered, with Connection: close. The second one was read already. The connection now stays open while its buffer holds more input.

'gateway: two requests in one write are answered after a shutdown' failed before and passes now.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -466,7 +466,8 @@
       return;
     }
     input_ended_ = true;
-    keeps_open_ = false;
+    // The next request may have been read already.
+    keeps_open_ = keeps_open_ && buffer_.size() > 0;
     if (head_sent_) {
       DisconnectSoon();
       return;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -748,6 +748,25 @@
         std::future_status::ready);
 }
 
+TEST_CASE("gateway: two requests in one write are answered after a shutdown") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    Write(socket, GatewayBench::Answer("whole"));
+    return true;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/read/1") +
+              GatewayBench::Request("/read/2"));
+  caller.ShutdownSend();
+  const std::string answer = caller.ReadAll();
+  const size_t first = answer.find("whole");
+  REQUIRE(first != std::string::npos);
+  CHECK(answer.find("whole", first + 1) != std::string::npos);
+  CHECK(server.requests().size() == 2);
+}
+
 TEST_CASE("gateway: a request whose caller has left is not sent") {
   constexpr int kCallers = 50;
   RawServer server(Always(GatewayBench::Answer("body")));
