Gateway: outgoing connections leave their ports to listeners

Seen: no listener could be started on the port of an open connection to a server (EADDRINUSE), as the connection's socket did not allow the reuse of its address. A gateway beside it on the same address then waited until that connection ended.

--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -78,6 +78,8 @@
       return;
     }
     SetConnectionOptions(socket_);
+    // Lets a listener start on the port that this connection gets.
+    socket_.set_option(tcp::socket::reuse_address(true), failed);
     socket_.async_connect(peer_,
                           [self = shared_from_this()](const error_code& error) {
                             self->FinishConnect(error);
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -767,6 +767,35 @@
   CHECK(server.requests().size() == 2);
 }
 
+// @return whether a listener starts on the port of a gateway's open connection
+// to a server.
+bool ListensOnPortOfConnection() {
+  std::promise<boost::asio::ip::tcp::endpoint> used;
+  RawServer server(
+      [&used](int, const std::string&, RawServer::Socket& socket) {
+        used.set_value(socket.remote_endpoint());
+        Write(socket, GatewayBench::Answer("whole"));
+        return true;
+      });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  Call(bench, GatewayBench::Request("/read/1"), "whole");
+  boost::asio::io_context io;
+  web::Listener listener(io, web::SessionHooks(), 1);
+  return listener.Start(used.get_future().get()).ok();
+}
+
+// No listener could be started on the port of a connection to a server.
+TEST_CASE("gateway: its connections leave their ports to listeners") {
+  // Sockets of other processes may use the same port.
+  constexpr int kTries = 12;
+  int started = 0;
+  for (int i = 0; i < kTries; ++i) {
+    started += ListensOnPortOfConnection() ? 1 : 0;
+  }
+  CHECK(started > 0);
+}
+
 TEST_CASE("gateway: a request whose caller has left is not sent") {
   constexpr int kCallers = 50;
   RawServer server(Always(GatewayBench::Answer("body")));
