--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -199,5 +199,21 @@
   CHECK(bench.gateway_.status() == 0);
 }
 
+TEST_CASE("gateway start: signals while it ends change nothing") {
+  StartBench bench;
+  for (int i = 0; i < 5; ++i) {
+    bench.gateway_.Start();
+    REQUIRE(bench.gateway_.AwaitReady(kReadyTimeout));
+    bench.gateway_.Signal(SIGTERM);
+    const Millis until = SteadyNow() + kGrace;
+    while (!bench.gateway_.HasEnded() && SteadyNow() < until) {
+      bench.gateway_.Signal(i % 2 == 0 ? SIGHUP : SIGTERM);
+      usleep(50);
+    }
+    CHECK(bench.gateway_.AwaitEnd(kGrace));
+    CHECK(bench.gateway_.status() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace bergamotscale::tests
