--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -215,5 +215,13 @@
   }
 }
 
+// The template leaves no value behind "max_descriptors" then.
+TEST_CASE("gateway start: it starts without a limit of descriptors") {
+  StartBench bench;
+  bench.gateway_.RemoveField("limits.max_fds");
+  bench.gateway_.Start();
+  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+}
+
 }  // namespace
 }  // namespace bergamotscale::tests
