Gateway: a start waits for settings that are being written

Seen in a review: settings that are empty or cut when a process starts ended it with status 2, though a reload keeps the old ones; the file may be replaced at any time.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -748,6 +748,72 @@
         std::future_status::ready);
 }
 
+// Never answers, and tells whether the gateway ended its connection.
+struct PausingServer {
+  std::promise<void> closed_;
+  RawServer server_;
+
+  PausingServer()
+      : server_([this](int, const std::string&, RawServer::Socket& sent) {
+          boost::system::error_code error;
+          char byte = 0;
+          sent.read_some(boost::asio::buffer(&byte, 1), error);
+          closed_.set_value();
+          return false;
+        }) {}
+
+  void AwaitRequest() const {
+    while (server_.requests().empty()) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+  }
+  bool IsCancelled() {
+    return closed_.get_future().wait_for(std::chrono::milliseconds(500)) ==
+           std::future_status::ready;
+  }
+};
+
+TEST_CASE("gateway: the close of a caller of HTTP/1.0 cancels") {
+  PausingServer server;
+  GatewayBench bench;
+  bench.SetUpstreams({server.server_.url()});
+  RawCaller caller(bench.port());
+  std::string request = GatewayBench::Request("/read/1");
+  request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  caller.Send(request);
+  server.AwaitRequest();
+  caller.Close();
+  CHECK(server.IsCancelled());
+}
+
+// A caller that only reads sends nothing when it closes later.
+TEST_CASE("gateway: the close of a caller that had only read on cancels") {
+  PausingServer server;
+  GatewayBench bench;
+  bench.SetUpstreams({server.server_.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/read/1"));
+  caller.ShutdownSend();
+  server.AwaitRequest();
+  // Reads the interim responses, so that the close sends no reset.
+  caller.ReadUntil("Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+  caller.Close();
+  CHECK(server.IsCancelled());
+}
+
+TEST_CASE("gateway: a close behind the next request cancels") {
+  PausingServer server;
+  GatewayBench bench;
+  bench.SetUpstreams({server.server_.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/read/1"));
+  server.AwaitRequest();
+  caller.Send(GatewayBench::Request("/read/2"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  caller.Close();
+  CHECK(server.IsCancelled());
+}
+
 TEST_CASE("gateway: two requests in one write are answered after a shutdown") {
   RawServer server([](int, const std::string&, RawServer::Socket& socket) {
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
@@ -767,6 +833,24 @@
   CHECK(server.requests().size() == 2);
 }
 
+TEST_CASE("gateway: a caller that stops to send in its stream gets its end") {
+  RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+    Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    Write(socket, Chunk("id: 2\ndata: whole\n\n") + "0\r\n\r\n");
+    return true;
+  });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/stream/1"));
+  caller.ReadUntil("id: 1");
+  caller.ShutdownSend();
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("whole") != std::string::npos);
+  CHECK(answer.find("0\r\n\r\n") != std::string::npos);
+}
+
 // @return whether a listener starts on the port of a gateway's open connection
 // to a server.
 bool ListensOnPortOfConnection() {
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -199,6 +199,32 @@
   CHECK(bench.gateway_.status() == 0);
 }
 
+// The template leaves no value behind "max_descriptors" then.
+TEST_CASE("gateway start: it starts without a limit of descriptors") {
+  StartBench bench;
+  bench.gateway_.RemoveField("limits.max_fds");
+  bench.gateway_.Start();
+  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+}
+
+// The file may change at any time, also while the process starts.
+TEST_CASE("gateway start: it waits for settings that are being written") {
+  StartBench bench;
+  bench.gateway_.ReplaceSettingsByFifo();
+  bench.gateway_.Start();
+  int fifo = -1;
+  while (fifo < 0 && !bench.gateway_.HasEnded()) {
+    fifo = bench.gateway_.OpenSettingsFifo();
+    SleepFor(Millis(1));
+  }
+  // What it reads first is empty.
+  bench.gateway_.WriteSettings();
+  close(fifo);
+  SleepFor(Millis(300));
+  CHECK_FALSE(bench.gateway_.HasEnded());
+  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+}
+
 TEST_CASE("gateway start: signals while it ends change nothing") {
   StartBench bench;
   for (int i = 0; i < 5; ++i) {
@@ -215,13 +241,5 @@
   }
 }
 
-// The template leaves no value behind "max_descriptors" then.
-TEST_CASE("gateway start: it starts without a limit of descriptors") {
-  StartBench bench;
-  bench.gateway_.RemoveField("limits.max_fds");
-  bench.gateway_.Start();
-  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
-}
-
 }  // namespace
 }  // namespace bergamotscale::tests
