--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -39,11 +39,14 @@
 // Limit of the input that is discarded from a rejected caller.
 constexpr size_t kMaxLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
-// A caller whose input has ended may still read. An interim response tells: a
-// closed connection answers it with a reset. The first one may be lost.
+// A caller whose input has ended may still read. A write tells: a closed
+// connection answers it with a reset. Before the response, interim responses
+// are written for that, as the caller may also close later.
 constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr int kMaxInterimResponses = 2;
 constexpr Millis kResetCheckInterval = Millis(100);
+// A stream without a write for this long after the end of the caller's input is
+// taken as closed.
+constexpr Millis kMaxSilence = Millis(300);
 
 // Keeps the memory of a small buffer for the next use.
 void ReleaseBuffer(std::string* buffer) {
@@ -174,8 +177,15 @@
   void Abort() { Close(); }
 
   bool MayHaveLeft() {
-    if (!closed_ && !input_ended_ && Peek() == 0) {
+    if (closed_) {
+      return true;
+    }
+    const ssize_t received = input_ended_ ? 1 : Peek();
+    if (received == 0) {
       OnInputEnded();
+    } else if (received < 0 && !WouldBlock()) {
+      DisconnectSoon();
+      return true;
     }
     return input_ended_ && !is_still_reading_;
   }
@@ -284,6 +294,10 @@
       Flush();
       return;
     }
+    if (awaits_write_ && !responded_) {
+      awaits_write_ = false;
+      StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
+    }
     if (responded_) {
       OnResponseWritten({});
     } else if (over_high_water_) {
@@ -301,8 +315,8 @@
     responded_ = false;
     head_sent_ = false;
     input_ended_ = false;
+    awaits_write_ = false;
     is_still_reading_ = false;
-    interim_responses_ = 0;
     in_call_ = false;
     caller_hooks_ = CallerHooks();
     StartTimer(hooks_.limits_().idle_timeout_,
@@ -441,17 +455,34 @@
       return;
     }
     const ssize_t received = Peek();
-    const bool would_block =
-        received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    if (would_block) {
-      WatchForDisconnect();
+    if (received > 0) {
+      WatchBehindInput();
     } else if (received == 0) {
       OnInputEnded();
-    } else if (received < 0) {
+    } else if (WouldBlock()) {
+      WatchForDisconnect();
+    } else {
       HandleDisconnect();
     }
   }
 
+  // Input that stays unread hides the end of the input from
+  // WatchForDisconnect().
+  void WatchBehindInput() {
+    StartTimer(kResetCheckInterval, [](Impl& self) {
+      if (!self.in_call_ || self.responded_) {
+        return;
+      }
+      if (self.PollFor(POLLRDHUP)) {
+        self.OnInputEnded();
+      } else {
+        self.WatchBehindInput();
+      }
+    });
+  }
+
+  static bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
+
   ssize_t Peek() {
     char byte = 0;
     return recv(socket_.native_handle(), &byte, sizeof(byte),
@@ -459,21 +490,30 @@
   }
 
   // The caller's input has ended behind its request: it closed the connection,
-  // or only its sending side. In the middle of a response, nothing can be sent
-  // to find out, and it counts as closed.
+  // or only its sending side. Where nothing can be written to find out, it
+  // counts as closed.
   void OnInputEnded() {
     if (input_ended_) {
       return;
     }
     input_ended_ = true;
-    // The next request may have been read already.
-    keeps_open_ = keeps_open_ && buffer_.size() > 0;
+    // The next request may have arrived already.
+    keeps_open_ = keeps_open_ && (buffer_.size() > 0 || HasUnread());
     if (head_sent_) {
+      awaits_write_ = true;
+      StartTimer(kMaxSilence, [](Impl& self) { self.OnSilence(); });
+    } else if (version_ < 11) {
       DisconnectSoon();
-      return;
+    } else {
+      SendInterimResponse();
+      StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
+    }
+  }
+
+  void OnSilence() {
+    if (in_call_ && !responded_) {
+      HandleDisconnect();
     }
-    SendInterimResponse();
-    StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
   }
 
   void DisconnectSoon() {
@@ -484,11 +524,12 @@
     });
   }
 
+  // Call some time after a write.
   void CheckForReset() {
     if (!in_call_ || responded_) {
       return;
     }
-    if (HasReset()) {
+    if (PollFor(0)) {
       HandleDisconnect();
       return;
     }
@@ -497,24 +538,25 @@
     StartTimer(kResetCheckInterval, [](Impl& self) { self.CheckForReset(); });
   }
 
-  bool HasReset() {
-    pollfd state{socket_.native_handle(), 0, 0};
+  // @return whether the connection is broken or has one of the events.
+  bool PollFor(short events) {
+    pollfd state{socket_.native_handle(), events, 0};
     return poll(&state, 1, 0) > 0 &&
-           (state.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0;
+           (state.revents & (events | POLLERR | POLLHUP | POLLNVAL)) != 0;
   }
 
-  // Sends an interim response if the caller understands it and still awaits the
-  // head of its response. A failure shows as a reset.
+  // Sends an interim response if the caller still awaits the head of its
+  // response.
   void SendInterimResponse() {
-    if (version_ < 11 || head_sent_ || writing_ ||
-        interim_responses_ >= kMaxInterimResponses) {
+    if (head_sent_ || writing_) {
       return;
     }
-    ++interim_responses_;
     constexpr size_t kSize = sizeof(kInterimResponse) - 1;
-    // The send buffer is empty and takes all of it.
-    if (send(socket_.native_handle(), kInterimResponse, kSize,
-             MSG_DONTWAIT | MSG_NOSIGNAL) != static_cast<ssize_t>(kSize)) {
+    const ssize_t sent = send(socket_.native_handle(), kInterimResponse, kSize,
+                              MSG_DONTWAIT | MSG_NOSIGNAL);
+    // The caller may not have read an earlier response yet.
+    const bool is_skipped = sent < 0 && WouldBlock();
+    if (!is_skipped && sent != static_cast<ssize_t>(kSize)) {
       DisconnectSoon();
     }
   }
@@ -622,8 +664,7 @@
   std::string write_buffer_;
   std::vector<char> discard_buffer_;
   size_t discarded_bytes_ = 0;
-  size_t output_size_ = 0;     // not written yet
-  int interim_responses_ = 0;  // sent for this request
+  size_t output_size_ = 0;  // not written yet
   int version_ = 11;
   bool awaiting_request_ = false;
   bool in_call_ = false;
@@ -633,6 +674,7 @@
   bool writing_ = false;
   bool head_sent_ = false;
   bool input_ended_ = false;       // behind the request in progress
+  bool awaits_write_ = false;      // to find out whether the caller still reads
   bool is_still_reading_ = false;  // although its input has ended
   bool responded_ = false;
   bool refused_ = false;
--- a/src/web/caller_session.h
+++ b/src/web/caller_session.h
@@ -57,9 +57,9 @@
   // Closes the connection so that the caller can't take the response as
   // complete.
   virtual void Abort() = 0;
-  // @return whether the caller's input has ended and it isn't known yet whether
-  // the caller still reads. If it doesn't, on_disconnect_ is called within
-  // kResetCheckTime.
+  // @return whether the caller has left, or its input has ended and it isn't
+  // known yet whether it still reads. If it doesn't, on_disconnect_ is called
+  // about kResetCheckTime later.
   virtual bool MayHaveLeft() = 0;
 };
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -855,12 +855,11 @@
 // to a server.
 bool ListensOnPortOfConnection() {
   std::promise<boost::asio::ip::tcp::endpoint> used;
-  RawServer server(
-      [&used](int, const std::string&, RawServer::Socket& socket) {
-        used.set_value(socket.remote_endpoint());
-        Write(socket, GatewayBench::Answer("whole"));
-        return true;
-      });
+  RawServer server([&used](int, const std::string&, RawServer::Socket& socket) {
+    used.set_value(socket.remote_endpoint());
+    Write(socket, GatewayBench::Answer("whole"));
+    return true;
+  });
   GatewayBench bench;
   bench.SetUpstreams({server.url()});
   Call(bench, GatewayBench::Request("/read/1"), "whole");
