Gateway: the notice of a gateway that missed the end of a limit doesn't revive it

Ends were forgotten after 10 s. A gateway that was frozen or cut off for longer still reported the limit, and all others took it for a new one. They now remember ends for 10 minutes, and tell a gateway that has missed one again.

The case of a stated limit expected that an end is forgotten by 20 s, which was the fault; it now checks that old ends are no longer told at 20 s and are forgotten after 10 minutes.

--- a/src/policy/shared_rate_limits.cc
+++ b/src/policy/shared_rate_limits.cc
@@ -23,6 +23,9 @@
 constexpr Millis kProbeSpacing = Millis(4'000);
 // For this long, other gateways are told that a limit has ended.
 constexpr Millis kEndNoticeTime = Millis(10'000);
+// Ends are remembered for this long: a gateway that was frozen or cut off still
+// reports the limits that it knew before.
+constexpr Millis kEndMemory = Millis(600'000);
 // Ages that gateways tell each other are short by the time on the way, so that
 // an end would seem newer than a limit that was stated after it.
 constexpr Millis kNoticeDelay = Millis(250);
@@ -79,6 +82,10 @@
   }
   Limit& limit = found->second;
   if (statement.as_of_ < limit.statement_.as_of_) {
+    if (statement.from_peer_ && statement.per_second_.has_value() &&
+        !limit.statement_.per_second_.has_value()) {
+      limit.told_from_ = now;  // this peer missed the end
+    }
     return false;
   }
   std::optional<double> per_second = statement.per_second_;
@@ -89,7 +96,7 @@
   const bool begins = !limit.statement_.per_second_.has_value();
   limit.statement_ = {per_second, statement.as_of_, statement.from_peer_};
   if (changed) {
-    limit.changed_at_ = now;
+    limit.changed_at_ = limit.told_from_ = now;
   }
   if (changed && begins) {
     limit.share_ = RateShare();
@@ -124,7 +131,7 @@
   for (auto it = limits_.begin(); it != limits_.end();) {
     const Limit& limit = it->second;
     const bool ended = !limit.statement_.per_second_.has_value() &&
-                       now - limit.changed_at_ > kEndNoticeTime;
+                       now - limit.changed_at_ > kEndMemory;
     it = ended ? limits_.erase(it) : std::next(it);
   }
 }
@@ -225,7 +232,9 @@
   std::vector<RateNotice> notices;
   for (const auto& [key, limit] : limits_) {
     const RateStatement& statement = limit.statement_;
-    if (!statement.from_peer_) {
+    const bool is_told = statement.per_second_.has_value() ||
+                         now - limit.told_from_ <= kEndNoticeTime;
+    if (!statement.from_peer_ && is_told) {
       const Millis margin =
           statement.per_second_.has_value() ? Millis(0) : kNoticeDelay;
       notices.push_back({limit.upstream_, statement.per_second_,
--- a/src/policy/shared_rate_limits.h
+++ b/src/policy/shared_rate_limits.h
@@ -104,6 +104,7 @@
     uint64_t upstream_ = 0;
     RateStatement statement_;
     Millis changed_at_;  // when the statement last differed
+    Millis told_from_;   // when other gateways were last in need of an end
     RateShare share_;
     double tokens_ = 0;  // at tokens_at_
     Millis tokens_at_;   // also when the latest one was taken
--- a/tests/shared_rate_limits_test.cc
+++ b/tests/shared_rate_limits_test.cc
@@ -81,7 +81,11 @@
   CHECK(limits.Allows(kKey, Millis(800)));
   // Another incarnation has said nothing.
   CHECK(limits.Allows({InstanceId("i-1"), 6}, Millis(800)));
+  // Other gateways are told for a time, and older notices are still refused.
   limits.Expire(Millis(20'000));
+  CHECK(limits.Notices(Millis(20'000)).empty());
+  CHECK_FALSE(limits.IsLimited(kKey));
+  limits.Expire(Millis(601'000));
   CHECK(limits.empty());
 }
 
@@ -123,6 +127,32 @@
   CHECK(notices[0].age_ == Millis(100));
 }
 
+// A gateway that was frozen or cut off still reports the limits that it knew.
+TEST_CASE("rate limits: an old notice brings back no limit that has ended") {
+  SharedRateLimits limits;
+  const GatewayMembers alone(1, false, Millis(0));
+  limits.OnStatement(kKey, kUpstream, {2.0, Millis(0)}, Millis(0));
+  limits.UpdateShares(alone, Millis(0));
+  limits.OnStatement(kKey, kUpstream, {std::nullopt, Millis(5'000)},
+                     Millis(6'000));
+  for (const int seconds : {10, 20, 60, 300}) {
+    const Millis now = Millis(seconds * 1'000);
+    CAPTURE(seconds);
+    limits.Expire(now);
+    // The frozen gateway was told at 1 s.
+    CHECK_FALSE(
+        limits.OnStatement(kKey, kUpstream, {2.0, Millis(1'000), true}, now));
+    CHECK_FALSE(limits.IsLimited(kKey));
+    // It is told of the end.
+    const auto notices = limits.Notices(now);
+    REQUIRE(notices.size() == 1);
+    CHECK_FALSE(notices[0].per_second_.has_value());
+  }
+  limits.OnStatement(kKey, kUpstream, {2.0, Millis(301'000), true},
+                     Millis(301'000));
+  CHECK(limits.IsLimited(kKey));
+}
+
 // A gateway that no longer hears of a limit would never use the upstream again.
 TEST_CASE("rate limits: a gateway without a share asks again after a time") {
   const Millis now = GatewayMembers::kDiscoveryTime;
