Gateway: rates reach peers exactly

They were cut off to thousandths, so 2.3 became 2.299: the limit differed between what an upstream said and what peers said, and each statement changed it.

Also tests that gateways before and after the rates read each other's datagrams.

--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/peer_message.h"
 
+#include <cmath>
 #include <exception>
 #include <tuple>
 #include <utility>
@@ -69,7 +70,7 @@
   for (const policy::RateNotice& rate : message.rates_) {
     const int64_t encoded =
         rate.per_second_.has_value()
-            ? static_cast<int64_t>(*rate.per_second_ * kRateUnit)
+            ? int64_t{std::llround(*rate.per_second_ * kRateUnit)}
             : kNoRate;
     std::get<9>(fields).emplace_back(rate.upstream_, encoded,
                                      rate.age_.count());
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -8,8 +8,11 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <tuple>
+#include <vector>
 
 #include <doctest/doctest.h>
+#include <msgpack.hpp>
 
 #include "src/gateway/control.h"
 #include "src/gateway/decision_log.h"
@@ -146,6 +149,54 @@
   CHECK_FALSE(ReadPeerMessage(std::string(3, '\x01')).ok());
 }
 
+// Otherwise the limit would differ between what an upstream says and what peers
+// say, and change with each datagram.
+TEST_CASE("peer message: rates with few decimals are passed on exactly") {
+  for (int thousandths = 0; thousandths <= 10'000; ++thousandths) {
+    PeerMessage message;
+    const double rate = thousandths / 1'000.0;
+    message.rates_ = {{25, rate, Millis(26)}};
+    const auto read = ReadPeerMessage(WritePeerMessage(message));
+    REQUIRE(read.ok());
+    CAPTURE(rate);
+    CHECK(read.value().rates_[0].per_second_ == rate);
+  }
+}
+
+TEST_CASE("peer message: gateways of other versions read what they know") {
+  using Row = std::tuple<uint64_t, int64_t, int64_t>;
+  using Status = std::tuple<uint32_t, int64_t, bool, bool>;
+  using Nothing = std::vector<int>;
+  const Status status{21, 10'000, true, true};
+  const std::tuple<int64_t, int64_t, std::vector<std::string>, Nothing, Nothing,
+                   Nothing, Status, Nothing, Nothing>
+      shorter{5, 6, {"10.0.0.1:7"}, {}, {}, {}, status, {}, {}};
+  const auto longer = std::tuple_cat(
+      shorter,
+      std::tuple<std::vector<Row>, std::string>({Row{25, 1'250, 26}}, "new"));
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, shorter);
+  const auto old = ReadPeerMessage({buffer.data(), buffer.size()});
+  REQUIRE(old.ok());
+  CHECK(old.value().sequence_number_ == 6);
+  CHECK(old.value().status_.zone_hash_ == 21);
+  CHECK(old.value().rates_.empty());
+  buffer.clear();
+  msgpack::pack(buffer, longer);
+  const auto newer = ReadPeerMessage({buffer.data(), buffer.size()});
+  REQUIRE(newer.ok());
+  REQUIRE(newer.value().rates_.size() == 1);
+  CHECK(newer.value().rates_[0].per_second_ == 1.25);
+  // As a gateway before the rates read it.
+  PeerMessage message;
+  message.sequence_number_ = 8;
+  message.rates_ = {{25, 1.25, Millis(26)}};
+  const std::string bytes = WritePeerMessage(message);
+  auto read = shorter;
+  msgpack::unpack(bytes.data(), bytes.size()).get().convert(read);
+  CHECK(std::get<1>(read) == 8);
+}
+
 TEST_CASE("decision log: values can't end a line") {
   CHECK(LogLine("x").Add("a", "1").Add("b", int64_t{-2}).text() ==
         "event=x a=1 b=-2");
