Gateway: requests wait for a limited upstream rather than for one that is gone

While one upstream of a group was gone but listed, and the others were limited, requests went to the one that was gone until they were rejected (3 of 5 in the test), with no time to return by the rate.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -341,6 +341,10 @@
       WaitForUsableUpstream();
       return;
     }
+    // A limited upstream is worth more than one that can't be reached.
+    if (choice_.paused_ && WaitForRate()) {
+      return;
+    }
     if (!LinkHasCapacity() || !EngineHasCapacity()) {
       WaitForAdmission("engine or link busy");
       return;
@@ -422,6 +426,9 @@
     if ((!keeps_choice && !ChooseUpstream()) || !EngineHasCapacity()) {
       return false;
     }
+    if (choice_.paused_ && rate_ticket_.has_value()) {
+      return false;
+    }
     is_queued_ = false;
     rate_ticket_.reset();
     ConnectToUpstream();
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -196,6 +196,7 @@
     choice->unread_ahead_ = views[chosen].unread_tokens_;
     choice->recomputes_cached_prefix_ = policy::IsCachedElsewhere(views, best);
     choice->short_prompt_ = request.short_prompt_;
+    choice->paused_ = candidates[chosen]->health_.IsPaused(now);
     choice->lapsed_ = candidates[chosen]->entry_.registration_ ==
                       route::Registration::kLapsed;
     return true;
@@ -418,7 +419,7 @@
     bool is_limited = false;
     for (const auto& [id, instance] : instances_) {
       if (instance.entry_.group_ != group || !IsOpen(instance) ||
-          PausedUntil(instance) > now) {
+          PausedUntil(instance) > now || instance.health_.IsPaused(now)) {
         continue;
       }
       const auto key = RateKey(instance);
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -132,6 +132,8 @@
     bool short_prompt_ = false;
     // Whether the instance's registration has expired in an outage.
     bool lapsed_ = false;
+    // Whether connecting to the instance has failed a moment ago.
+    bool paused_ = false;
     // Whether Begin() has taken a permission to send from the instance's rate
     // limit.
     bool has_permission_ = false;
@@ -171,7 +173,8 @@
   // @return the number of instances that have stated a rate.
   int rate_limited() const;
   // @return the rate at which this gateway may send to the group, if all
-  // instances that could be used are limited, and nothing otherwise.
+  // instances that could be used are limited, and nothing otherwise. One that
+  // could not be reached a moment ago can't be used.
   std::optional<policy::RateForecast> ForecastRate(const GroupId& group) const;
 
   // Chooses where to send a request.
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -457,6 +457,29 @@
   CHECK(server.requests().size() == static_cast<size_t>(served) + 1);
 }
 
+// A server that is gone is still listed for some seconds.
+TEST_CASE(
+    "gateway: requests take turns at a limited upstream while one is gone") {
+  const std::string limited =
+      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 5\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  RawServer server(Always(limited, false));
+  std::string gone;
+  {
+    RawServer other(Always(limited, false));
+    gone = other.url();
+  }
+  GatewayBench bench;
+  bench.SetUpstreams({server.url(), gone});
+  CHECK(StartsWith(Call(bench, GatewayBench::Request("/read/1"), "body"),
+                   "HTTP/1.1 200"));
+  for (int i = 0; i < 5; ++i) {
+    CHECK(StartsWith(Call(bench, GatewayBench::Request("/read/1"), "\r\n\r\n"),
+                     "HTTP/1.1 200"));
+  }
+}
+
 TEST_CASE("gateway: while one upstream asks for time, another one serves") {
   RawServer full(Always(Rejection("Retry-After: 30\r\n")));
   RawServer free(Always(GatewayBench::Answer("served"), false));
