Gateway: later requests don't pass those that wait for a rate

A request that arrived between two passes over the queue took a permission that was due, whatever its urgency: in the test, in 5 of 5 rounds one of 150 later requests was sent before the one that waited.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -341,8 +341,11 @@
       WaitForUsableUpstream();
       return;
     }
-    // A limited upstream is worth more than one that can't be reached.
-    if (choice_.paused_ && WaitForRate()) {
+    // A limited upstream is worth more than one that can't be reached, and
+    // requests that wait for a rate go first.
+    if ((choice_.paused_ ||
+         context_.rate_queue_.HasWaiting(group_, rank_.priority_)) &&
+        WaitForRate()) {
       return;
     }
     if (!LinkHasCapacity() || !EngineHasCapacity()) {
--- a/src/policy/rate_queue.cc
+++ b/src/policy/rate_queue.cc
@@ -27,13 +27,7 @@
   --queue_.groups_[group_].waiting_[priority_];
 }
 
-std::optional<Millis> RateQueue::ExpectedWait(
-    const GroupId& group,
-    int priority,
-    const RateForecast& forecast) const {
-  if (forecast.own_per_second_ <= 0 || !forecast.next_in_.has_value()) {
-    return std::nullopt;
-  }
+int RateQueue::CountAhead(const GroupId& group, int priority) const {
   int ahead = 0;
   const auto found = groups_.find(group);
   if (found != groups_.end()) {
@@ -41,6 +35,21 @@
       ahead += waiting_priority <= priority ? count : 0;
     }
   }
+  return ahead;
+}
+
+bool RateQueue::HasWaiting(const GroupId& group, int priority) const {
+  return CountAhead(group, priority) > 0;
+}
+
+std::optional<Millis> RateQueue::ExpectedWait(
+    const GroupId& group,
+    int priority,
+    const RateForecast& forecast) const {
+  if (forecast.own_per_second_ <= 0 || !forecast.next_in_.has_value()) {
+    return std::nullopt;
+  }
+  const int ahead = CountAhead(group, priority);
   if (ahead >= kMaxWaiting) {
     return std::nullopt;
   }
--- a/src/policy/rate_queue.h
+++ b/src/policy/rate_queue.h
@@ -53,12 +53,18 @@
                                      int priority,
                                      const RateForecast& forecast) const;
 
+  // @return whether requests wait that are at least as urgent.
+  bool HasWaiting(const GroupId& group, int priority) const;
+
   // @return when a rejected request should return.
   Millis ReserveReturn(const GroupId& group,
                        const RateForecast& forecast,
                        Millis now);
 
  private:
+  // @return the number of waiting requests that are at least as urgent.
+  int CountAhead(const GroupId& group, int priority) const;
+
   struct Group {
     std::map<int, int> waiting_;  // number of requests by priority
     Millis last_return_;
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -480,6 +480,37 @@
   }
 }
 
+// Requests that arrived just when a permission was due took it.
+TEST_CASE("gateway: later requests don't pass those that wait for a rate") {
+  const std::string limited =
+      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 4\r\n"
+      "Content-Length: 4\r\n\r\nbody";
+  RawServer server(Always(limited, false));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  for (int round = 0; round < 5; ++round) {
+    bench.ConfirmNow();
+    CHECK(StartsWith(Call(bench, GatewayBench::Request("/read/1"), "body"),
+                     "HTTP/1.1 200"));
+    const size_t before = server.requests().size();
+    RawCaller first(bench.port());
+    REQUIRE(first.Send(GatewayBench::Request("/read/first")));
+    std::vector<std::unique_ptr<RawCaller>> later;
+    for (int i = 0; i < 150; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      later.push_back(std::make_unique<RawCaller>(bench.port()));
+      later.back()->Send(GatewayBench::Request("/read/later"));
+    }
+    CHECK(StartsWith(first.ReadUntil("body"), "HTTP/1.1 200"));
+    const auto requests = server.requests();
+    REQUIRE(requests.size() > before);
+    CHECK(StartsWith(requests[before], "POST /read/first"));
+    later.clear();
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  }
+}
+
 TEST_CASE("gateway: while one upstream asks for time, another one serves") {
   RawServer full(Always(Rejection("Retry-After: 30\r\n")));
   RawServer free(Always(GatewayBench::Answer("served"), false));
