Gateway: a request that was not sent gives its permission back

Requests whose callers left, whose upstream could not be reached or that a check before the send ended kept the permission that they had taken, so that at a low limit the next request waited seconds for another.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -615,6 +615,7 @@
     if (!may_retry) {
       request_account_.reset();
     }
+    choice_.has_permission_ = false;  // used
     ++sends_;
     ++executions_;
     body_.clear();
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -854,6 +854,9 @@
   if (instance == nullptr) {
     return;
   }
+  if (choice.has_permission_) {
+    impl_->rate_limits_.GiveBack(Impl::RateKey(*instance), impl_->boot_.Now());
+  }
   if (!prefill_done) {
     OnPrefillDone(choice);
   }
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -134,8 +134,9 @@
     bool lapsed_ = false;
     // Whether connecting to the instance has failed a moment ago.
     bool paused_ = false;
-    // Whether Begin() has taken a permission to send from the instance's rate
-    // limit.
+    // Whether Begin() or MaySend() has taken a permission to send from the
+    // instance's rate limit. Clear it when the request is sent; End() gives it
+    // back otherwise.
     bool has_permission_ = false;
   };
 
--- a/src/policy/shared_rate_limits.cc
+++ b/src/policy/shared_rate_limits.cc
@@ -214,6 +214,18 @@
   return true;
 }
 
+void SharedRateLimits::GiveBack(const Key& key, Millis now) {
+  const auto found = limits_.find(key);
+  if (found == limits_.end()) {
+    return;
+  }
+  Limit& limit = found->second;
+  if (limit.share_.per_second_ > 0) {
+    limit.tokens_ = std::min(TokensAt(limit, now) + 1, Burst(limit.share_));
+    limit.tokens_at_ = now;
+  }
+}
+
 std::optional<Millis> SharedRateLimits::TimeUntilAllowed(const Key& key,
                                                          Millis now) const {
   const Limit* limit = FindLimited(key);
--- a/src/policy/shared_rate_limits.h
+++ b/src/policy/shared_rate_limits.h
@@ -92,6 +92,8 @@
   // Takes the permission to send a request.
   // @return false if none is left.
   bool TryTake(const Key& key, Millis now);
+  // Gives a permission back whose request was not sent.
+  void GiveBack(const Key& key, Millis now);
   // @return the time until Allows(); nothing if other gateways use the limit.
   std::optional<Millis> TimeUntilAllowed(const Key& key, Millis now) const;
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -511,6 +511,35 @@
   }
 }
 
+// At a low limit, each one that was lost kept the next request for seconds.
+TEST_CASE("gateway: a request that was not sent gives its permission back") {
+  RawServer server(Always(GatewayBench::Answer("body")));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  gateway::UpstreamSet& upstreams = bench.context().upstreams_;
+  const gateway::UpstreamKey key{InstanceId("i-0"), 0};
+  bench.Do([&] {
+    upstreams.OnRateStated(key, {2.0, Clock::Boot().Now(), false});
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  bench.Do([&] {
+    const policy::PlacementRequest request;
+    gateway::UpstreamSet::Choice choice;
+    for (int i = 0; i < 5; ++i) {
+      CHECK(upstreams.Choose(GroupId("g"), request, {}, &choice));
+      upstreams.Begin(&choice, request);
+      CHECK(choice.has_permission_);
+      upstreams.End(choice, false, gateway::CallOutcome::kCancelled);
+    }
+    CHECK(upstreams.Choose(GroupId("g"), request, {}, &choice));
+    upstreams.Begin(&choice, request);
+    CHECK(upstreams.MaySend(&choice));
+    choice.has_permission_ = false;  // the request is sent
+    upstreams.End(choice, false, gateway::CallOutcome::kServed);
+    CHECK_FALSE(upstreams.Choose(GroupId("g"), request, {}, &choice));
+  });
+}
+
 TEST_CASE("gateway: while one upstream asks for time, another one serves") {
   RawServer full(Always(Rejection("Retry-After: 30\r\n")));
   RawServer free(Always(GatewayBench::Answer("served"), false));
