--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -266,6 +266,10 @@
   setsockopt(fd_, SOL_SOCKET, SO_RCVTIMEO, &value, sizeof(value));
 }
 
+void Wire::ShutdownSending() {
+  shutdown(fd_, SHUT_WR);
+}
+
 void Wire::Shutdown(bool reset) {
   if (reset) {
     const linger option{1, 0};
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -51,6 +51,8 @@
   bool PeerHasClosed() const;
   // A read fails after this time without a byte.
   void SetReadTimeout(Millis timeout);
+  // Ends the sending side only.
+  void ShutdownSending();
   // Ends the connection; with a reset if asked for.
   void Shutdown(bool reset = false);
 
