--- a/tests/process/gateway_overlap_test.cc
+++ b/tests/process/gateway_overlap_test.cc
@@ -375,6 +375,35 @@
   }
 }
 
+// A stream that has begun is cut off as soon as its caller's input ends.
+TEST_CASE("gateway overlap: a caller that half-closes midway gets it all") {
+  OverlapBench bench;
+  REQUIRE(bench.Start(Millis(300)));
+  CallerRequest read;
+  read.path_ = "/read/1";
+  read.id_ = "midway-read";
+  read.headers_ = "X-Answer-Bytes: 3000000\r\n";
+  for (const CallerRequest& request : {MakeStream("midway-stream", 6), read}) {
+    CAPTURE(request.id_);
+    const auto wire = Wire::Open(bench.gateway_.address());
+    REQUIRE(wire != nullptr);
+    REQUIRE(wire->Write(request.Head() + request.body_));
+    std::string first;
+    REQUIRE(wire->ReadExactly(1, &first));
+    wire->ShutdownSending();
+    wire->SetReadTimeout(Millis(3'000));
+    std::string head;
+    REQUIRE(wire->ReadHead(&head));
+    std::string body;
+    const std::string length = HeaderOf(head, "Content-Length");
+    const bool is_whole = length.empty()
+                              ? wire->ReadChunks(&body)
+                              : wire->ReadExactly(std::stoul(length), &body);
+    CAPTURE(body.size());
+    CHECK(is_whole);
+  }
+}
+
 TEST_CASE("gateway overlap: a deployment of gateways starts and stops") {
   constexpr int kGateways = 33;
   ScratchFolder folder;
