Tests: more tries for a port that no other process uses; a linter's warning

'gateway: its connections leave their ports to listeners' failed once beside process tests with thousands of connections from 127.0.0.1: all twelve ports were also used by other processes' sockets, which don't allow the reuse.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -954,12 +954,12 @@
 // No listener could be started on the port of a connection to a server.
 TEST_CASE("gateway: its connections leave their ports to listeners") {
   // Sockets of other processes may use the same port.
-  constexpr int kTries = 12;
-  int started = 0;
-  for (int i = 0; i < kTries; ++i) {
-    started += ListensOnPortOfConnection() ? 1 : 0;
+  constexpr int kMaxTries = 200;
+  int tries = 1;
+  while (tries < kMaxTries && !ListensOnPortOfConnection()) {
+    ++tries;
   }
-  CHECK(started > 0);
+  CHECK(tries < kMaxTries);
 }
 
 TEST_CASE("gateway: a request whose caller has left is not sent") {
--- a/tests/shared_rate_limits_test.cc
+++ b/tests/shared_rate_limits_test.cc
@@ -135,7 +135,7 @@
   limits.UpdateShares(alone, Millis(0));
   limits.OnStatement(kKey, kUpstream, {std::nullopt, Millis(5'000)},
                      Millis(6'000));
-  for (const int seconds : {10, 20, 60, 300}) {
+  for (const int64_t seconds : {10, 20, 60, 300}) {
     const Millis now = Millis(seconds * 1'000);
     CAPTURE(seconds);
     limits.Expire(now);
