Decision log: the lines go to standard output itself

Since the log has a thread of its own, it wrote to a duplicate of the descriptor. The standard streams stay open, so they need none.

--- a/src/gateway/decision_log.cc
+++ b/src/gateway/decision_log.cc
@@ -77,13 +77,19 @@
 class DecisionLog::Writer {
  public:
   Writer(int fd, Clock wall)
-      : fd_(fcntl(fd, F_DUPFD_CLOEXEC, 0)), wall_(std::move(wall)) {
+      : is_standard_(fd <= STDERR_FILENO),
+        fd_(is_standard_ ? fd : fcntl(fd, F_DUPFD_CLOEXEC, 0)),
+        wall_(std::move(wall)) {
     const int flags = fcntl(fd_, F_GETFL, 0);
     if (flags >= 0) {
       fcntl(fd_, F_SETFL, flags | O_NONBLOCK);
     }
   }
-  ~Writer() { close(fd_); }
+  ~Writer() {
+    if (!is_standard_) {
+      close(fd_);
+    }
+  }
   Writer(const Writer&) = delete;
   Writer& operator=(const Writer&) = delete;
 
@@ -180,6 +186,9 @@
     return done;
   }
 
+  // The standard streams stay open; another descriptor may be closed while the
+  // thread still writes, so that one is duplicated.
+  const bool is_standard_;
   const int fd_;
   const Clock wall_;
   mutable std::mutex mutex_;
--- a/src/gateway/decision_log.h
+++ b/src/gateway/decision_log.h
@@ -33,8 +33,8 @@
 // while the reader doesn't read. Thread safety: safe.
 class DecisionLog {
  public:
-  // @param fd file descriptor for the lines; it is set to non-blocking and
-  // duplicated.
+  // @param fd file descriptor for the lines; it is set to non-blocking, and
+  // duplicated unless it is a standard stream.
   DecisionLog(int fd, Clock wall);
   // Flushes first. If the output still blocks then, the remaining lines are
   // lost.
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -225,6 +225,14 @@
   CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
 }
 
+// What collects a process's standard output by its descriptor saw no line.
+TEST_CASE("gateway start: the log is written to standard output itself") {
+  StartBench bench;
+  bench.gateway_.Start();
+  REQUIRE(bench.gateway_.AwaitReady(kReadyTimeout));
+  CHECK(bench.gateway_.CountDescriptorsOfLog() == 2);
+}
+
 TEST_CASE("gateway start: signals while it ends change nothing") {
   StartBench bench;
   for (int i = 0; i < 5; ++i) {
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -16,8 +16,10 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <system_error>
 #include <utility>
 
 namespace bergamotscale::tests {
@@ -803,8 +805,8 @@
   const std::string variable = "BERGAMOTSCALE_NODE_FILE=" + settings_file_;
   pid_ = fork();
   if (pid_ == 0) {
-    const int out =
-        open(log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    const int out = open(log_file_.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
     char* arguments[] = {const_cast<char*>(program.c_str()), nullptr};
@@ -874,6 +876,16 @@
   return Bytes(0);
 }
 
+int GatewayProcess::CountDescriptorsOfLog() const {
+  int count = 0;
+  const std::filesystem::path folder("/proc/" + std::to_string(pid_) + "/fd");
+  for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+    std::error_code gone;
+    count += std::filesystem::equivalent(entry.path(), log_file_, gone) ? 1 : 0;
+  }
+  return count;
+}
+
 std::string GatewayProcess::Metrics() const {
   const auto wire = Wire::Open(operators_);
   std::string head;
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -275,6 +275,9 @@
   int status() const { return status_; }
   // @return the peak of its resident memory.
   Bytes PeakMemory() const;
+  // @return how many descriptors of the process refer to its log file: standard
+  // output and standard error, and duplicates of them.
+  int CountDescriptorsOfLog() const;
   // @return the metrics page; empty if it doesn't answer.
   std::string Metrics() const;
   // @return whether the metrics page answers within the time.
