Gateway: a peer's notice of a rate limits no other upstream

Cause, from the logs of one: the limit of i-0 was also recorded for i-3. Upstreams are named to peers by a hash of the id with the start time as its seed; for ids of three characters the seed can cancel out the ids' difference, so two servers that started 1 or 2 ms apart had the same hash, and the answers of one ended the limit of the other. The start time is hashed with the id now, and notices of rates carry 64 bits. Load reports keep 32 bits of the new hash.

--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -48,6 +48,7 @@
 struct Instance {
   route::UpstreamEntry entry_;
   uint64_t id_hash_ = 0;
+  uint64_t rate_hash_ = 0;  // in notices of rates, which must not be mixed up
   policy::InstanceHealth health_;
   std::deque<IdleConnection> idle_;  // newest last
   int running_ = 0;
@@ -82,13 +83,19 @@
 };
 
 // Identifies the incarnation, because a restarted instance has an empty cache.
-// The hash has 32 bits, because each datagram between gateways holds one for
-// each instance. In a fleet of 7,000 instances, two collide with a probability
-// of 1 in 170; their loads are then added up.
+// The start time is hashed with the id: as a seed it could cancel out the
+// difference of two short ids.
 uint64_t HashIncarnation(const route::UpstreamEntry& entry) {
-  return static_cast<uint32_t>(
-      XXH3_64bits_withSeed(entry.id_.value().data(), entry.id_.value().size(),
-                           static_cast<uint64_t>(entry.started_at_)));
+  const std::string text =
+      entry.id_.value() + " " + std::to_string(entry.started_at_);
+  return XXH3_64bits(text.data(), text.size());
+}
+
+// 32 bits, because each datagram between gateways holds one for each instance.
+// In a fleet of 7,000 instances, two collide with a probability of 1 in 170;
+// their loads are then added up.
+uint64_t ShortHash(uint64_t hash) {
+  return static_cast<uint32_t>(hash);
 }
 
 uint64_t HashGroup(const GroupId& group) {
@@ -126,7 +133,8 @@
         instance = Instance();
       }
       instance.entry_ = entry;
-      instance.id_hash_ = HashIncarnation(entry);
+      instance.rate_hash_ = HashIncarnation(entry);
+      instance.id_hash_ = ShortHash(instance.rate_hash_);
       cache_estimate_.SetCapacity(instance.id_hash_,
                                   cache_capacity_[entry.group_]);
       instance.listed_ = true;
@@ -374,7 +382,7 @@
       return;
     }
     const auto rate_key = RateKey(*instance);
-    if (rate_limits_.OnStatement(rate_key, instance->id_hash_, statement,
+    if (rate_limits_.OnStatement(rate_key, instance->rate_hash_, statement,
                                  boot_.Now())) {
       if (!rate_limits_.IsLimited(rate_key)) {
         ReportRate(rate_key);
@@ -387,7 +395,7 @@
     const Millis now = boot_.Now();
     for (const policy::RateNotice& notice : notices) {
       for (const auto& [id, instance] : instances_) {
-        if (instance.id_hash_ == notice.upstream_) {
+        if (instance.rate_hash_ == notice.upstream_) {
           OnRateStated(KeyOf(instance),
                        {notice.per_second_, now - notice.age_, true});
         }
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -480,6 +480,33 @@
   }
 }
 
+// Short ids with near start times had the same hash: a limit was taken for that
+// of another upstream, whose answers then ended it.
+TEST_CASE("gateway: a peer's notice limits no other upstream") {
+  for (int64_t later = 0; later < 64; ++later) {
+    GatewayBench bench;
+    std::vector<route::UpstreamEntry> entries;
+    for (int i = 0; i < 4; ++i) {
+      route::UpstreamEntry entry;
+      entry.id_ = InstanceId("i-" + std::to_string(i));
+      entry.started_at_ = 1'796'546'845'218 + (i == 0 ? 0 : later);
+      entry.group_ = GroupId("g");
+      entry.ip_ = "127.0.0.1";
+      entry.port_ = static_cast<uint16_t>(i + 1);
+      entries.push_back(entry);
+    }
+    bench.Do([&] {
+      gateway::UpstreamSet& upstreams = bench.context().upstreams_;
+      upstreams.Update(entries);
+      upstreams.OnRateStated({entries[0].id_, entries[0].started_at_},
+                             {1.2, Clock::Boot().Now(), false});
+      upstreams.ApplyPeerRates(upstreams.RateNotices());
+      CAPTURE(later);
+      CHECK(upstreams.rate_limited() == 1);
+    });
+  }
+}
+
 // Requests that arrived just when a permission was due took it.
 TEST_CASE("gateway: later requests don't pass those that wait for a rate") {
   const std::string limited =
