Tests: one copy of the orders, streams and the server that never answers

Read over at the end: gateway_overlap_test.cc had written MakeOrder and MakeStream of gateway_stop_test.cc again; both use those of tests/support now. One case had its own copy of PausingServer.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -837,27 +837,6 @@
   }
 }
 
-TEST_CASE("gateway: without an answer yet, a caller's close still cancels") {
-  std::promise<void> closed;
-  RawServer server([&closed](int, const std::string&, RawServer::Socket& sent) {
-    boost::system::error_code error;
-    char byte = 0;
-    sent.read_some(boost::asio::buffer(&byte, 1), error);
-    closed.set_value();
-    return false;
-  });
-  GatewayBench bench;
-  bench.SetUpstreams({server.url()});
-  RawCaller caller(bench.port());
-  caller.Send(GatewayBench::Request("/read/1"));
-  while (server.requests().empty()) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(5));
-  }
-  caller.Close();
-  CHECK(closed.get_future().wait_for(std::chrono::milliseconds(500)) ==
-        std::future_status::ready);
-}
-
 // Never answers, and tells whether the gateway ended its connection.
 struct PausingServer {
   std::promise<void> closed_;
@@ -883,6 +862,17 @@
   }
 };
 
+TEST_CASE("gateway: without an answer yet, a caller's close still cancels") {
+  PausingServer server;
+  GatewayBench bench;
+  bench.SetUpstreams({server.server_.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/read/1"));
+  server.AwaitRequest();
+  caller.Close();
+  CHECK(server.IsCancelled());
+}
+
 TEST_CASE("gateway: the close of a caller of HTTP/1.0 cancels") {
   PausingServer server;
   GatewayBench bench;
--- a/tests/process/gateway_overlap_test.cc
+++ b/tests/process/gateway_overlap_test.cc
@@ -25,29 +25,6 @@
 constexpr Millis kGrace = Millis(8'000);
 constexpr Millis kLossSlack = Millis(200);
 
-CallerRequest MakeOrder(const std::string& id, int work_ms) {
-  CallerRequest order;
-  order.path_ = "/order/1";
-  order.id_ = id;
-  order.headers_ = "X-Work-Ms: " + std::to_string(work_ms) + "\r\n";
-  order.body_ = std::string(600, 'o');
-  return order;
-}
-
-CallerRequest MakeStream(const std::string& id, int events) {
-  CallerRequest stream;
-  stream.path_ = "/stream/1";
-  stream.id_ = id;
-  stream.patience_ = Millis(10'000);
-  stream.headers_ = "X-Events: " + std::to_string(events) +
-                    "\r\nX-Pace-Ms: 74\r\n"
-                    "X-Bergamotscale-Token-Counts: 1460,600\r\n"
-                    "X-Bergamotscale-Prefix-Hash: 5c1e07a2:350," +
-                    id + ":1110\r\n";
-  stream.body_ = std::string(1'500, 's');
-  return stream;
-}
-
 struct Attempt {
   CallerRequest request_;
   CallerAnswer answer_;
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr Millis kGrace = Millis(8'000);
+constexpr int kOrderWorkMs = 450;
 
 struct StopBench : SmallSystem {
   StopBench() { REQUIRE(Start(Millis(500))); }
@@ -37,29 +38,6 @@
   }
 };
 
-CallerRequest MakeOrder(const std::string& id) {
-  CallerRequest order;
-  order.path_ = "/order/1";
-  order.id_ = id;
-  order.headers_ = "X-Work-Ms: 450\r\n";
-  order.body_ = std::string(600, 'o');
-  return order;
-}
-
-CallerRequest MakeStream(const std::string& id, int events) {
-  CallerRequest stream;
-  stream.path_ = "/stream/1";
-  stream.id_ = id;
-  stream.patience_ = Millis(10'000);
-  stream.headers_ = "X-Events: " + std::to_string(events) +
-                    "\r\nX-Pace-Ms: 74\r\n"
-                    "X-Bergamotscale-Token-Counts: 1460,600\r\n"
-                    "X-Bergamotscale-Prefix-Hash: 5c1e07a2:350," +
-                    id + ":1110\r\n";
-  stream.body_ = std::string(1'500, 's');
-  return stream;
-}
-
 // An order that followed a stream on its connection was passed on, ran, and was
 // cut off when the process ended.
 TEST_CASE(
@@ -72,7 +50,7 @@
   for (int i = 0; i < kClients; ++i) {
     const std::string number = std::to_string(i);
     const bool sends_order = i % 2 == 0;
-    requests[i] = sends_order ? MakeOrder("next" + number)
+    requests[i] = sends_order ? MakeOrder("next" + number, kOrderWorkMs)
                               : MakeStream("next" + number, 97);
     clients.emplace_back([&, i, sends_order] {
       const auto wire = Wire::Open(bench.gateway_.address());
@@ -111,7 +89,7 @@
   std::vector<std::thread> clients;
   const Millis stop_at = SteadyNow() + Millis(300);
   for (int i = 0; i < kUploads; ++i) {
-    requests[i] = MakeOrder("upload" + std::to_string(i));
+    requests[i] = MakeOrder("upload" + std::to_string(i), kOrderWorkMs);
     clients.emplace_back([&, i] {
       const auto wire = Wire::Open(bench.gateway_.address());
       const std::string all = requests[i].Head() + requests[i].body_;
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -923,6 +923,29 @@
          "\r\n";
 }
 
+CallerRequest MakeOrder(const std::string& id, int work_ms) {
+  CallerRequest order;
+  order.path_ = "/order/1";
+  order.id_ = id;
+  order.headers_ = "X-Work-Ms: " + std::to_string(work_ms) + "\r\n";
+  order.body_ = std::string(600, 'o');
+  return order;
+}
+
+CallerRequest MakeStream(const std::string& id, int events) {
+  CallerRequest stream;
+  stream.path_ = "/stream/1";
+  stream.id_ = id;
+  stream.patience_ = Millis(10'000);
+  stream.headers_ = "X-Events: " + std::to_string(events) +
+                    "\r\nX-Pace-Ms: 74\r\n"
+                    "X-Bergamotscale-Token-Counts: 1460,600\r\n"
+                    "X-Bergamotscale-Prefix-Hash: 5c1e07a2:350," +
+                    id + ":1110\r\n";
+  stream.body_ = std::string(1'500, 's');
+  return stream;
+}
+
 CallerAnswer ReadAnswer(Wire& wire,
                         const CallerRequest& request,
                         Millis last_write_began) {
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -316,6 +316,11 @@
   std::string Head() const;
 };
 
+// @return an order that its server works on for this time.
+CallerRequest MakeOrder(const std::string& id, int work_ms);
+// @return a stream with this number of events, one each 74 ms.
+CallerRequest MakeStream(const std::string& id, int events);
+
 struct CallerAnswer {
   bool is_sent_ = false;  // the whole request was written
   // Right before and after the last bytes were written. The caller's thread may
