Rates: a stated limit is bounded in one place; one answer in the tests

Read over at the end: OnStatement() clamped a limit twice, and four cases spelled out the same answer with its limit. Behaviour and checks are unchanged: 21 unit cases of rates and 'rate limit: six gateways ...' (6 and 6 requests in 4 s, allowed 12.2) passed.

--- a/src/policy/shared_rate_limits.cc
+++ b/src/policy/shared_rate_limits.cc
@@ -67,31 +67,29 @@
                                    uint64_t upstream,
                                    const RateStatement& statement,
                                    Millis now) {
+  std::optional<double> per_second = statement.per_second_;
+  if (per_second.has_value()) {
+    per_second = std::clamp(*per_second, kMinPerSecond, kMaxPerSecond);
+  }
   const auto found = limits_.find(key);
   if (found == limits_.end()) {
-    if (!statement.per_second_.has_value()) {
+    if (!per_second.has_value()) {
       return false;
     }
     Limit& limit = limits_[key];
     limit.upstream_ = upstream;
-    limit.statement_ = statement;
-    limit.statement_.per_second_ =
-        std::clamp(*statement.per_second_, kMinPerSecond, kMaxPerSecond);
+    limit.statement_ = {per_second, statement.as_of_, statement.from_peer_};
     limit.changed_at_ = limit.tokens_at_ = now;
     return true;
   }
   Limit& limit = found->second;
   if (statement.as_of_ < limit.statement_.as_of_) {
-    if (statement.from_peer_ && statement.per_second_.has_value() &&
+    if (statement.from_peer_ && per_second.has_value() &&
         !limit.statement_.per_second_.has_value()) {
       limit.told_from_ = now;  // this peer missed the end
     }
     return false;
   }
-  std::optional<double> per_second = statement.per_second_;
-  if (per_second.has_value()) {
-    per_second = std::clamp(*per_second, kMinPerSecond, kMaxPerSecond);
-  }
   const bool changed = per_second != limit.statement_.per_second_;
   const bool begins = !limit.statement_.per_second_.has_value();
   limit.statement_ = {per_second, statement.as_of_, statement.from_peer_};
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -398,12 +398,16 @@
                    "HTTP/1.1 200"));
 }
 
+// @return an answer of an upstream that takes so many requests a second.
+std::string LimitedAnswer(const std::string& per_second) {
+  return "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+         "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: " +
+         per_second + "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
 TEST_CASE(
     "gateway: an upstream that limits its rate gets no more, another does") {
-  const std::string limited =
-      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 2\r\n"
-      "Content-Length: 4\r\n\r\nbody";
+  const std::string limited = LimitedAnswer("2");
   RawServer first(Always(limited));
   RawServer second(Always(GatewayBench::Answer("body")));
   GatewayBench bench;
@@ -422,10 +426,7 @@
 
 TEST_CASE(
     "gateway: where only a limited upstream is left, requests take turns") {
-  const std::string limited =
-      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 5\r\n"
-      "Content-Length: 4\r\n\r\nbody";
+  const std::string limited = LimitedAnswer("5");
   RawServer server(Always(limited, false));
   GatewayBench bench;
   bench.SetUpstreams({server.url()});
@@ -460,10 +461,7 @@
 // A server that is gone is still listed for some seconds.
 TEST_CASE(
     "gateway: requests take turns at a limited upstream while one is gone") {
-  const std::string limited =
-      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 5\r\n"
-      "Content-Length: 4\r\n\r\nbody";
+  const std::string limited = LimitedAnswer("5");
   RawServer server(Always(limited, false));
   std::string gone;
   {
@@ -509,10 +507,7 @@
 
 // Requests that arrived just when a permission was due took it.
 TEST_CASE("gateway: later requests don't pass those that wait for a rate") {
-  const std::string limited =
-      "HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
-      "X-Bergamotscale-Response-Seal: seal\r\nServer-Limit: 4\r\n"
-      "Content-Length: 4\r\n\r\nbody";
+  const std::string limited = LimitedAnswer("4");
   RawServer server(Always(limited, false));
   GatewayBench bench;
   bench.SetUpstreams({server.url()});
