Gateway: callers are let in once the configuration is known

Cause: the listener for callers was started first of all. A caller whose connection is refused uses another gateway at once; one that gets 503 is told to wait. Now the listener starts when the configuration and the upstreams are known. Without them for three seconds, as in an outage of the store, it starts all the same and rejects requests with a time to come back.

Evidence: process test 'gateway start: callers are let in only once it can serve' failed before (each of 32 connections was accepted), passes now; 'without the store, callers get a rejection' passes before and after.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,6 +67,9 @@
 // One in this many descriptors is reserved for logs, timers, peers and
 // connections to upstreams.
 constexpr int kOwnDescriptorShare = 4;
+// A gateway that can't serve yet accepts no callers, who use others at once.
+// Without a configuration for this long, it tells them when to come back.
+constexpr Millis kMaxListenDelay = Millis(3'000);
 // Limit of sessions of probes and operators.
 constexpr size_t kMaxProbeSessions = 32;
 constexpr char kCallersListener[] = "callers";
@@ -133,6 +136,7 @@
         operators_(io_, ProbeHooks(), kMaxProbeSessions),
         listen_retry_(io_, &log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
+        listen_timer_(io_),
         maintenance_timer_(io_),
         stop_timer_(io_),
         reload_(io_,
@@ -189,8 +193,7 @@
     AwaitSignal();
     ScheduleMaintenance();
     reload_.Start();
-    Status status =
-        Listen(kCallersListener, settings_.listen_callers_, callers_);
+    Status status = ListenForCallersLater();
     if (status.ok()) {
       status = Listen("ready", settings_.listen_ready_, probes_);
     }
@@ -217,6 +220,30 @@
     return Done{};
   }
 
+  // @return an error if the address is malformed.
+  Status ListenForCallersLater() {
+    const Result<tcp::endpoint> endpoint =
+        web::ParseEndpoint(settings_.listen_callers_);
+    if (!endpoint.ok()) {
+      return endpoint.error();
+    }
+    listen_timer_.expires_after(ToChrono(kMaxListenDelay));
+    listen_timer_.async_wait([this](const error_code& error) {
+      if (!error) {
+        ListenForCallers();
+      }
+    });
+    return Done{};
+  }
+
+  void ListenForCallers() {
+    if (!listens_for_callers_ && !stopping_) {
+      listens_for_callers_ = true;
+      listen_timer_.cancel();
+      Listen(kCallersListener, settings_.listen_callers_, callers_);
+    }
+  }
+
   // @return an error if the address is malformed.
   Status ListenForPeers() {
     const Result<tcp::endpoint> own =
@@ -371,6 +398,9 @@
     if (upstreams != nullptr) {
       upstreams_.Update(*upstreams);
     }
+    if (table != nullptr && upstreams != nullptr) {
+      ListenForCallers();
+    }
   }
 
   size_t MaxCallers() const {
@@ -448,15 +478,18 @@
     if (stopping_) {
       return "stopping";
     }
-    if (listen_retry_.IsPending(kCallersListener)) {
-      return "address for callers is in use";
-    }
     if (state_.table_.Read() == nullptr) {
       return "no configuration yet";
     }
     if (state_.upstreams_.Read() == nullptr) {
       return "no upstreams known yet";
     }
+    if (!listens_for_callers_) {
+      return "not listening for callers yet";
+    }
+    if (listen_retry_.IsPending(kCallersListener)) {
+      return "address for callers is in use";
+    }
     if (state_.TableAge(boot_.Now()) >
         context_.freshness_limits_.max_age_for_keys_) {
       return "configuration not confirmed lately";
@@ -568,6 +601,7 @@
     }
     stopping_ = true;
     listen_retry_.Stop();
+    listen_timer_.cancel();
     stop_began_ = boot_.Now();
     log_.Write(LogLine("stopping")
                    .Add("reason", reason)
@@ -638,12 +672,14 @@
   std::unique_ptr<Peers> peers_;
   ListenRetry listen_retry_;
   boost::asio::signal_set signals_;
+  boost::asio::steady_timer listen_timer_;
   boost::asio::steady_timer maintenance_timer_;
   boost::asio::steady_timer stop_timer_;
   SettingsReloader reload_;
   std::thread control_thread_;
   std::string not_ready_reason_;
   bool readiness_logged_ = false;
+  bool listens_for_callers_ = false;
   bool stopping_ = false;
   bool ending_ = false;  // the last responses are written
   Millis stop_began_;
--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -186,6 +186,46 @@
   }
 }
 
+// Requests that came before the configuration was known were rejected.
+TEST_CASE("gateway start: callers are let in only once it can serve") {
+  StartBench bench;
+  bench.store_.SetMode(StoreStandIn::Mode::kSilent);
+  bench.gateway_.Start();
+  const Millis until = SteadyNow() + Millis(700);
+  while (SteadyNow() < until) {
+    CHECK(Wire::Open(bench.gateway_.address()) == nullptr);
+    CHECK_FALSE(bench.gateway_.IsReady());
+    SleepFor(Millis(20));
+  }
+  bench.store_.SetMode(StoreStandIn::Mode::kServing);
+  std::unique_ptr<Wire> wire;
+  const Millis limit = SteadyNow() + kReadyTimeout;
+  while (wire == nullptr && SteadyNow() < limit) {
+    wire = Wire::Open(bench.gateway_.address());
+    SleepFor(Millis(1));
+  }
+  REQUIRE(wire != nullptr);
+  CHECK(tests::Exchange(*wire, MakeOrder("first", 5)).status_ == 200);
+}
+
+// During an outage of the store, callers learn when to come back.
+TEST_CASE("gateway start: without the store, callers get a rejection") {
+  StartBench bench;
+  bench.store_.SetMode(StoreStandIn::Mode::kSilent);
+  bench.gateway_.Start();
+  std::unique_ptr<Wire> wire;
+  const Millis limit = SteadyNow() + kReadyTimeout;
+  while (wire == nullptr && SteadyNow() < limit) {
+    wire = Wire::Open(bench.gateway_.address());
+    SleepFor(Millis(20));
+  }
+  REQUIRE(wire != nullptr);
+  const CallerAnswer answer = tests::Exchange(*wire, MakeOrder("early", 5));
+  CHECK(answer.status_ == 503);
+  CHECK_FALSE(HeaderOf(answer.head_, "Retry-After").empty());
+  CHECK_FALSE(bench.gateway_.IsReady());
+}
+
 // Metrics have a fixed port, which a second gateway on the machine can't have.
 TEST_CASE("gateway start: it serves callers without its metrics address") {
   StartBench bench;
