Caller session: bytes of the answer show whether a caller still reads

Callers saw: one that had shut down its sending side got no whole answer if its stream was silent for 300 ms, or over HTTP/1.0; others got interim responses that they had not asked for. Cause: a close and a half-close look alike until something is written, and where no interim response could be written, a time limit or the protocol's version counted as a close. Now single bytes are written that belong to the answer anyway: of the start of its status line, and a leading zero of the next chunk's size. A closed connection answers them with a reset, whatever the version and however long the silence. An HTTP/1.0 stream that has begun has no such byte; there the next event shows it.

Evidence, on the code before: 'gateway: a caller that sends nothing more still gets its answer' failed for HTTP/1.0 (no answer) and HTTP/1.1 (interim responses before the answer), 'gateway: a silent stream of a caller that sends nothing more' for both. Both pass now, as do the cases of closes (new: in a silent stream), 93 unit cases of the gateway and 28 of its processes. The case of a later close reads the start of the status line now, as there are no interim responses to read; its bound is unchanged.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -5,13 +5,16 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -41,14 +44,17 @@
 // Limit of the input that is discarded from a rejected caller.
 constexpr size_t kMaxLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
-// A caller whose input has ended may still read. A write tells: a closed
-// connection answers it with a reset. Before the response, interim responses
-// are written for that, as the caller may also close later.
 constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
+// A caller whose input has ended may still read. A write tells: a closed
+// connection answers it with a reset. Single bytes are written for that which
+// belong to the response in any case: before its head the start of the status
+// line, between two chunks a leading zero of the next one's size. They are
+// repeated, as the caller may also close later.
+constexpr std::string_view kStatusLineStart = "HTTP/1.1 ";
+// Recipients accept at least 16 digits; a size has at most eight others.
+constexpr size_t kMaxLeadingZeros = 8;
 constexpr Millis kResetCheckInterval = Millis(100);
-// A stream without a write for this long after the end of the caller's input is
-// taken as closed.
-constexpr Millis kMaxSilence = Millis(300);
+constexpr Millis kMaxProbeInterval = Millis(400);
 
 // Keeps the memory of a small buffer for the next use.
 void ReleaseBuffer(std::string* buffer) {
@@ -103,19 +109,17 @@
       return;
     }
     responded_ = true;
-    auto message = std::make_shared<http::response<http::string_body>>();
-    FillHead(&message->base(), status, headers);
     // A response to HEAD ends with its head.
-    if (!is_head_request_) {
-      message->body() = std::move(body);
+    if (is_head_request_) {
+      body.clear();
     }
-    message->content_length(message->body().size());
-    CountOutput(message->body().size());
-    http::async_write(socket_, *message,
-                      [self = shared_from_this(), message](
-                          const error_code& error, size_t /*bytes*/) {
-                        self->OnResponseWritten(error);
-                      });
+    http::response_header<> head;
+    FillHead(&head, status, headers);
+    head.set(http::field::content_length, std::to_string(body.size()));
+    AppendHead(std::move(head));
+    pending_body_ = std::move(body);
+    CountOutput(pending_output_.size() + pending_body_.size());
+    Flush();
   }
 
   void BeginStream(int status, const HeaderList& headers) {
@@ -131,18 +135,7 @@
       keeps_open_ = false;
       head.set(http::field::connection, "close");
     }
-    http::response<http::empty_body> message(std::move(head));
-    http::response_serializer<http::empty_body> serializer(message);
-    serializer.split(true);
-    error_code error;
-    serializer.next(
-        error, [this, &serializer](error_code& /*error*/, const auto& buffers) {
-          for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
-            pending_output_.append(static_cast<const char*>(buffer.data()),
-                                   buffer.size());
-          }
-          serializer.consume(boost::asio::buffer_size(buffers));
-        });
+    AppendHead(std::move(head));
     Flush();
   }
 
@@ -191,7 +184,7 @@
       DisconnectSoon();
       return true;
     }
-    return input_ended_ && !is_still_reading_;
+    return input_ended_ && !is_still_reading_ && CanProbe();
   }
 
  private:
@@ -255,7 +248,23 @@
     }
   }
 
+  // Appends the head, but for the part of it that was written as probes.
+  void AppendHead(http::response_header<> head) {
+    http::response<http::empty_body> message(std::move(head));
+    http::response_serializer<http::empty_body> serializer(message);
+    serializer.split(true);
+    std::string bytes;
+    error_code error;
+    serializer.next(error, [&bytes, &serializer](error_code& /*error*/,
+                                                 const auto& buffers) {
+      bytes += boost::beast::buffers_to_string(buffers);
+      serializer.consume(boost::asio::buffer_size(buffers));
+    });
+    pending_output_.append(bytes, head_probes_, std::string::npos);
+  }
+
   void AppendChunk(const std::string& bytes) {
+    leading_zeros_ = 0;
     if (!chunked_) {
       pending_output_ += bytes;
       return;
@@ -275,9 +284,12 @@
     writing_ = true;
     write_buffer_.swap(pending_output_);
     pending_output_.clear();
-    CountOutput(write_buffer_.size());
+    write_body_.swap(pending_body_);
+    CountOutput(write_buffer_.size() + write_body_.size());
+    const std::array<boost::asio::const_buffer, 2> buffers = {
+        boost::asio::buffer(write_buffer_), boost::asio::buffer(write_body_)};
     boost::asio::async_write(
-        socket_, boost::asio::buffer(write_buffer_),
+        socket_, buffers,
         [self = shared_from_this()](const error_code& error, size_t /*bytes*/) {
           self->OnFlushed(error);
         });
@@ -286,7 +298,8 @@
   void OnFlushed(const error_code& error) {
     writing_ = false;
     ReleaseBuffer(&write_buffer_);
-    CountOutput(pending_output_.size());
+    std::string().swap(write_body_);
+    CountOutput(pending_output_.size() + pending_body_.size());
     if (closed_) {
       return;
     }
@@ -298,10 +311,6 @@
       Flush();
       return;
     }
-    if (awaits_write_ && !responded_) {
-      awaits_write_ = false;
-      StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
-    }
     if (responded_) {
       OnResponseWritten({});
     } else if (over_high_water_) {
@@ -319,8 +328,10 @@
     responded_ = false;
     head_sent_ = false;
     input_ended_ = false;
-    awaits_write_ = false;
     is_still_reading_ = false;
+    head_probes_ = 0;
+    leading_zeros_ = 0;
+    has_probed_ = false;
     in_call_ = false;
     caller_hooks_ = CallerHooks();
     StartTimer(hooks_.limits_().idle_timeout_,
@@ -494,8 +505,7 @@
   }
 
   // The caller's input has ended behind its request: it closed the connection,
-  // or only its sending side. Where nothing can be written to find out, it
-  // counts as closed.
+  // or only its sending side.
   void OnInputEnded() {
     if (input_ended_) {
       return;
@@ -503,21 +513,10 @@
     input_ended_ = true;
     // The next request may have arrived already.
     keeps_open_ = keeps_open_ && (buffer_.size() > 0 || HasUnread());
-    if (head_sent_) {
-      awaits_write_ = true;
-      StartTimer(kMaxSilence, [](Impl& self) { self.OnSilence(); });
-    } else if (version_ < 11) {
-      DisconnectSoon();
-    } else {
-      SendInterimResponse();
-      StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
-    }
-  }
-
-  void OnSilence() {
-    if (in_call_ && !responded_) {
-      HandleDisconnect();
-    }
+    probe_interval_ = kResetCheckInterval;
+    next_probe_in_ = probe_interval_;
+    Probe();
+    StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
   }
 
   void DisconnectSoon() {
@@ -539,10 +538,21 @@
     }
     // Until the caller's system has confirmed what was sent, its reset may
     // still be on the way.
-    is_still_reading_ = is_still_reading_ || !HasUnconfirmed();
-    SendInterimResponse();
-    StartTimer(is_still_reading_ ? kResetCheckInterval : kResetCheckTime,
-               [](Impl& self) { self.CheckForReset(); });
+    is_still_reading_ = is_still_reading_ || (has_probed_ && !HasUnconfirmed());
+    if (!has_probed_ && CanProbe()) {
+      Probe();
+    }
+    if (!is_still_reading_ && !head_sent_) {
+      StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
+      return;
+    }
+    next_probe_in_ -= kResetCheckInterval;
+    if (next_probe_in_ <= Millis(0)) {
+      Probe();
+      probe_interval_ = std::min(probe_interval_ * 2, kMaxProbeInterval);
+      next_probe_in_ = probe_interval_;
+    }
+    StartTimer(kResetCheckInterval, [](Impl& self) { self.CheckForReset(); });
   }
 
   bool HasUnconfirmed() {
@@ -557,20 +567,31 @@
            (state.revents & (events | POLLERR | POLLHUP | POLLNVAL)) != 0;
   }
 
-  // Sends an interim response if the caller still awaits the head of its
-  // response.
-  void SendInterimResponse() {
-    if (head_sent_ || writing_) {
+  // @return whether bytes that belong to the response can be written early.
+  bool CanProbe() const { return !head_sent_ || chunked_; }
+
+  // Writes a byte of the response to find out whether the caller still reads.
+  void Probe() {
+    if (writing_ || !pending_output_.empty()) {
       return;
     }
-    constexpr size_t kSize = sizeof(kInterimResponse) - 1;
-    const ssize_t sent = send(socket_.native_handle(), kInterimResponse, kSize,
+    if (!head_sent_ && head_probes_ < kStatusLineStart.size()) {
+      head_probes_ += SendProbe(kStatusLineStart[head_probes_]);
+    } else if (head_sent_ && chunked_ && leading_zeros_ < kMaxLeadingZeros) {
+      leading_zeros_ += SendProbe('0');
+    }
+  }
+
+  // @return the number of bytes that were sent.
+  size_t SendProbe(char byte) {
+    const ssize_t sent = send(socket_.native_handle(), &byte, sizeof(byte),
                               MSG_DONTWAIT | MSG_NOSIGNAL);
-    // The caller may not have read an earlier response yet.
-    const bool is_skipped = sent < 0 && WouldBlock();
-    if (!is_skipped && sent != static_cast<ssize_t>(kSize)) {
+    // Without room for it, what is on the way already shows a close.
+    has_probed_ = has_probed_ || sent == 1 || (sent < 0 && WouldBlock());
+    if (sent < 0 && !WouldBlock()) {
       DisconnectSoon();
     }
+    return sent == 1 ? 1 : 0;
   }
 
   // The caller disconnected while its request was in progress.
@@ -673,7 +694,9 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   CallerHooks caller_hooks_;
   std::string pending_output_;
+  std::string pending_body_;  // follows pending_output_ and ends the response
   std::string write_buffer_;
+  std::string write_body_;
   std::vector<char> discard_buffer_;
   size_t discarded_bytes_ = 0;
   size_t output_size_ = 0;  // not written yet
@@ -686,8 +709,12 @@
   bool writing_ = false;
   bool head_sent_ = false;
   bool input_ended_ = false;       // behind the request in progress
-  bool awaits_write_ = false;      // to find out whether the caller still reads
   bool is_still_reading_ = false;  // although its input has ended
+  bool has_probed_ = false;        // since its input has ended
+  size_t head_probes_ = 0;         // bytes of the status line sent as probes
+  size_t leading_zeros_ = 0;       // of the next chunk, sent as probes
+  Millis probe_interval_;
+  Millis next_probe_in_;
   bool responded_ = false;
   bool refused_ = false;
   bool closed_ = false;
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -111,7 +111,7 @@
   CHECK_FALSE(bench.has_left());
   bench.Run(kCheckTime * 3);
   CHECK_FALSE(responder->MayHaveLeft());
-  // Closed with an interim response unread, which resets the connection.
+  // Closed with a byte unread, which resets the connection.
   bench.caller().close();
   CHECK(responder->MayHaveLeft());
   bench.Run(milliseconds(1));
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -800,35 +800,91 @@
   CHECK(cancelled);
 }
 
+// @return the body of a response, without its chunks if it is one of HTTP/1.1;
+// "incomplete" if its last chunk is missing.
+std::string ReadBody(const std::string& sent, const std::string& version) {
+  if (version == "HTTP/1.0") {
+    return sent;
+  }
+  std::string body;
+  size_t at = 0;
+  for (size_t end = sent.find("\r\n"); end != std::string::npos;
+       end = sent.find("\r\n", at)) {
+    const size_t size = std::stoul(sent.substr(at, end - at), nullptr, 16);
+    if (size == 0) {
+      return body;
+    }
+    body += sent.substr(end + 2, size);
+    at = end + 2 + size + 2;
+  }
+  return "incomplete";
+}
+
+// @return what a caller receives that sends a request in this version of HTTP
+// and then nothing more.
+std::string AnswerToHalfClosed(uint16_t port,
+                               const std::string& path,
+                               const std::string& version) {
+  RawCaller caller(port);
+  std::string request = GatewayBench::Request(path);
+  request.replace(request.find("HTTP/1.1"), 8, version);
+  caller.Send(request);
+  caller.ShutdownSend();
+  return caller.ReadAll();
+}
+
 // Callers that only shut down their sending side got no answer.
 TEST_CASE("gateway: a caller that sends nothing more still gets its answer") {
-  for (const std::string path : {"/read/1", "/order/1", "/stream/1"}) {
-    CAPTURE(path);
-    const bool is_stream = path == "/stream/1";
-    RawServer server(
-        [is_stream](int, const std::string&, RawServer::Socket& socket) {
-          std::this_thread::sleep_for(std::chrono::milliseconds(400));
-          if (!is_stream) {
-            Write(socket, GatewayBench::Answer("whole"));
+  for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+    for (const std::string path : {"/read/1", "/order/1", "/stream/1"}) {
+      CAPTURE(version);
+      CAPTURE(path);
+      const bool is_stream = path == "/stream/1";
+      RawServer server(
+          [is_stream](int, const std::string&, RawServer::Socket& socket) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(400));
+            if (!is_stream) {
+              Write(socket, GatewayBench::Answer("whole"));
+              return true;
+            }
+            Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+            Write(socket, Chunk("id: 2\ndata: whole\n\n") + "0\r\n\r\n");
             return true;
-          }
-          Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
-          std::this_thread::sleep_for(std::chrono::milliseconds(200));
-          Write(socket, Chunk("id: 2\ndata: whole\n\n") + "0\r\n\r\n");
-          return true;
-        });
+          });
+      GatewayBench bench;
+      bench.SetUpstreams({server.url()});
+      const std::string answer =
+          AnswerToHalfClosed(bench.port(), path, version);
+      // Nothing stands before the answer's own head.
+      CHECK(StartsWith(answer, "HTTP/1.1 200"));
+      CHECK(answer.find("whole") != std::string::npos);
+      if (is_stream && version == "HTTP/1.1") {
+        CHECK(answer.find("0\r\n\r\n") != std::string::npos);
+      }
+      CHECK(server.requests().size() == 1);
+    }
+  }
+}
+
+// A silence of 300 ms in its stream counted as the caller's close.
+TEST_CASE("gateway: a silent stream of a caller that sends nothing more") {
+  for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+    CAPTURE(version);
+    RawServer server([](int, const std::string&, RawServer::Socket& socket) {
+      Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+      std::this_thread::sleep_for(std::chrono::milliseconds(900));
+      Write(socket, Chunk("id: 2\ndata: whole\n\n") + "0\r\n\r\n");
+      return true;
+    });
     GatewayBench bench;
     bench.SetUpstreams({server.url()});
-    RawCaller caller(bench.port());
-    caller.Send(GatewayBench::Request(path));
-    caller.ShutdownSend();
-    const std::string answer = caller.ReadAll();
-    CHECK(answer.find("HTTP/1.1 200") != std::string::npos);
-    CHECK(answer.find("whole") != std::string::npos);
-    if (is_stream) {
-      CHECK(answer.find("0\r\n\r\n") != std::string::npos);
-    }
-    CHECK(server.requests().size() == 1);
+    const std::string answer =
+        AnswerToHalfClosed(bench.port(), "/stream/1", version);
+    const size_t body = answer.find("\r\n\r\n");
+    REQUIRE(body != std::string::npos);
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: whole\n\n";
+    CHECK(ReadBody(answer.substr(body + 4), version) == events);
   }
 }
 
@@ -868,6 +924,27 @@
   CHECK(server.IsCancelled());
 }
 
+TEST_CASE("gateway: a close in a silent stream cancels") {
+  std::promise<void> closed;
+  RawServer server(
+      [&closed](int, const std::string&, RawServer::Socket& socket) {
+        Write(socket, StreamHead() + Chunk("id: 1\ndata: a\n\n"));
+        boost::system::error_code error;
+        char byte = 0;
+        socket.read_some(boost::asio::buffer(&byte, 1), error);
+        closed.set_value();
+        return false;
+      });
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  caller.Send(GatewayBench::Request("/stream/1"));
+  caller.ReadUntil("data: a\n\n\r\n");
+  caller.Close();
+  CHECK(closed.get_future().wait_for(std::chrono::milliseconds(500)) ==
+        std::future_status::ready);
+}
+
 TEST_CASE("gateway: the close of a caller of HTTP/1.0 cancels") {
   PausingServer server;
   GatewayBench bench;
@@ -890,8 +967,8 @@
   caller.Send(GatewayBench::Request("/read/1"));
   caller.ShutdownSend();
   server.AwaitRequest();
-  // Reads the interim responses, so that the close sends no reset.
-  caller.ReadUntil("Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
+  // Reads what was sent so far, so that the close sends no reset.
+  caller.ReadUntil("HT");
   caller.Close();
   CHECK(server.IsCancelled());
 }
