--- a/tests/process/gateway_start_test.cc
+++ b/tests/process/gateway_start_test.cc
@@ -157,6 +157,27 @@
   CHECK(bench.gateway_.status() == 0);
 }
 
+// A signal that came before main() ended the process.
+TEST_CASE("gateway start: signals during its initializers don't end it") {
+  constexpr Millis kInitializing = Millis(100);
+  StartBench bench;
+  bench.gateway_.Preload(std::string(BERGAMOTSCALE_BIN_DIR) +
+                         "/libslow_initializer.so");
+  bench.gateway_.Start();
+  SleepFor(kInitializing);
+  bench.gateway_.Signal(SIGHUP);
+  SleepFor(Millis(20));
+  REQUIRE_FALSE(bench.gateway_.HasEnded());
+  CHECK(bench.gateway_.AwaitReady(kReadyTimeout));
+  bench.gateway_.Signal(SIGTERM);
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  bench.gateway_.Start();
+  SleepFor(kInitializing);
+  bench.gateway_.Signal(SIGTERM);
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  CHECK(bench.gateway_.status() == 0);
+}
+
 // One failed bind ended the process.
 TEST_CASE("gateway start: it waits for an address that is still in use") {
   StartBench bench;
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -803,6 +803,7 @@
   const std::string program =
       std::string(BERGAMOTSCALE_BIN_DIR) + "/bergamot_gateway";
   const std::string variable = "BERGAMOTSCALE_NODE_FILE=" + settings_file_;
+  const std::string preload = "LD_PRELOAD=" + preload_;
   pid_ = fork();
   if (pid_ == 0) {
     const int out = open(log_file_.c_str(),
@@ -810,7 +811,8 @@
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
     char* arguments[] = {const_cast<char*>(program.c_str()), nullptr};
-    char* environment[] = {const_cast<char*>(variable.c_str()), nullptr};
+    char* environment[] = {const_cast<char*>(variable.c_str()),
+                           const_cast<char*>(preload.c_str()), nullptr};
     execve(program.c_str(), arguments, environment);
     _exit(127);
   }
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -254,6 +254,8 @@
   void SetField(const std::string& name, const std::string& value);
   // Leaves a field of the template out.
   void RemoveField(const std::string& name);
+  // Loads a library into the process at each further start.
+  void Preload(const std::string& library) { preload_ = library; }
   // Until the next Start() the process reads its settings from a FIFO, and
   // waits there for them.
   void ReplaceSettingsByFifo();
@@ -299,6 +301,7 @@
   std::string peers_;
   std::string settings_file_;
   std::string log_file_;
+  std::string preload_;
   bool has_fifo_ = false;
   pid_t pid_ = -1;
   int status_ = 0;
