Keyed log: the era of the log is read, logged and counted

A store that is restored from a copy names an era in each answer, which rises by one. What follows from a restore is not changed here.

--- a/include/bergamotscale/ids.h
+++ b/include/bergamotscale/ids.h
@@ -83,6 +83,9 @@
 using Revision = NumberId<struct RevisionTag>;
 // Position of a record in a stream of the platform's log service, from zero.
 using LogOffset = NumberId<struct LogOffsetTag>;
+// Rises each time a log is restored from a copy. Offsets of different eras
+// can't be compared.
+using LogEra = NumberId<struct LogEraTag>;
 // Priority tier of a service class; 1 is the highest priority.
 using Tier = NumberId<struct TierTag>;
 
--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -107,6 +107,9 @@
         state_->table_as_of_ = as_of.count();
       }
     };
+    hooks.on_restored_ = [this](LogEra era) {
+      LogRestored("configuration log", era);
+    };
     hooks.on_unavailable_ = [this](const Error& error) {
       config_available_.OnFailure(error, boot_.Now());
     };
@@ -140,6 +143,12 @@
     on_change_();
   }
 
+  void LogRestored(const char* name, LogEra era) {
+    ++state_->log_restores_;
+    log_->Write(
+        LogLine("log_restored").Add("name", name).Add("era", era.value()));
+  }
+
   keyed_log::FollowerHooks UpstreamHooks() {
     keyed_log::FollowerHooks hooks;
     hooks.on_snapshot_ = [this](const std::vector<Record>& records) {
@@ -155,6 +164,9 @@
       upstreams_available_.OnSuccess(boot_.Now());
       OnUpstreamsConfirmed(as_of);
     };
+    hooks.on_restored_ = [this](LogEra era) {
+      LogRestored("upstream registry", era);
+    };
     hooks.on_unavailable_ = [this](const Error& error) {
       directory_.OnRegistryUnavailable();
       upstreams_available_.OnFailure(error, boot_.Now());
--- a/src/gateway/control_state.h
+++ b/src/gateway/control_state.h
@@ -24,6 +24,8 @@
   std::atomic<int64_t> upstreams_as_of_{-1};
   // Upstreams whose registration has expired in an outage, of those above.
   std::atomic<int> lapsed_upstreams_{0};
+  // How often a log that control reads was restored from a copy.
+  std::atomic<int> log_restores_{0};
 
   // @return the time since the table was last confirmed; a day if it never was.
   Millis TableAge(Millis now) const { return Age(table_as_of_.load(), now); }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -526,6 +526,9 @@
   void ReportUpstreams() {
     metrics_.Set("bergamot_gateway_upstreams_lapsed", "",
                  state_.lapsed_upstreams_);
+    metrics_.Set("bergamot_gateway_log_restores", "", state_.log_restores_);
+    metrics_.Set("bergamot_gateway_config_age_ms", "",
+                 static_cast<double>(state_.TableAge(boot_.Now()).count()));
     metrics_.Set("bergamot_gateway_upstreams_rate_limited", "",
                  upstreams_.rate_limited());
     metrics_.Set("bergamot_gateway_upstreams_age_ms", "",
--- a/src/keyed_log/follower.cc
+++ b/src/keyed_log/follower.cc
@@ -1,6 +1,7 @@
 #include "src/keyed_log/follower.h"
 
 #include <algorithm>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -55,6 +56,7 @@
       return;
     }
     NewestPage page = std::move(result).value();
+    EnterEra(page.era_);
     next_ = has_end_ ? std::min(next_, page.end_) : page.end_;
     has_end_ = true;
     const bool has_more = page.has_more_ && !page.records_.empty();
@@ -94,6 +96,7 @@
       return;
     }
     const Tail tail = std::move(result).value();
+    EnterEra(tail.era_);
     const LogOffset from = std::exchange(next_, tail.next_);
     for (const Record& record : tail.records_) {
       const auto found = newest_.find(record.key_);
@@ -124,6 +127,14 @@
     }
   }
 
+  void EnterEra(LogEra era) {
+    const bool is_later = era_.has_value() && *era_ < era;
+    era_ = era;
+    if (is_later && hooks_.on_restored_) {
+      hooks_.on_restored_(era);
+    }
+  }
+
   void Fail(const Error& error, bool rebuild) {
     hooks_.on_unavailable_(error);
     ScheduleAfter(options_.retry_pause_, rebuild);
@@ -152,6 +163,7 @@
   std::unordered_map<std::string, LogOffset> newest_;
   std::vector<Record> pages_;
   LogOffset next_;
+  std::optional<LogEra> era_;
   Millis requested_at_;
   bool has_end_ = false;
   bool stopped_ = false;
--- a/src/keyed_log/follower.h
+++ b/src/keyed_log/follower.h
@@ -24,14 +24,18 @@
 };
 
 struct FollowerHooks {
-  // Called with all newest records, at the start and after records have
-  // expired. Keys that are missing were removed.
+  // Called with all newest records, at the start, after records have expired
+  // and after the log was restored. Keys that are missing were removed, or lost
+  // with the restore.
   std::function<void(const std::vector<Record>&)> on_snapshot_;
   // Called for each record after the snapshot, except those that are not newer
   // than the last one of their key.
   std::function<void(const Record&)> on_record_;
-  // Called when every record accepted up to as_of was delivered.
+  // Called when every record that the log accepted up to as_of was delivered,
+  // except those that it lost when it was restored.
   std::function<void(Millis as_of)> on_confirmed_;
+  // Called before the first snapshot of a later era. May be empty.
+  std::function<void(LogEra era)> on_restored_;
   // Called for each failed read.
   std::function<void(const Error&)> on_unavailable_;
 };
--- a/src/keyed_log/keyed_log.h
+++ b/src/keyed_log/keyed_log.h
@@ -24,6 +24,7 @@
   std::vector<Record> records_;
   bool has_more_ = false;
   LogOffset end_;  // end of the log when the page was read
+  LogEra era_ = {};
 };
 
 // Records ordered by offset. A read is limited in size, so the log may have
@@ -33,11 +34,14 @@
   LogOffset next_;  // where the next read continues
   // End of the log when it was read.
   LogOffset end_ = {};
+  LogEra era_ = {};
 };
 
 // Reads one log. Each call is answered exactly once, asynchronously, on the
 // same thread; an outage or a timeout is an error. The log is linearizable: a
-// result includes every record accepted before the call.
+// result includes every record accepted before the call in the same era. A log
+// that is restored from a copy has lost its newest records and gives out their
+// offsets again.
 struct Source {
   // @param after the page starts after this key; empty for the first page.
   std::function<void(const std::string& after,
