Keyed log: a restored log is read anew

Callers saw: after the store was restored from a copy, a route that had been added got 404 and a revoked key was accepted, until the next configuration. Cause: offsets of two eras were compared. A read whose offset the restored log had reached again succeeded and told nothing of what was written before it, and pages of the newest records from before and after a restore were joined as one. Now a result of a later era makes the follower read the newest records anew, and one of an earlier era is a failed read.

--- a/src/keyed_log/follower.cc
+++ b/src/keyed_log/follower.cc
@@ -56,7 +56,20 @@
       return;
     }
     NewestPage page = std::move(result).value();
-    EnterEra(page.era_);
+    const bool is_first = !has_end_;
+    switch (EnterEra(page.era_)) {
+      case EraChange::kEarlier:
+        Fail(EarlierEra(), true);
+        return;
+      case EraChange::kLater:
+        if (!is_first) {
+          Rebuild();
+          return;
+        }
+        break;
+      case EraChange::kNone:
+        break;
+    }
     next_ = has_end_ ? std::min(next_, page.end_) : page.end_;
     has_end_ = true;
     const bool has_more = page.has_more_ && !page.records_.empty();
@@ -96,7 +109,15 @@
       return;
     }
     const Tail tail = std::move(result).value();
-    EnterEra(tail.era_);
+    const EraChange change = EnterEra(tail.era_);
+    if (change == EraChange::kLater) {
+      Rebuild();
+      return;
+    }
+    if (change == EraChange::kEarlier) {
+      Fail(EarlierEra(), false);
+      return;
+    }
     const LogOffset from = std::exchange(next_, tail.next_);
     for (const Record& record : tail.records_) {
       const auto found = newest_.find(record.key_);
@@ -127,12 +148,29 @@
     }
   }
 
-  void EnterEra(LogEra era) {
-    const bool is_later = era_.has_value() && *era_ < era;
+  enum class EraChange { kNone, kLater, kEarlier };
+
+  // Compares the era of a result with that of the results before it.
+  EraChange EnterEra(LogEra era) {
+    if (!era_.has_value()) {
+      era_ = era;
+      return EraChange::kNone;
+    }
+    if (era < *era_) {
+      return EraChange::kEarlier;
+    }
+    if (era == *era_) {
+      return EraChange::kNone;
+    }
     era_ = era;
-    if (is_later && hooks_.on_restored_) {
+    if (hooks_.on_restored_) {
       hooks_.on_restored_(era);
     }
+    return EraChange::kLater;
+  }
+
+  static Error EarlierEra() {
+    return {ErrorCode::kLogUnavailable, "answer of an earlier era"};
   }
 
   void Fail(const Error& error, bool rebuild) {
