Directory: upstreams that a restored registry lacks are kept as after an outage

Callers saw: after the store was restored from a copy, upstreams that had registered since the copy got no requests until they wrote again, up to a heartbeat; a group of such upstreams only served nothing. Cause: unless the gateway had noticed the outage, what the copy lacks counted as removed, and after a noticed outage as left while most others are listed. The copy is older than what the gateway knows and proves neither. Evidence: the new test fails without the call on a restore (all that the copy lacks is dropped at once). Now they are kept and used for the grace period that follows an outage; what is then still missing is dropped.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -165,6 +165,7 @@
       OnUpstreamsConfirmed(as_of);
     };
     hooks.on_restored_ = [this](LogEra era) {
+      directory_.OnRegistryRestored(boot_.Now());
       LogRestored("upstream registry", era);
     };
     hooks.on_unavailable_ = [this](const Error& error) {
--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -50,10 +50,11 @@
   removed_.erase(entry.id_);
   const auto found = upstreams_.find(entry.id_);
   if (found == upstreams_.end()) {
-    upstreams_[entry.id_] = Upstream{entry, false};
+    upstreams_[entry.id_] = Upstream{entry, false, false};
     return Change::kChanged;
   }
   const bool had_expired = std::exchange(found->second.expired_, false);
+  found->second.is_lost_ = false;
   const bool is_heartbeat =
       SameUpstream(found->second.entry_, entry) && !had_expired;
   found->second.entry_ = entry;
@@ -81,6 +82,7 @@
       registry_unavailable_ || (in_grace_ && now < grace_ends_);
   if (may_have_expired && !found->second.entry_.draining_) {
     found->second.expired_ = true;
+    found->second.is_lost_ = found->second.is_lost_ || is_restored_;
     return false;
   }
   Drop(found, now);
@@ -102,16 +104,25 @@
   for (const InstanceId& id : missing) {
     Remove(id, now);
   }
+  is_restored_ = false;
 }
 
 void Directory::OnRegistryUnavailable() {
   registry_unavailable_ = true;
 }
 
+void Directory::OnRegistryRestored(Millis now) {
+  is_restored_ = true;
+  StartGrace(now);
+}
+
 void Directory::OnRegistryAvailable(Millis now) {
-  if (!registry_unavailable_) {
-    return;
+  if (registry_unavailable_) {
+    StartGrace(now);
   }
+}
+
+void Directory::StartGrace(Millis now) {
   registry_unavailable_ = false;
   in_grace_ = true;
   grace_ends_ = now + grace_period_;
@@ -156,8 +167,8 @@
       continue;
     }
     // A group without any listed upstream would get no requests at all.
-    const bool may_be_alive =
-        most_expired || listed_groups.count(upstream.entry_.group_) == 0;
+    const bool may_be_alive = upstream.is_lost_ || most_expired ||
+                              listed_groups.count(upstream.entry_.group_) == 0;
     entries.back().registration_ =
         may_be_alive ? Registration::kLapsed : Registration::kMissing;
   }
--- a/src/route/directory.h
+++ b/src/route/directory.h
@@ -16,7 +16,8 @@
 enum class Registration {
   kListed,
   // Expired in an outage of the registry that most other entries did not
-  // survive either: the upstream may be alive and gets requests.
+  // survive either, or lost when the registry was restored from a copy: the
+  // upstream may be alive and gets requests.
   kLapsed,
   // Missing while most entries are listed: the upstream has probably left, and
   // gets no requests until it registers again.
@@ -47,7 +48,7 @@
 // entries: an outage of the registry makes most of them expire.
 // The registry may carry out a write seconds after later ones, so an entry that
 // is older than the last one of its upstream is ignored, also shortly after the
-// upstream was removed.
+// upstream was removed. So are entries that a restored registry lists again.
 // Thread safety: none.
 class Directory {
  public:
@@ -77,6 +78,10 @@
   // Records that the registry could not be read; it counts as unavailable until
   // the next OnRegistryAvailable().
   void OnRegistryUnavailable();
+  // Records that the registry was restored from a copy; the next Replace()
+  // gives its entries. Upstreams that the copy lacks are kept as after an
+  // outage.
+  void OnRegistryRestored(Millis now);
   // Records that the registry was read. Idempotent.
   void OnRegistryAvailable(Millis now);
 
@@ -91,6 +96,7 @@
   struct Upstream {
     UpstreamEntry entry_;
     bool expired_ = false;
+    bool is_lost_ = false;  // expired because the registry was restored
   };
 
   // The last entry of an upstream that was removed.
@@ -102,6 +108,7 @@
 
   // @return whether the entry was written before the last one of its upstream.
   bool IsOutdated(const UpstreamEntry& entry, Millis now) const;
+  void StartGrace(Millis now);
   // Forgets the upstream, but keeps the number of its last entry for a while.
   void Drop(std::map<InstanceId, Upstream>::iterator upstream, Millis now);
 
@@ -109,6 +116,7 @@
   std::map<InstanceId, Removed> removed_;
   std::map<InstanceId, Upstream> upstreams_;
   bool registry_unavailable_ = false;
+  bool is_restored_ = false;  // and not replaced since
   bool in_grace_ = false;
   Millis grace_ends_;
 };
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -283,5 +283,36 @@
         Change::kChanged);
 }
 
+// Upstreams that had registered since the copy were dropped until they wrote
+// again.
+TEST_CASE("directory: upstreams that a restored registry lacks are kept") {
+  Directory directory(Millis(2'000));
+  std::vector<UpstreamEntry> copy;
+  for (const char* id : {"a", "b", "c"}) {
+    copy.push_back(MakeEntry(id));
+    directory.Put(copy.back(), kNow);
+  }
+  directory.Put(MakeEntry("new"), kNow);
+  directory.Put(MakeEntry("gone"), kNow);
+  UpstreamEntry leaving = MakeEntry("leaving");
+  leaving.draining_ = true;
+  directory.Put(leaving, kNow);
+  directory.OnRegistryRestored(Millis(10'000));
+  directory.Replace(copy, Millis(10'000));
+  const std::vector<UpstreamEntry> kept = directory.Entries();
+  REQUIRE(kept.size() == 5);
+  CHECK(kept[3].id_ == InstanceId("gone"));
+  CHECK(kept[3].registration_ == Registration::kLapsed);
+  CHECK(kept[4].id_ == InstanceId("new"));
+  CHECK(kept[4].registration_ == Registration::kLapsed);
+  CHECK(directory.Put(MakeEntry("new"), Millis(11'000)) == Change::kChanged);
+  CHECK(directory.Expire(Millis(12'000)));
+  REQUIRE(directory.Entries().size() == 4);
+  CHECK(directory.Entries()[3].registration_ == Registration::kListed);
+  // What is missing from a later list has left.
+  directory.Replace(copy, Millis(13'000));
+  CHECK(directory.Entries().size() == 3);
+}
+
 }  // namespace
 }  // namespace bergamotscale::route
