Directory: a restored entry doesn't bring a removed upstream back

Callers saw: an upstream that had left since the store's copy was made got requests again, until its entry lapsed; its address may belong to another instance by then. Cause: a removed upstream's entry was ignored only if its number was lower than the last one, and the copy may hold just that last entry. Evidence: the new test fails without the comparison. Now an entry with the number of the last one of a removed upstream is ignored too; entries without numbers are taken as before.

--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -37,10 +37,15 @@
     return IsBefore(entry, last.started_at_, last.sequence_);
   }
   const auto removed = removed_.find(entry.id_);
-  return removed != removed_.end() &&
-         now < removed->second.at_ + kRemovedLifetime &&
-         IsBefore(entry, removed->second.started_at_,
-                  removed->second.sequence_);
+  if (removed == removed_.end() ||
+      now >= removed->second.at_ + kRemovedLifetime) {
+    return false;
+  }
+  const Removed& last = removed->second;
+  const bool is_last = entry.sequence_ > 0 &&
+                       entry.started_at_ == last.started_at_ &&
+                       entry.sequence_ == last.sequence_;
+  return is_last || IsBefore(entry, last.started_at_, last.sequence_);
 }
 
 Directory::Change Directory::Put(const UpstreamEntry& entry, Millis now) {
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -314,5 +314,17 @@
   CHECK(directory.Entries().size() == 3);
 }
 
+// A restored registry lists upstreams that have left since its copy was made.
+TEST_CASE("directory: a restored entry doesn't bring a removed upstream back") {
+  Directory directory(Millis(2'000));
+  directory.Put(MakeNumbered(1, 6, false), kNow);
+  CHECK(directory.Remove(InstanceId("a"), Millis(3'000)));
+  directory.OnRegistryRestored(Millis(8'000));
+  directory.Replace({MakeNumbered(1, 6, false)}, Millis(8'000));
+  CHECK(directory.Entries().empty());
+  CHECK(directory.Put(MakeNumbered(1, 7, false), Millis(8'100)) ==
+        Change::kChanged);
+}
+
 }  // namespace
 }  // namespace bergamotscale::route
