Control: a restored log that is behind confirms nothing

Callers saw: after the store was restored from a copy that lacked the version in force, 'nothing newer' counted as proof that the configuration was current. A key that a forgotten version had taken away, or a later one that the operator had not written again, was accepted for longer than the bound. Cause: a read up to the end of the log confirmed whatever was in force. Now it does only if the log has shown a version at least as high since it was last restored. Until then the configuration ages: requests with keys are rejected as not run after the bound, and no request gets a final 401 or 404.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -103,11 +103,10 @@
     };
     hooks.on_confirmed_ = [this](Millis as_of) {
       config_available_.OnSuccess(boot_.Now());
-      if (state_->table_.Read() != nullptr) {
-        state_->table_as_of_ = as_of.count();
-      }
+      ConfirmTable(as_of);
     };
     hooks.on_restored_ = [this](LogEra era) {
+      shown_version_ = 0;
       LogRestored("configuration log", era);
     };
     hooks.on_unavailable_ = [this](const Error& error) {
@@ -130,6 +129,7 @@
     }
     const auto current = state_->table_.Read();
     const int64_t version = content.value().version_;
+    shown_version_ = std::max(shown_version_, version);
     if (current != nullptr && version <= current->version()) {
       return;
     }
@@ -143,6 +143,28 @@
     on_change_();
   }
 
+  // A log that was restored may have forgotten versions that it accepted. What
+  // it shows proves nothing new until it has reached the version in force
+  // again.
+  void ConfirmTable(Millis as_of) {
+    const auto table = state_->table_.Read();
+    if (table == nullptr) {
+      return;
+    }
+    const bool is_behind = shown_version_ < table->version();
+    if (is_behind != is_behind_) {
+      is_behind_ = is_behind;
+      log_->Write(
+          LogLine(is_behind ? "config_log_behind" : "config_log_caught_up")
+              .Add("shown_version", shown_version_)
+              .Add("version", table->version())
+              .Add("config_age_ms", state_->TableAge(boot_.Now()).count()));
+    }
+    if (!is_behind) {
+      state_->table_as_of_ = as_of.count();
+    }
+  }
+
   void LogRestored(const char* name, LogEra era) {
     ++state_->log_restores_;
     log_->Write(
@@ -261,6 +283,9 @@
   Availability config_available_{"configuration log", log_};
   Availability upstreams_available_{"upstream registry", log_};
   bool changed_ = false;
+  // The newest version that the log has shown since it was last restored.
+  int64_t shown_version_ = 0;
+  bool is_behind_ = false;  // the version in force is newer
   keyed_log::Follower config_;
   keyed_log::Follower upstreams_;
 };
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -1,4 +1,5 @@
-// Control: which upstreams get requests after the registry was out of reach.
+// Control: which upstreams get requests after the registry was out of reach,
+// and how old the configuration counts.
 #include <fcntl.h>
 
 #include <algorithm>
@@ -219,5 +220,93 @@
   }
 }
 
+// A gateway that reads the results of a script from the configuration log, on a
+// clock that moves by a second with each read.
+class ConfigDay {
+ public:
+  explicit ConfigDay(std::vector<Result<keyed_log::Tail>> tails)
+      : tails_(std::move(tails)) {}
+
+  // Plays the script. @return the time of the last confirmation after each read
+  // of the tail.
+  std::vector<int64_t> Play(keyed_log::NewestPage first,
+                            keyed_log::NewestPage restored) {
+    pages_ = {std::move(first), std::move(restored)};
+    ControlOptions options;
+    options.config_wait_ = Millis(0);
+    options.retry_pause_ = Millis(0);
+    Control control(io_, boot_, MakeSources(), options, &state_, &log_, [] {});
+    control.Start();
+    io_.run();
+    return confirmed_;
+  }
+  int64_t version() const { return state_.table_.Read()->version(); }
+
+ private:
+  ControlSources MakeSources() {
+    ControlSources sources;
+    sources.upstreams_.read_newest_ = [](const std::string&, auto) {};
+    sources.config_key_ = "config";
+    sources.config_.read_newest_ = [this](const std::string&, auto done) {
+      now_ += Millis(1'000);
+      const keyed_log::NewestPage page = pages_[num_pages_++];
+      boost::asio::post(io_, [done, page] { done(page); });
+    };
+    sources.config_.read_tail_ = [this](LogOffset, Millis, auto done) {
+      now_ += Millis(1'000);
+      confirmed_.push_back(state_.table_as_of_);
+      if (num_tails_ == tails_.size()) {
+        io_.stop();
+        return;
+      }
+      const Result<keyed_log::Tail> tail = tails_[num_tails_++];
+      boost::asio::post(io_, [done, tail] { done(tail); });
+    };
+    sources.decode_table_ = [](const std::string& value) {
+      route::RouteTable::Content content;
+      content.version_ = std::stoll(value);
+      return Result<route::RouteTable::Content>(content);
+    };
+    return sources;
+  }
+
+  std::vector<Result<keyed_log::Tail>> tails_;
+  std::vector<keyed_log::NewestPage> pages_;
+  size_t num_tails_ = 0;
+  size_t num_pages_ = 0;
+  std::vector<int64_t> confirmed_;
+  Millis now_;
+  boost::asio::io_context io_;
+  const Clock boot_{[this] { return now_; }};
+  ControlState state_;
+  DecisionLog log_{open("/dev/null", O_WRONLY | O_CLOEXEC), Clock::Wall()};
+};
+
+keyed_log::Record Version(int64_t version, int64_t offset) {
+  return {"config", std::to_string(version), LogOffset(offset)};
+}
+
+// "Nothing newer" from a log that had forgotten versions kept revoked keys in
+// use.
+TEST_CASE("control: a restored log that is behind confirms nothing") {
+  const LogEra first(1);
+  const LogEra second(2);
+  const auto tail = [](std::vector<keyed_log::Record> records, int64_t end,
+                       LogEra era) {
+    return keyed_log::Tail{std::move(records), LogOffset(end), LogOffset(end),
+                           era};
+  };
+  ConfigDay day({tail({Version(7, 2)}, 3, first), tail({}, 3, second),
+                 tail({}, 2, second), tail({Version(6, 2)}, 3, second),
+                 tail({Version(7, 3)}, 4, second), tail({}, 4, second)});
+  const std::vector<int64_t> confirmed =
+      day.Play({{Version(5, 1)}, false, LogOffset(2), first},
+               {{Version(5, 1)}, false, LogOffset(2), second});
+  // The reads were made a second apart; the second of the tail met the restore.
+  CHECK(confirmed ==
+        std::vector<int64_t>{0, 1'000, 1'000, 1'000, 1'000, 6'000, 7'000});
+  CHECK(day.version() == 7);
+}
+
 }  // namespace
 }  // namespace bergamotscale::gateway
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -412,20 +412,40 @@
       }
     }
     const std::string topic = QueryValue(target, "topic");
-    const std::string body =
+    const std::string response =
         target.rfind("/log-newest", 0) == 0
             ? Newest(topic)
             : Read(topic,
                    static_cast<size_t>(
                        ParseNumber(QueryValue(target, "from"), 0)),
                    Millis(ParseNumber(QueryValue(target, "wait_ms"), 0)));
-    if (!wire.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                    std::to_string(body.size()) + "\r\n\r\n" + body)) {
+    if (!wire.Write(response)) {
       return;
     }
   }
 }
 
+void StoreStandIn::TakeCopy() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  copy_ = topics_;
+}
+
+void StoreStandIn::RestoreCopy() {
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    topics_ = copy_;
+    ++era_;
+  }
+  changed_.notify_all();
+}
+
+std::string StoreStandIn::Respond(const std::string& status,
+                                  const std::string& body) const {
+  return "HTTP/1.1 " + status + "\r\nStore-Era: " + std::to_string(era_) +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
 std::string StoreStandIn::Newest(const std::string& topic) {
   const std::lock_guard<std::mutex> lock(mutex_);
   const std::vector<Entry>& entries = topics_[topic];
@@ -442,18 +462,24 @@
                ",\"offset\":" + std::to_string(index) + "}";
     }
   }
-  return "{\"items\":[" + items +
-         "],\"has_more\":false,\"end\":" + std::to_string(entries.size()) + "}";
+  return Respond("200 OK", "{\"items\":[" + items +
+                               "],\"has_more\":false,\"end\":" +
+                               std::to_string(entries.size()) + "}");
 }
 
 std::string StoreStandIn::Read(const std::string& topic,
                                size_t from,
                                Millis wait) {
   std::unique_lock<std::mutex> lock(mutex_);
-  const std::vector<Entry>& entries = topics_[topic];
+  const int era = era_;
   changed_.wait_for(lock, std::chrono::milliseconds(wait.count()), [&] {
-    return entries.size() > from || mode_ != Mode::kServing || stopping_;
+    return topics_[topic].size() != from || era_ != era ||
+           mode_ != Mode::kServing || stopping_;
   });
+  const std::vector<Entry>& entries = topics_[topic];
+  if (from > entries.size()) {
+    return Respond("410 Gone", "{\"first\":0}");
+  }
   std::string body = BigEndian(entries.size(), 8) + BigEndian(0, 8);
   for (size_t i = from; i < entries.size(); ++i) {
     const Entry& entry = entries[i];
@@ -464,7 +490,7 @@
     }
     body += BigEndian(content.size(), 4) + content;
   }
-  return body;
+  return Respond("200 OK", body);
 }
 
 int64_t ServerCall::Number(const std::string& name, int64_t fallback) const {
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -125,6 +125,10 @@
            const std::string& key,
            const std::string& value);
   void SetMode(Mode mode);
+  // Keeps a copy of all topics.
+  void TakeCopy();
+  // Puts the copy in place of all topics and begins the next era.
+  void RestoreCopy();
 
  private:
   struct Entry {
@@ -133,13 +137,18 @@
   };
 
   void Serve(Wire& wire);
+  // @return the whole response.
   std::string Newest(const std::string& topic);
   std::string Read(const std::string& topic, size_t from, Millis wait);
+  // Precondition: mutex_ is held.
+  std::string Respond(const std::string& status, const std::string& body) const;
 
   const std::string ip_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, std::vector<Entry>> topics_;
+  std::map<std::string, std::vector<Entry>> copy_;
+  int era_ = 1;
   Mode mode_ = Mode::kServing;
   bool stopping_ = false;
   std::unique_ptr<WireListener> listener_;
