Gateway: a newer configuration is taken from a peer

Callers saw: a gateway that started after the store had been restored, and before the operator had written again, served the copy: revoked keys were accepted and routes that had been added got 404, although its peers held the newer version. Cause: only the store told a gateway which version exists. Now each datagram between gateways names the version in force. One that stays behind that of a peer reads the document from it, with the age that it has there; the log confirms nothing below a version that a peer has; and at a start callers are let in only once a peer was heard, or none answers within 500 ms, and its version is in force.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -73,6 +73,24 @@
     upstreams_.Start();
   }
 
+  void OfferPeerConfig(const std::string& document, Millis as_of) {
+    Result<route::RouteTable::Content> content =
+        sources_.decode_table_(document);
+    if (!content.ok()) {
+      log_->Write(LogLine("peer_config_unreadable")
+                      .Add("reason", content.error().Message()));
+      return;
+    }
+    // What the log had confirmed was of an older version, so it may be later.
+    if (content.value().version_ > state_->Version()) {
+      state_->table_as_of_ =
+          std::min(state_->table_as_of_.load(), as_of.count());
+    }
+    if (PutInForce(std::move(content).value(), document, "peer")) {
+      state_->table_as_of_ = as_of.count();
+    }
+  }
+
  private:
   static keyed_log::FollowerOptions ConfigOptions(
       const ControlOptions& options) {
@@ -127,37 +145,46 @@
                       .Add("reason", content.error().Message()));
       return;
     }
-    const auto current = state_->table_.Read();
-    const int64_t version = content.value().version_;
-    shown_version_ = std::max(shown_version_, version);
-    if (current != nullptr && version <= current->version()) {
-      return;
+    shown_version_ = std::max(shown_version_, content.value().version_);
+    PutInForce(std::move(content).value(), *record.value_, "log");
+  }
+
+  // @return whether the content is newer than what was in force.
+  bool PutInForce(route::RouteTable::Content content,
+                  const std::string& document,
+                  const char* origin) {
+    const int64_t version = content.version_;
+    if (state_->table_.Read() != nullptr && version <= state_->Version()) {
+      return false;
     }
-    auto table =
-        std::make_shared<const route::RouteTable>(std::move(content).value());
-    log_->Write(
-        LogLine("config_in_force")
-            .Add("version", version)
-            .Add("routes", static_cast<int64_t>(table->routes().size())));
+    auto table = std::make_shared<const route::RouteTable>(std::move(content));
+    log_->Write(LogLine("config_in_force")
+                    .Add("version", version)
+                    .Add("routes", static_cast<int64_t>(table->routes().size()))
+                    .Add("origin", origin));
     state_->table_.Write(std::move(table));
+    state_->document_.Write(document);
     on_change_();
+    return true;
   }
 
   // A log that was restored may have forgotten versions that it accepted. What
   // it shows proves nothing new until it has reached the version in force
   // again.
   void ConfirmTable(Millis as_of) {
-    const auto table = state_->table_.Read();
-    if (table == nullptr) {
+    if (state_->table_.Read() == nullptr) {
       return;
     }
-    const bool is_behind = shown_version_ < table->version();
+    const int64_t version = state_->Version();
+    const int64_t peer_version = state_->peer_version_;
+    const bool is_behind = shown_version_ < std::max(version, peer_version);
     if (is_behind != is_behind_) {
       is_behind_ = is_behind;
       log_->Write(
           LogLine(is_behind ? "config_log_behind" : "config_log_caught_up")
               .Add("shown_version", shown_version_)
-              .Add("version", table->version())
+              .Add("version", version)
+              .Add("peer_version", peer_version)
               .Add("config_age_ms", state_->TableAge(boot_.Now()).count()));
     }
     if (!is_behind) {
@@ -331,4 +358,8 @@
   impl_->Start();
 }
 
+void Control::OfferPeerConfig(const std::string& document, Millis as_of) {
+  impl_->OfferPeerConfig(document, as_of);
+}
+
 }  // namespace bergamotscale::gateway
--- a/src/gateway/control.h
+++ b/src/gateway/control.h
@@ -72,6 +72,10 @@
 
   void Start();
 
+  // Takes a configuration that a peer has in force, if it is newer.
+  // @param as_of the time up to which the peer had confirmed it.
+  void OfferPeerConfig(const std::string& document, Millis as_of);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/gateway/control_state.h
+++ b/src/gateway/control_state.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 #include "bergamotscale/units.h"
@@ -18,6 +19,10 @@
 struct ControlState {
   LatestSnapshot<route::RouteTable> table_;
   LatestSnapshot<std::vector<route::UpstreamEntry>> upstreams_;
+  // The document of the table, as the log gave it.
+  LatestSnapshot<std::string> document_;
+  // The newest version that a peer has had in force; zero if unknown.
+  std::atomic<int64_t> peer_version_{0};
   // Time of the boot clock up to which the table and the upstreams include
   // every accepted change, in milliseconds; negative before the first read.
   std::atomic<int64_t> table_as_of_{-1};
@@ -29,6 +34,11 @@
 
   // @return the time since the table was last confirmed; a day if it never was.
   Millis TableAge(Millis now) const { return Age(table_as_of_.load(), now); }
+  // @return the version in force; zero if there is none.
+  int64_t Version() const {
+    const auto table = table_.Read();
+    return table == nullptr ? 0 : table->version();
+  }
   Millis UpstreamsAge(Millis now) const {
     return Age(upstreams_as_of_.load(), now);
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 #include "src/core/chrono_time.h"
 #include "src/gateway/exchange.h"
 #include "src/gateway/listen_retry.h"
+#include "src/gateway/peer_config.h"
 #include "src/gateway/peers.h"
 #include "src/gateway/settings_reload.h"
 #include "src/web/listener.h"
@@ -70,6 +71,9 @@
 // A gateway that can't serve yet accepts no callers, who use others at once.
 // Without a configuration for this long, it tells them when to come back.
 constexpr Millis kMaxListenDelay = Millis(3'000);
+// Peers answer within this time. One may have a newer configuration than a log
+// that was restored from a copy.
+constexpr Millis kMaxPeerDelay = Millis(500);
 // Limit of sessions of probes and operators.
 constexpr size_t kMaxProbeSessions = 32;
 constexpr char kCallersListener[] = "callers";
@@ -134,11 +138,13 @@
         callers_(io_, CallerSessionHooks(), MaxCallers()),
         probes_(io_, ProbeHooks(), kMaxProbeSessions),
         operators_(io_, ProbeHooks(), kMaxProbeSessions),
+        peer_calls_(io_, PeerCallHooks(), kMaxProbeSessions),
         listen_retry_(io_, &log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         listen_timer_(io_),
         maintenance_timer_(io_),
         stop_timer_(io_),
+        peer_config_(io_, boot_, &log_, MakePeerConfigHooks()),
         reload_(io_,
                 settings_,
                 MakeReloadHooks(std::move(parts.reload_)),
@@ -229,9 +235,14 @@
     }
     listen_timer_.expires_after(ToChrono(kMaxListenDelay));
     listen_timer_.async_wait([this](const error_code& error) {
-      if (!error) {
-        ListenForCallers();
+      if (error) {
+        return;
       }
+      // What the log has confirmed is older than what a peer has.
+      if (state_.Version() < state_.peer_version_) {
+        state_.table_as_of_ = -1;
+      }
+      ListenForCallers();
     });
     return Done{};
   }
@@ -254,15 +265,19 @@
     const uint16_t port = own.value().port();
     const udp::endpoint address(own.value().address(), port);
     const std::vector<udp::endpoint> seeds = SeedPeers(port);
-    const bool expects_peers = std::any_of(
+    peers_asked_at_ = boot_.Now();
+    expects_peers_ = std::any_of(
         seeds.begin(), seeds.end(),
         [&address](const udp::endpoint& seed) { return seed != address; });
     upstreams_.SetMembers(
-        policy::GatewayMembers(MemberId(address), expects_peers, boot_.Now()));
+        policy::GatewayMembers(MemberId(address), expects_peers_, boot_.Now()));
     peers_ =
         std::make_unique<Peers>(io_, boot_, address, seeds, MakePeerHooks());
     listen_retry_.Add("peers", settings_.listen_peers_,
                       [this] { return peers_->Start(); });
+    listen_retry_.Add(
+        "peer calls", settings_.listen_peers_,
+        [this, at = own.value()] { return peer_calls_.Start(at); });
     return Done{};
   }
 
@@ -318,6 +333,11 @@
     hooks.on_peer_seen_ = [this](uint64_t peer) {
       upstreams_.OnPeerSeen(peer);
     };
+    hooks.config_version_ = [this] { return state_.Version(); };
+    hooks.on_config_version_ = [this](const udp::endpoint& peer,
+                                      int64_t version) {
+      OnPeerVersion(peer, version);
+    };
     hooks.on_member_count_ = [this](int members) {
       // Without known peers, this gateway may be partitioned rather than alone.
       retry_budget_.SetMembers(members > 1 ? members : kInitialMembers);
@@ -326,6 +346,38 @@
     return hooks;
   }
 
+  void OnPeerVersion(const udp::endpoint& peer, int64_t version) {
+    if (version > state_.peer_version_) {
+      state_.peer_version_ = version;
+    }
+    peer_config_.OnPeerVersion(tcp::endpoint(peer.address(), peer.port()),
+                               version);
+    ListenIfServing();
+  }
+
+  PeerConfigHooks MakePeerConfigHooks() {
+    PeerConfigHooks hooks;
+    hooks.own_version_ = [this] { return state_.Version(); };
+    hooks.on_config_ = [this](std::string document, Millis as_of) {
+      boost::asio::post(control_io_,
+                        [this, document = std::move(document), as_of] {
+                          control_.OfferPeerConfig(document, as_of);
+                        });
+    };
+    return hooks;
+  }
+
+  web::SessionHooks PeerCallHooks() {
+    web::SessionHooks hooks = ProbeHooks();
+    hooks.on_request_ = [this](
+                            const web::IncomingRequest& call,
+                            const std::shared_ptr<web::Responder>& responder) {
+      AnswerPeerConfig(state_, boot_.Now(), call.target_, *responder);
+      return web::CallerHooks();
+    };
+    return hooks;
+  }
+
   // Told at once, as each further request with the part may take down an
   // upstream.
   void OnPartChange(const policy::SuspectParts& suspects) {
@@ -398,7 +450,20 @@
     if (upstreams != nullptr) {
       upstreams_.Update(*upstreams);
     }
-    if (table != nullptr && upstreams != nullptr) {
+    ListenIfServing();
+  }
+
+  // Listens for callers once all is known that requests need. The newest
+  // configuration may be that of a peer.
+  void ListenIfServing() {
+    if (listens_for_callers_) {
+      return;
+    }
+    const bool awaits_peers = expects_peers_ && state_.peer_version_ == 0 &&
+                              boot_.Now() - peers_asked_at_ < kMaxPeerDelay;
+    if (!awaits_peers && state_.table_.Read() != nullptr &&
+        state_.upstreams_.Read() != nullptr &&
+        state_.Version() >= state_.peer_version_) {
       ListenForCallers();
     }
   }
@@ -515,6 +580,7 @@
     maintenance_timer_.expires_after(ToChrono(kMaintenanceInterval));
     maintenance_timer_.async_wait([this](const error_code& error) {
       if (!error) {
+        ListenIfServing();
         UpdateShedding();
         upstreams_.UpdateRateShares();
         ReportUpstreams();
@@ -527,6 +593,10 @@
     metrics_.Set("bergamot_gateway_upstreams_lapsed", "",
                  state_.lapsed_upstreams_);
     metrics_.Set("bergamot_gateway_log_restores", "", state_.log_restores_);
+    metrics_.Set("bergamot_gateway_config_version", "",
+                 static_cast<double>(state_.Version()));
+    metrics_.Set("bergamot_gateway_config_peer_version", "",
+                 static_cast<double>(state_.peer_version_));
     metrics_.Set("bergamot_gateway_config_age_ms", "",
                  static_cast<double>(state_.TableAge(boot_.Now()).count()));
     metrics_.Set("bergamot_gateway_upstreams_rate_limited", "",
@@ -672,16 +742,20 @@
   web::Listener callers_;
   web::Listener probes_;
   web::Listener operators_;
+  web::Listener peer_calls_;
   std::unique_ptr<Peers> peers_;
   ListenRetry listen_retry_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer listen_timer_;
   boost::asio::steady_timer maintenance_timer_;
   boost::asio::steady_timer stop_timer_;
+  PeerConfigReader peer_config_;
   SettingsReloader reload_;
   std::thread control_thread_;
   std::string not_ready_reason_;
   bool readiness_logged_ = false;
+  Millis peers_asked_at_;
+  bool expects_peers_ = false;
   bool listens_for_callers_ = false;
   bool stopping_ = false;
   bool ending_ = false;  // the last responses are written
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -31,7 +31,8 @@
                                   StatusRow,
                                   std::vector<ShortPromptRow>,
                                   std::vector<SuspectPartsRow>,
-                                  std::vector<RateRow>>;
+                                  std::vector<RateRow>,
+                                  int64_t>;
 
 constexpr int64_t kNoRate = -1;
 constexpr double kRateUnit = 1'000;
@@ -75,6 +76,7 @@
     std::get<9>(fields).emplace_back(rate.upstream_, encoded,
                                      rate.age_.count());
   }
+  std::get<10>(fields) = message.config_version_;
   std::get<6>(fields) = {message.status_.zone_hash_, message.status_.link_kbps_,
                          message.status_.is_shedding_, message.has_loads_};
   msgpack::sbuffer buffer;
@@ -130,6 +132,7 @@
         std::get<6>(fields);
     message.status_ = {zone_hash, link_kbps, is_shedding};
     message.has_loads_ = has_loads;
+    message.config_version_ = std::get<10>(fields);
     return message;
   } catch (const std::exception& error) {
     return Error(ErrorCode::kProtocolError, error.what());
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -28,6 +28,8 @@
   int64_t incarnation_ = 0;
   int64_t sequence_number_ = 0;
   PeerStatus status_;
+  // Of the configuration in force; zero if there is none.
+  int64_t config_version_ = 0;
   // True if loads_ is complete; false if the message carries no loads.
   bool has_loads_ = false;
   // "IP:PORT" of the gateways from which the sender receives datagrams.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -191,6 +191,7 @@
     message.incarnation_ = incarnation_;
     message.sequence_number_ = ++sequence_number_;
     message.status_ = hooks_.own_status_();
+    message.config_version_ = hooks_.config_version_();
     return message;
   }
 
@@ -284,6 +285,7 @@
       hooks_.on_loads_(ToText(sender_), message.loads_);
     }
     hooks_.on_peer_seen_(MemberId(sender_));
+    hooks_.on_config_version_(sender_, message.config_version_);
     hooks_.on_prompts_(message.prompts_);
     if (!message.rates_.empty()) {
       hooks_.on_rates_(message.rates_);
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -40,6 +40,11 @@
   // The same for the rates that upstreams have asked for.
   std::function<std::vector<policy::RateNotice>()> rates_;
   std::function<void(const std::vector<policy::RateNotice>&)> on_rates_;
+  // The version of the configuration in force here, and at a peer.
+  std::function<int64_t()> config_version_;
+  std::function<void(const boost::asio::ip::udp::endpoint& peer,
+                     int64_t version)>
+      on_config_version_;
   // A datagram of a peer has arrived. @param peer see MemberId().
   std::function<void(uint64_t peer)> on_peer_seen_;
   // Report the size of each datagram, because datagrams share the link with
--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -116,6 +116,7 @@
   message.incarnation_ = 5;
   message.sequence_number_ = 6;
   message.status_ = {21, 10'000, true};
+  message.config_version_ = 29;
   message.has_loads_ = true;
   message.known_peers_ = {"10.0.0.1:7"};
   message.loads_ = {{{11, 2, 3'500}}, {{18, 19, 20}}};
@@ -129,6 +130,7 @@
   CHECK(read.value().status_.zone_hash_ == 21);
   CHECK(read.value().status_.link_kbps_ == 10'000);
   CHECK(read.value().status_.is_shedding_);
+  CHECK(read.value().config_version_ == 29);
   CHECK(read.value().has_loads_);
   CHECK(read.value().loads_.instances_[0].unread_tokens_ == 3'500);
   CHECK(read.value().loads_.short_prompts_[0].running_ == 19);
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -44,6 +44,8 @@
   hooks.rates_ = [] { return std::vector<policy::RateNotice>(); };
   hooks.on_rates_ = [](const std::vector<policy::RateNotice>&) {};
   hooks.on_peer_seen_ = [](uint64_t) {};
+  hooks.config_version_ = [] { return 0; };
+  hooks.on_config_version_ = [](const udp::endpoint&, int64_t) {};
   return hooks;
 }
 
--- a/tests/process/store_restored_test.cc
+++ b/tests/process/store_restored_test.cc
@@ -1,5 +1,8 @@
 // Gateways before a store that is restored from a copy: what was confirmed
 // stays in force, and what is written again comes into force.
+#include <csignal>
+
+#include <memory>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -11,6 +14,7 @@
 namespace {
 
 constexpr Millis kReadyTimeout = Millis(10'000);
+constexpr Millis kGrace = Millis(8'000);
 // Within this time a configuration must be in force.
 constexpr Millis kConfigDelay = Millis(2'000);
 // After this time a key that was taken away must be rejected.
@@ -144,6 +148,41 @@
   CHECK(AwaitStatus(bench.gateway_, "/read/1", "key1", 200, kConfigDelay));
 }
 
+// It served revoked keys and answered 404 for routes that its peers had.
+TEST_CASE("store restored: a gateway that starts takes its peers' version") {
+  RestoreBench bench;
+  const std::string seeds =
+      "[\"" + LoopbackIp(4) + ":8229\",\"" + LoopbackIp(5) + ":8229\"]";
+  bench.gateway_.SetField("seeds", seeds);
+  GatewayProcess other(bench.folder_.File(""), LoopbackIp(5),
+                       bench.store_.address(), {{"seeds", seeds}});
+  REQUIRE(bench.Start());
+  other.Start();
+  REQUIRE(other.AwaitReady(kReadyTimeout));
+  bench.store_.TakeCopy();
+  bench.Publish(MakeNextConfig(2));
+  REQUIRE(AwaitStatus(bench.gateway_, "/added/1", "key1", 200, kConfigDelay));
+  REQUIRE(AwaitStatus(other, "/added/1", "key1", 200, kConfigDelay));
+  other.Signal(SIGKILL);
+  other.AwaitEnd(kGrace);
+  bench.RestoreStore(Millis(0), "");
+  other.Start();
+  int served = 0;
+  const Millis until = SteadyNow() + Millis(3'000);
+  while (SteadyNow() < until) {
+    const int added = StatusOf(other, "/added/1", "key1");
+    CHECK((added == 200 || added == 503 || added == kStatusNone));
+    served += added == 200 ? 1 : 0;
+    const int revoked = StatusOf(other, "/read/1", "key2");
+    CHECK((revoked == 401 || revoked == 503 || revoked == kStatusNone));
+    SleepFor(Millis(10));
+  }
+  CHECK(served > 0);
+  bench.Publish(MakeNextConfig(2));
+  CHECK(AwaitStatus(other, "/added/1", "key1", 200, kConfigDelay));
+  CHECK(other.AwaitReady(kReadyTimeout));
+}
+
 // The registry had not been out of reach, so what it lacked was dropped.
 TEST_CASE("store restored: a service whose upstream it lacks goes on") {
   RestoreBench bench;
