Peer message: the version is part of what gateways of other versions read

The case that puts an unknown field behind the known ones put it where the version of the configuration stands now, so the message was rejected. It stands behind the version now, and the version is checked in both directions.

--- a/tests/gateway_parts_test.cc
+++ b/tests/gateway_parts_test.cc
@@ -174,8 +174,8 @@
                    Nothing, Status, Nothing, Nothing>
       shorter{5, 6, {"10.0.0.1:7"}, {}, {}, {}, status, {}, {}};
   const auto longer = std::tuple_cat(
-      shorter,
-      std::tuple<std::vector<Row>, std::string>({Row{25, 1'250, 26}}, "new"));
+      shorter, std::tuple<std::vector<Row>, int64_t, std::string>(
+                   {Row{25, 1'250, 26}}, 27, "new"));
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, shorter);
   const auto old = ReadPeerMessage({buffer.data(), buffer.size()});
@@ -183,12 +183,14 @@
   CHECK(old.value().sequence_number_ == 6);
   CHECK(old.value().status_.zone_hash_ == 21);
   CHECK(old.value().rates_.empty());
+  CHECK(old.value().config_version_ == 0);
   buffer.clear();
   msgpack::pack(buffer, longer);
   const auto newer = ReadPeerMessage({buffer.data(), buffer.size()});
   REQUIRE(newer.ok());
   REQUIRE(newer.value().rates_.size() == 1);
   CHECK(newer.value().rates_[0].per_second_ == 1.25);
+  CHECK(newer.value().config_version_ == 27);
   // As a gateway before the rates read it.
   PeerMessage message;
   message.sequence_number_ = 8;
