Tests: a server that closes its connection says so in its answer

Traced: the test's server closes behind its answer without a word, and the next request may cross the close, which is rightly answered 'may have run'. No check changes.

--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -27,7 +27,12 @@
   boost::asio::write(socket, boost::asio::buffer(text), ignored);
 }
 
-RawServer::Answer Always(const std::string& text, bool keep = true) {
+// @param keep whether the server keeps the connection. Otherwise its answer
+// says so, as the next request could cross the close.
+RawServer::Answer Always(std::string text, bool keep = true) {
+  if (!keep) {
+    text.insert(text.find("\r\n"), "\r\nConnection: close");
+  }
   return [text, keep](int, const std::string&, RawServer::Socket& socket) {
     Write(socket, text);
     return keep;
