Soak: a store that is away may come back from a copy

A third of the store's outages restore a copy taken at the start of the fault; the operator writes again a little later, the servers with their next heartbeats.

--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -305,10 +305,23 @@
     } else if (store_away_ == 0) {
       faults_.emplace_back([this, span] {
         ++store_away_;
+        const bool is_restored = span % 3 == 0;
+        if (is_restored) {
+          store_.TakeCopy();
+          SleepFor(Millis(span));
+        }
         store_.SetMode(span % 2 == 0 ? StoreStandIn::Mode::kResetting
                                      : StoreStandIn::Mode::kSilent);
         SleepFor(Millis(span));
+        if (is_restored) {
+          store_.RestoreCopy();
+        }
         store_.SetMode(StoreStandIn::Mode::kServing);
+        if (is_restored) {
+          // The operator and the servers write again.
+          SleepFor(Millis(span / 2));
+          store_.Put("keyed.op", "config", MakeConfig(version_));
+        }
         --store_away_;
       });
     }
@@ -498,7 +511,7 @@
   std::atomic<int> store_away_{0};
   std::atomic<int> starts_{0};
   std::atomic<bool> stopping_{false};
-  int64_t version_ = 1;
+  std::atomic<int64_t> version_{1};
   std::mutex mutex_;
   std::vector<Trouble> server_troubles_;
   std::vector<Sent> sent_;
