--- a/tests/keyed_log_restore_test.cc
+++ b/tests/keyed_log_restore_test.cc
@@ -198,9 +198,8 @@
     if (!is_quiet_ && Chance(15)) {
       result = Error(ErrorCode::kLogUnavailable);
     }
-    boost::asio::post(io_, [done, result = std::move(result)] {
-      done(result);
-    });
+    boost::asio::post(io_,
+                      [done, result = std::move(result)] { done(result); });
   }
 
   Result<NewestPage> ReadNewest(const std::string& after) {
