Caller session: probes last as long as the request

From review, by reading: after 2.7 s all bytes that may be written early were used up, so a caller that had shut down its sending side and closed later went unnoticed; and the reset that answers a probe was read 100 ms after it. Now the interval doubles, so the nine bytes last for 25 s, and the reset is looked for 20 ms after each. What is unread when the input ends counts as a probe.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -54,7 +54,6 @@
 // Recipients accept at least 16 digits; a size has at most eight others.
 constexpr size_t kMaxLeadingZeros = 8;
 constexpr Millis kResetCheckInterval = Millis(100);
-constexpr Millis kMaxProbeInterval = Millis(400);
 
 // Keeps the memory of a small buffer for the next use.
 void ReleaseBuffer(std::string* buffer) {
@@ -546,13 +545,16 @@
       StartTimer(kResetCheckTime, [](Impl& self) { self.CheckForReset(); });
       return;
     }
+    // The bytes are few, so the interval grows with the time that has passed.
     next_probe_in_ -= kResetCheckInterval;
-    if (next_probe_in_ <= Millis(0)) {
+    const bool is_due = next_probe_in_ <= Millis(0);
+    if (is_due) {
       Probe();
-      probe_interval_ = std::min(probe_interval_ * 2, kMaxProbeInterval);
+      probe_interval_ = probe_interval_ * 2;
       next_probe_in_ = probe_interval_;
     }
-    StartTimer(kResetCheckInterval, [](Impl& self) { self.CheckForReset(); });
+    StartTimer(is_due ? kResetCheckTime : kResetCheckInterval,
+               [](Impl& self) { self.CheckForReset(); });
   }
 
   bool HasUnconfirmed() {
@@ -573,6 +575,8 @@
   // Writes a byte of the response to find out whether the caller still reads.
   void Probe() {
     if (writing_ || !pending_output_.empty()) {
+      // The end of the input confirmed all that had come before it.
+      has_probed_ = has_probed_ || HasUnconfirmed();
       return;
     }
     if (!head_sent_ && head_probes_ < kStatusLineStart.size()) {
