Control: a peer's newer version withdraws what the log confirmed

Callers would see, from review: a gateway that had started from the copy of a restored store before it heard a peer went on with it for the whole bound, as its confirmation stayed when the peer's version became known. A read that was asked after that and still shows less proves that the log has forgotten it; it now makes the configuration unconfirmed. An ordinary rollout is not affected, as such a read shows the version. The new case fails without it.

--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/control.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -189,6 +190,15 @@
     }
     if (!is_behind) {
       state_->table_as_of_ = as_of.count();
+      peer_is_ahead_since_.reset();
+    } else if (peer_version <= version) {
+      peer_is_ahead_since_.reset();
+    } else if (!peer_is_ahead_since_.has_value()) {
+      peer_is_ahead_since_ = boot_.Now();
+    } else if (as_of >= *peer_is_ahead_since_) {
+      // The log would have shown the peer's version, had it not forgotten it.
+      // What it confirmed since then was of an older one.
+      state_->table_as_of_ = -1;
     }
   }
 
@@ -312,7 +322,8 @@
   bool changed_ = false;
   // The newest version that the log has shown since it was last restored.
   int64_t shown_version_ = 0;
-  bool is_behind_ = false;  // the version in force is newer
+  bool is_behind_ = false;  // a newer version is in force, here or at a peer
+  std::optional<Millis> peer_is_ahead_since_;
   keyed_log::Follower config_;
   keyed_log::Follower upstreams_;
 };
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -241,6 +241,11 @@
     return confirmed_;
   }
   int64_t version() const { return state_.table_.Read()->version(); }
+  // A peer tells its version before the read of the tail with this number.
+  void TellPeerVersion(size_t read, int64_t version) {
+    told_at_ = read;
+    peer_version_ = version;
+  }
 
  private:
   ControlSources MakeSources() {
@@ -255,6 +260,9 @@
     sources.config_.read_tail_ = [this](LogOffset, Millis, auto done) {
       now_ += Millis(1'000);
       confirmed_.push_back(state_.table_as_of_);
+      if (peer_version_ > 0 && confirmed_.size() == told_at_) {
+        state_.peer_version_ = peer_version_;
+      }
       if (num_tails_ == tails_.size()) {
         io_.stop();
         return;
@@ -272,6 +280,8 @@
 
   std::vector<Result<keyed_log::Tail>> tails_;
   std::vector<keyed_log::NewestPage> pages_;
+  size_t told_at_ = 0;
+  int64_t peer_version_ = 0;
   size_t num_tails_ = 0;
   size_t num_pages_ = 0;
   std::vector<int64_t> confirmed_;
@@ -308,5 +318,20 @@
   CHECK(day.version() == 7);
 }
 
+// A gateway that had started from the copy went on with it for the whole bound
+// when a peer told it of a newer version.
+TEST_CASE("control: a peer's newer version withdraws what the log confirmed") {
+  const auto tail = [](std::vector<keyed_log::Record> records, int64_t end) {
+    return keyed_log::Tail{std::move(records), LogOffset(end), LogOffset(end)};
+  };
+  ConfigDay day({tail({}, 2), tail({}, 2), tail({}, 2),
+                 tail({Version(6, 2)}, 3), tail({}, 3)});
+  day.TellPeerVersion(2, 6);
+  const std::vector<int64_t> confirmed =
+      day.Play({{Version(5, 1)}, false, LogOffset(2)}, {});
+  // The second read shows it behind; the third was asked after that.
+  CHECK(confirmed == std::vector<int64_t>{0, 1'000, 1'000, -1, 4'000, 5'000});
+}
+
 }  // namespace
 }  // namespace bergamotscale::gateway
