Directory: a restore brings back none that had expired before

From review: an upstream that had expired in an earlier outage, and got no requests as most others were listed, got them again when a restored registry lacked it too; and a removal that the log told did not end that of one lost in a restore. The new case fails on the code before.

--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -86,8 +86,10 @@
   const bool may_have_expired =
       registry_unavailable_ || (in_grace_ && now < grace_ends_);
   if (may_have_expired && !found->second.entry_.draining_) {
-    found->second.expired_ = true;
-    found->second.is_lost_ = found->second.is_lost_ || is_restored_;
+    Upstream& upstream = found->second;
+    upstream.is_lost_ =
+        is_restored_ && (upstream.is_lost_ || !upstream.expired_);
+    upstream.expired_ = true;
     return false;
   }
   Drop(found, now);
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -326,5 +326,29 @@
         Change::kChanged);
 }
 
+TEST_CASE("directory: a restore brings back none that had expired before") {
+  Directory directory(Millis(2'000));
+  std::vector<UpstreamEntry> listed;
+  for (const char* id : {"a", "b", "c"}) {
+    listed.push_back(MakeEntry(id));
+    directory.Put(listed.back(), kNow);
+  }
+  directory.Put(MakeEntry("left"), kNow);
+  directory.Put(MakeEntry("lost"), kNow);
+  directory.OnRegistryUnavailable();
+  directory.OnRegistryAvailable(Millis(5'000));
+  CHECK_FALSE(directory.Remove(InstanceId("left"), Millis(5'010)));
+  for (int restores = 0; restores < 2; ++restores) {
+    directory.OnRegistryRestored(Millis(5'100 + restores));
+    directory.Replace(listed, Millis(5'100 + restores));
+    REQUIRE(directory.Entries().size() == 5);
+    CHECK(directory.Entries()[3].registration_ == Registration::kMissing);
+    CHECK(directory.Entries()[4].registration_ == Registration::kLapsed);
+  }
+  // A removal that the log tells counts as any other.
+  CHECK_FALSE(directory.Remove(InstanceId("lost"), Millis(5'200)));
+  CHECK(directory.Entries()[4].registration_ == Registration::kMissing);
+}
+
 }  // namespace
 }  // namespace bergamotscale::route
