Peer config: a peer that doesn't answer hides no other one

From review: the newest version ever heard of decided whom to ask, so a gateway asked a peer that was gone again and again while others had a newer version than its own. After a failed read any peer with a newer version counts.

--- a/src/gateway/peer_config.cc
+++ b/src/gateway/peer_config.cc
@@ -117,8 +117,9 @@
                            result.ok() ? "status " + std::to_string(
                                                          result.value().status_)
                                        : result.error().Message()));
+      // Another peer may answer, even one with a version between.
+      newest_version_ = 0;
     }
-    // The next attempt may use another peer.
     ReadAfter(kRetryPause);
   }
 
