Gateway: at a start, peers are asked until one that serves is heard

From review: the wait for peers ran from the start of the process, though a predecessor may hold the address for datagrams; it ended with the first peer heard, even one that had just started itself; and seeds got one datagram within it, which may be lost. Now it runs from the bind, only a gateway that lets callers in names its version, and seeds are asked each 100 ms until a peer is known.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -71,8 +71,8 @@
 // A gateway that can't serve yet accepts no callers, who use others at once.
 // Without a configuration for this long, it tells them when to come back.
 constexpr Millis kMaxListenDelay = Millis(3'000);
-// Peers answer within this time. One may have a newer configuration than a log
-// that was restored from a copy.
+// Peers that serve callers answer within this time. One may have a newer
+// configuration than a log that was restored from a copy.
 constexpr Millis kMaxPeerDelay = Millis(500);
 // Limit of sessions of probes and operators.
 constexpr size_t kMaxProbeSessions = 32;
@@ -235,14 +235,9 @@
     }
     listen_timer_.expires_after(ToChrono(kMaxListenDelay));
     listen_timer_.async_wait([this](const error_code& error) {
-      if (error) {
-        return;
-      }
-      // What the log has confirmed is older than what a peer has.
-      if (state_.Version() < state_.peer_version_) {
-        state_.table_as_of_ = -1;
+      if (!error) {
+        ListenForCallers();
       }
-      ListenForCallers();
     });
     return Done{};
   }
@@ -265,7 +260,6 @@
     const uint16_t port = own.value().port();
     const udp::endpoint address(own.value().address(), port);
     const std::vector<udp::endpoint> seeds = SeedPeers(port);
-    peers_asked_at_ = boot_.Now();
     expects_peers_ = std::any_of(
         seeds.begin(), seeds.end(),
         [&address](const udp::endpoint& seed) { return seed != address; });
@@ -273,8 +267,10 @@
         policy::GatewayMembers(MemberId(address), expects_peers_, boot_.Now()));
     peers_ =
         std::make_unique<Peers>(io_, boot_, address, seeds, MakePeerHooks());
-    listen_retry_.Add("peers", settings_.listen_peers_,
-                      [this] { return peers_->Start(); });
+    listen_retry_.Add("peers", settings_.listen_peers_, [this] {
+      peers_asked_at_ = boot_.Now();
+      return peers_->Start();
+    });
     listen_retry_.Add(
         "peer calls", settings_.listen_peers_,
         [this, at = own.value()] { return peer_calls_.Start(at); });
@@ -333,7 +329,9 @@
     hooks.on_peer_seen_ = [this](uint64_t peer) {
       upstreams_.OnPeerSeen(peer);
     };
-    hooks.config_version_ = [this] { return state_.Version(); };
+    hooks.config_version_ = [this] {
+      return listens_for_callers_ ? state_.Version() : 0;
+    };
     hooks.on_config_version_ = [this](const udp::endpoint& peer,
                                       int64_t version) {
       OnPeerVersion(peer, version);
@@ -460,7 +458,8 @@
       return;
     }
     const bool awaits_peers = expects_peers_ && state_.peer_version_ == 0 &&
-                              boot_.Now() - peers_asked_at_ < kMaxPeerDelay;
+                              (listen_retry_.IsPending("peers") ||
+                               boot_.Now() - peers_asked_at_ < kMaxPeerDelay);
     if (!awaits_peers && state_.table_.Read() != nullptr &&
         state_.upstreams_.Read() != nullptr &&
         state_.Version() >= state_.peer_version_) {
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -28,7 +28,8 @@
   int64_t incarnation_ = 0;
   int64_t sequence_number_ = 0;
   PeerStatus status_;
-  // Of the configuration in force; zero if there is none.
+  // Of the configuration in force; zero until the sender has asked its peers
+  // for a newer one.
   int64_t config_version_ = 0;
   // True if loads_ is complete; false if the message carries no loads.
   bool has_loads_ = false;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -25,6 +25,8 @@
 constexpr Millis kPeerLifetime = Millis(3'000);
 // Seed addresses that are not members are contacted at this interval.
 constexpr Millis kSeedInterval = Millis(1'000);
+// The same while no peer is known.
+constexpr Millis kFirstSeedInterval = Millis(100);
 // Interval of the peer list. Peers change rarely, and a list of 27 is a quarter
 // of a datagram.
 constexpr Millis kPeerListInterval = Millis(1'000);
@@ -152,7 +154,9 @@
     const std::string bytes = WritePeerMessage(BuildMessage());
     SendToPeers(bytes);
     const Millis now = boot_.Now();
-    if (now - seeds_tried_at_ < kSeedInterval && sequence_number_ > 1) {
+    const Millis seed_interval =
+        peers_.empty() ? kFirstSeedInterval : kSeedInterval;
+    if (now - seeds_tried_at_ < seed_interval && sequence_number_ > 1) {
       return;
     }
     seeds_tried_at_ = now;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -40,7 +40,8 @@
   // The same for the rates that upstreams have asked for.
   std::function<std::vector<policy::RateNotice>()> rates_;
   std::function<void(const std::vector<policy::RateNotice>&)> on_rates_;
-  // The version of the configuration in force here, and at a peer.
+  // The version of the configuration in force here, and at a peer; zero if it
+  // is unknown whether peers have a newer one.
   std::function<int64_t()> config_version_;
   std::function<void(const boost::asio::ip::udp::endpoint& peer,
                      int64_t version)>
