Test: a gateway at its descriptor limit reaches the store again (known red)

Seen in trials: while callers hold their connections, a gateway whose descriptors are used up doesn't reach the store again after an outage, nor answers its probe. The callers and stand-ins of the tests now repeat a call that a signal has interrupted, which they took for the end of a connection.

--- a/tests/process/gateway_overlap_test.cc
+++ b/tests/process/gateway_overlap_test.cc
@@ -6,9 +6,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -381,6 +383,26 @@
   }
 }
 
+// Connections of callers and to upstreams left none for the store.
+TEST_CASE(
+    "gateway overlap: at its descriptor limit it reaches the store again") {
+  OverlapBench bench;
+  bench.gateway_.LimitDescriptors(80);
+  REQUIRE(bench.Start(Millis(300)));
+  bench.StartCallers(40, bench.gateway_.address(), false);
+  SleepFor(Millis(1'000));
+  bench.store_.SetMode(StoreStandIn::Mode::kResetting);
+  SleepFor(Millis(3'000));
+  bench.store_.SetMode(StoreStandIn::Mode::kServing);
+  SleepFor(Millis(6'000));
+  std::ifstream file(bench.gateway_.log_file());
+  std::ostringstream log;
+  log << file.rdbuf();
+  CHECK(log.str().find("dependency_regained name=\"configuration log\"") !=
+        std::string::npos);
+  bench.CheckAnswers();
+}
+
 TEST_CASE("gateway overlap: a deployment of gateways starts and stops") {
   constexpr int kGateways = 33;
   ScratchFolder folder;
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -185,6 +186,9 @@
   while (sent < bytes.size()) {
     const ssize_t count =
         send(fd_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) {
+      continue;
+    }
     if (count <= 0) {
       return false;
     }
@@ -195,7 +199,10 @@
 
 bool Wire::Fill() {
   char bytes[16'384];
-  const ssize_t count = recv(fd_, bytes, sizeof(bytes), 0);
+  ssize_t count = 0;
+  do {
+    count = recv(fd_, bytes, sizeof(bytes), 0);
+  } while (count < 0 && errno == EINTR);
   if (count <= 0) {
     return false;
   }
@@ -832,6 +839,10 @@
   const std::string preload = "LD_PRELOAD=" + preload_;
   pid_ = fork();
   if (pid_ == 0) {
+    if (max_descriptors_ > 0) {
+      const rlimit limit{max_descriptors_, max_descriptors_};
+      setrlimit(RLIMIT_NOFILE, &limit);
+    }
     const int out = open(log_file_.c_str(),
                          O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
     dup2(out, STDOUT_FILENO);
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -265,6 +265,11 @@
   void RemoveField(const std::string& name);
   // Loads a library into the process at each further start.
   void Preload(const std::string& library) { preload_ = library; }
+  // Bounds the descriptors of the process from its next start on, and tells it.
+  void LimitDescriptors(unsigned limit) {
+    max_descriptors_ = limit;
+    SetField("limits.max_fds", std::to_string(limit));
+  }
   // Until the next Start() the process reads its settings from a FIFO, and
   // waits there for them.
   void ReplaceSettingsByFifo();
@@ -311,6 +316,7 @@
   std::string settings_file_;
   std::string log_file_;
   std::string preload_;
+  unsigned max_descriptors_ = 0;  // zero: as this process
   bool has_fifo_ = false;
   pid_t pid_ = -1;
   int status_ = 0;
