--- a/tests/process/store_restored_test.cc
+++ b/tests/process/store_restored_test.cc
@@ -118,7 +118,7 @@
   bench.Publish(MakeNextConfig(2));
   REQUIRE(AwaitStatus(bench.gateway_, "/added/1", "key1", 200, kConfigDelay));
   for (int restores = 0; restores < 2; ++restores) {
-    bench.RestoreStore(Millis(restores * 500), "");
+    bench.RestoreStore(Millis(500) * restores, "");
     const Millis until = SteadyNow() + Millis(1'500);
     while (SteadyNow() < until) {
       const int added = StatusOf(bench.gateway_, "/added/1", "key1");
