--- a/src/gateway/control.cc
+++ b/src/gateway/control.cc
@@ -82,14 +82,13 @@
                       .Add("reason", content.error().Message()));
       return;
     }
-    // What the log had confirmed was of an older version, so it may be later.
-    if (content.value().version_ > state_->Version()) {
-      state_->table_as_of_ =
-          std::min(state_->table_as_of_.load(), as_of.count());
-    }
-    if (PutInForce(std::move(content).value(), document, "peer")) {
-      state_->table_as_of_ = as_of.count();
+    if (!IsNewer(content.value())) {
+      return;
     }
+    // What the log had confirmed was of an older version, so it may be later.
+    state_->table_as_of_ = std::min(state_->table_as_of_.load(), as_of.count());
+    PutInForce(std::move(content).value(), document, "peer");
+    state_->table_as_of_ = as_of.count();
   }
 
  private:
@@ -147,26 +146,28 @@
       return;
     }
     shown_version_ = std::max(shown_version_, content.value().version_);
-    PutInForce(std::move(content).value(), *record.value_, "log");
+    if (IsNewer(content.value())) {
+      PutInForce(std::move(content).value(), *record.value_, "log");
+    }
   }
 
-  // @return whether the content is newer than what was in force.
-  bool PutInForce(route::RouteTable::Content content,
+  // @return whether the content is newer than what is in force.
+  bool IsNewer(const route::RouteTable::Content& content) const {
+    return state_->table_.Read() == nullptr ||
+           content.version_ > state_->Version();
+  }
+
+  void PutInForce(route::RouteTable::Content content,
                   const std::string& document,
                   const char* origin) {
-    const int64_t version = content.version_;
-    if (state_->table_.Read() != nullptr && version <= state_->Version()) {
-      return false;
-    }
     auto table = std::make_shared<const route::RouteTable>(std::move(content));
     log_->Write(LogLine("config_in_force")
-                    .Add("version", version)
+                    .Add("version", table->version())
                     .Add("routes", static_cast<int64_t>(table->routes().size()))
                     .Add("origin", origin));
     state_->table_.Write(std::move(table));
     state_->document_.Write(document);
     on_change_();
-    return true;
   }
 
   // A log that was restored may have forgotten versions that it accepted. What
@@ -190,8 +191,9 @@
     }
     if (!is_behind) {
       state_->table_as_of_ = as_of.count();
-      peer_is_ahead_since_.reset();
-    } else if (peer_version <= version) {
+    }
+    const bool peer_is_ahead = is_behind && peer_version > version;
+    if (!peer_is_ahead) {
       peer_is_ahead_since_.reset();
     } else if (!peer_is_ahead_since_.has_value()) {
       peer_is_ahead_since_ = boot_.Now();
--- a/src/keyed_log/follower.cc
+++ b/src/keyed_log/follower.cc
@@ -56,19 +56,14 @@
       return;
     }
     NewestPage page = std::move(result).value();
-    const bool is_first = !has_end_;
-    switch (EnterEra(page.era_)) {
-      case EraChange::kEarlier:
-        Fail(EarlierEra(), true);
-        return;
-      case EraChange::kLater:
-        if (!is_first) {
-          Rebuild();
-          return;
-        }
-        break;
-      case EraChange::kNone:
-        break;
+    const EraChange change = EnterEra(page.era_);
+    if (change == EraChange::kEarlier) {
+      Fail(EarlierEra(), true);
+      return;
+    }
+    if (change == EraChange::kLater && has_end_) {
+      Rebuild();
+      return;
     }
     next_ = has_end_ ? std::min(next_, page.end_) : page.end_;
     has_end_ = true;
--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -55,7 +55,7 @@
   removed_.erase(entry.id_);
   const auto found = upstreams_.find(entry.id_);
   if (found == upstreams_.end()) {
-    upstreams_[entry.id_] = Upstream{entry, false, false};
+    upstreams_[entry.id_] = Upstream{entry};
     return Change::kChanged;
   }
   const bool had_expired = std::exchange(found->second.expired_, false);
--- a/tests/control_test.cc
+++ b/tests/control_test.cc
@@ -296,19 +296,21 @@
   return {"config", std::to_string(version), LogOffset(offset)};
 }
 
+keyed_log::Tail MakeTail(std::vector<keyed_log::Record> records,
+                         int64_t end,
+                         LogEra era = {}) {
+  return {std::move(records), LogOffset(end), LogOffset(end), era};
+}
+
 // "Nothing newer" from a log that had forgotten versions kept revoked keys in
 // use.
 TEST_CASE("control: a restored log that is behind confirms nothing") {
   const LogEra first(1);
   const LogEra second(2);
-  const auto tail = [](std::vector<keyed_log::Record> records, int64_t end,
-                       LogEra era) {
-    return keyed_log::Tail{std::move(records), LogOffset(end), LogOffset(end),
-                           era};
-  };
-  ConfigDay day({tail({Version(7, 2)}, 3, first), tail({}, 3, second),
-                 tail({}, 2, second), tail({Version(6, 2)}, 3, second),
-                 tail({Version(7, 3)}, 4, second), tail({}, 4, second)});
+  ConfigDay day({MakeTail({Version(7, 2)}, 3, first), MakeTail({}, 3, second),
+                 MakeTail({}, 2, second), MakeTail({Version(6, 2)}, 3, second),
+                 MakeTail({Version(7, 3)}, 4, second),
+                 MakeTail({}, 4, second)});
   const std::vector<int64_t> confirmed =
       day.Play({{Version(5, 1)}, false, LogOffset(2), first},
                {{Version(5, 1)}, false, LogOffset(2), second});
@@ -321,11 +323,8 @@
 // A gateway that had started from the copy went on with it for the whole bound
 // when a peer told it of a newer version.
 TEST_CASE("control: a peer's newer version withdraws what the log confirmed") {
-  const auto tail = [](std::vector<keyed_log::Record> records, int64_t end) {
-    return keyed_log::Tail{std::move(records), LogOffset(end), LogOffset(end)};
-  };
-  ConfigDay day({tail({}, 2), tail({}, 2), tail({}, 2),
-                 tail({Version(6, 2)}, 3), tail({}, 3)});
+  ConfigDay day({MakeTail({}, 2), MakeTail({}, 2), MakeTail({}, 2),
+                 MakeTail({Version(6, 2)}, 3), MakeTail({}, 3)});
   day.TellPeerVersion(2, 6);
   const std::vector<int64_t> confirmed =
       day.Play({{Version(5, 1)}, false, LogOffset(2)}, {});
--- a/tests/route_test.cc
+++ b/tests/route_test.cc
@@ -283,15 +283,21 @@
         Change::kChanged);
 }
 
+// @return the entries "a", "b" and "c", which are put into the directory.
+std::vector<UpstreamEntry> PutThree(Directory* directory) {
+  std::vector<UpstreamEntry> entries = {MakeEntry("a"), MakeEntry("b"),
+                                        MakeEntry("c")};
+  for (const UpstreamEntry& entry : entries) {
+    directory->Put(entry, kNow);
+  }
+  return entries;
+}
+
 // Upstreams that had registered since the copy were dropped until they wrote
 // again.
 TEST_CASE("directory: upstreams that a restored registry lacks are kept") {
   Directory directory(Millis(2'000));
-  std::vector<UpstreamEntry> copy;
-  for (const char* id : {"a", "b", "c"}) {
-    copy.push_back(MakeEntry(id));
-    directory.Put(copy.back(), kNow);
-  }
+  const std::vector<UpstreamEntry> copy = PutThree(&directory);
   directory.Put(MakeEntry("new"), kNow);
   directory.Put(MakeEntry("gone"), kNow);
   UpstreamEntry leaving = MakeEntry("leaving");
@@ -328,11 +334,7 @@
 
 TEST_CASE("directory: a restore brings back none that had expired before") {
   Directory directory(Millis(2'000));
-  std::vector<UpstreamEntry> listed;
-  for (const char* id : {"a", "b", "c"}) {
-    listed.push_back(MakeEntry(id));
-    directory.Put(listed.back(), kNow);
-  }
+  const std::vector<UpstreamEntry> listed = PutThree(&directory);
   directory.Put(MakeEntry("left"), kNow);
   directory.Put(MakeEntry("lost"), kNow);
   directory.OnRegistryUnavailable();
