Caller session: an idle connection stays open as long as was announced

The session now keeps the time that it has announced, and half a second more for what is on the way. Of the class of promises that are read from the configuration again after they were made; the other one, the header timeout, is announced to nobody.

caller session: an idle connection stays open as announced, and caller session: a request at the end of the idle time is read: both fail before.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string_view>
@@ -43,6 +44,9 @@
 // Limit of the input that is discarded from a rejected caller.
 constexpr size_t kMaxLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
+// A request that the caller sent at the end of the announced idle time arrives
+// within this time.
+constexpr Millis kIdleMargin = Millis(500);
 constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 // A caller whose input has ended may still read. A write tells: a closed
 // connection answers it with a reset. Single bytes are written for that which
@@ -242,6 +246,7 @@
     } else {
       const int64_t seconds =
           hooks_.limits_().idle_timeout_.count() / kMillisPerSecond;
+      announced_idle_ = Millis(seconds * kMillisPerSecond);
       head->set(http::field::keep_alive, "timeout=" + std::to_string(seconds));
     }
   }
@@ -332,8 +337,9 @@
     has_probed_ = false;
     in_call_ = false;
     caller_hooks_ = CallerHooks();
-    StartTimer(hooks_.limits_().idle_timeout_,
-               [](Impl& self) { self.CloseIfIdle(); });
+    const Millis idle_timeout =
+        std::max(hooks_.limits_().idle_timeout_, announced_idle_ + kIdleMargin);
+    StartTimer(idle_timeout, [](Impl& self) { self.CloseIfIdle(); });
     if (buffer_.size() > 0) {
       ReadHead();
       return;
@@ -708,6 +714,7 @@
   bool in_call_ = false;
   bool is_head_request_ = false;
   bool keeps_open_ = true;
+  Millis announced_idle_;  // in the latest head; zero if there was none
   bool chunked_ = false;
   bool writing_ = false;
   bool head_sent_ = false;
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -38,12 +38,13 @@
     caller_.connect(address);
   }
 
-  // @return the responder of the request.
-  std::shared_ptr<web::Responder> Request() {
+  // @return the responder of the request; null if the session doesn't read it.
+  std::shared_ptr<web::Responder> Request(
+      const std::string& request = kRequest) {
     responder_ = nullptr;
-    boost::asio::write(caller_, boost::asio::buffer(std::string(kRequest)));
-    while (responder_ == nullptr) {
-      io_.run_one();
+    boost::asio::write(caller_, boost::asio::buffer(request));
+    io_.restart();
+    while (responder_ == nullptr && io_.run_one_for(milliseconds(2'000)) > 0) {
     }
     return responder_;
   }
@@ -53,15 +54,13 @@
   }
 
   tcp::socket& caller() { return caller_; }
+  web::SessionLimits& limits() { return limits_; }
   bool has_left() const { return has_left_; }
 
  private:
   web::SessionHooks Hooks() {
     web::SessionHooks hooks;
-    hooks.limits_ = [] {
-      return web::SessionLimits{Bytes(8'192), Bytes(8'192), Millis(5'000),
-                                Millis(5'000)};
-    };
+    hooks.limits_ = [this] { return limits_; };
     hooks.on_request_ = [this](const web::IncomingRequest& /*request*/,
                                std::shared_ptr<web::Responder> responder) {
       responder_ = std::move(responder);
@@ -77,6 +76,8 @@
 
   boost::asio::io_context io_;
   boost::asio::io_context callers_;
+  web::SessionLimits limits_{Bytes(8'192), Bytes(8'192), Millis(5'000),
+                             Millis(5'000)};
   std::shared_ptr<web::Responder> responder_;
   bool has_left_ = false;
   web::Listener listener_;
@@ -118,5 +119,27 @@
   CHECK(bench.has_left());
 }
 
+// A configuration that shortened the idle timeout during a stream made the
+// session close before the time that its head had announced.
+TEST_CASE("caller session: an idle connection stays open as announced") {
+  OneCaller bench;
+  bench.limits().idle_timeout_ = Millis(2'000);
+  const auto responder = bench.Request();
+  responder->BeginStream(200, {});
+  bench.limits().idle_timeout_ = Millis(100);
+  responder->EndStream();
+  bench.Run(milliseconds(1'500));
+  CHECK(bench.Request() != nullptr);
+}
+
+// The caller sends until the end of the time that was announced.
+TEST_CASE("caller session: a request at the end of the idle time is read") {
+  OneCaller bench;
+  bench.limits().idle_timeout_ = Millis(1'000);
+  bench.Request()->Reply(200, {}, "a");
+  bench.Run(milliseconds(1'050));
+  CHECK(bench.Request() != nullptr);
+}
+
 }  // namespace
 }  // namespace bergamotscale::testing
