Caller session: a broken stream without chunks ends with a reset

A caller of HTTP/1.0 got a stream that was broken off as a whole one: without chunks, the end of the connection ends the response, and the session closed it in order. It now resets the connection. In chunked streams the missing last chunk tells.

Found while listing where a response that has begun is ended early. caller session: a broken stream without chunks ends with a reset: fails before (end of file instead of a reset).

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -171,7 +171,14 @@
     }
   }
 
-  void Abort() { Close(); }
+  void Abort() {
+    // Without chunks, the end of the connection would complete the response.
+    if (head_sent_ && !chunked_ && !closed_) {
+      error_code ignored;
+      socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
+    Close();
+  }
 
   bool MayHaveLeft() {
     if (closed_) {
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -141,5 +141,22 @@
   CHECK(bench.Request() != nullptr);
 }
 
+// A caller of HTTP/1.0 took a stream that was broken off for a whole one.
+TEST_CASE("caller session: a broken stream without chunks ends with a reset") {
+  OneCaller bench;
+  const auto responder = bench.Request("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  responder->BeginStream(200, {});
+  responder->Write("a part of it");
+  bench.Run(milliseconds(50));
+  responder->Abort();
+  bench.Run(milliseconds(50));
+  boost::system::error_code error;
+  std::array<char, 4'096> buffer{};
+  while (!error) {
+    bench.caller().read_some(boost::asio::buffer(buffer), error);
+  }
+  CHECK(error == boost::asio::error::connection_reset);
+}
+
 }  // namespace
 }  // namespace bergamotscale::testing
