Caller session: a header field of 64 KiB ends no process

With a limit of headers above 64 KiB, one request with a longer field ended the gateway and with it all requests in progress: the HTTP library throws for fields that its 16-bit sizes can't hold, and the exception left the event loop. The limit given to the parser is now the lower one of both, so the caller gets 431. Responses of upstreams are read with a limit of 64 KiB for the whole head, so their fields are shorter.

caller session: a header field of 64 KiB is rejected: before, the exception "field value too large" comes out of the event loop.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -47,6 +47,8 @@
 // A request that the caller sent at the end of the announced idle time arrives
 // within this time.
 constexpr Millis kIdleMargin = Millis(500);
+// The library throws an exception for a longer header field.
+constexpr int64_t kMaxHeaderField = 65'533;
 constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 // A caller whose input has ended may still read. A write tells: a closed
 // connection answers it with a reset. Single bytes are written for that which
@@ -368,7 +370,8 @@
     const SessionLimits limits = hooks_.limits_();
     awaiting_request_ = false;
     parser_.emplace();
-    parser_->header_limit(static_cast<uint32_t>(limits.max_header_.count()));
+    parser_->header_limit(static_cast<uint32_t>(
+        std::min(limits.max_header_.count(), kMaxHeaderField)));
     parser_->body_limit(static_cast<uint64_t>(limits.max_body_.count()));
     StartReadTimer(limits.header_timeout_, "headers were not sent in time");
     http::async_read_header(
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include "src/web/listener.h"
@@ -158,5 +159,19 @@
   CHECK(error == boost::asio::error::connection_reset);
 }
 
+// The parser's exception ended the process.
+TEST_CASE("caller session: a header field of 64 KiB is rejected") {
+  OneCaller bench;
+  bench.limits().max_header_ = Bytes(200'000);
+  const std::string head =
+      "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(70'000, 'a') +
+      "\r\n\r\n";
+  boost::asio::write(bench.caller(), boost::asio::buffer(head));
+  CHECK_NOTHROW(bench.Run(milliseconds(100)));
+  std::string answer(12, ' ');
+  boost::asio::read(bench.caller(), boost::asio::buffer(answer));
+  CHECK(answer == "HTTP/1.1 431");
+}
+
 }  // namespace
 }  // namespace bergamotscale::testing
