Connections: the system's buffers are bounded

The memory of a machine counts what the system buffers for connections. For a caller that reads nothing 3,014,656 bytes were accepted, some 2.5 MB of them by the system, beyond the budget that bounds the gateway's own buffers; a paused response fills the receive buffer of its upstream's connection likewise. Fifty such callers need half of a machine of 260 MB.

All connections now ask for buffers of 64 KiB in each direction.

--- a/src/web/socket_options.cc
+++ b/src/web/socket_options.cc
@@ -22,6 +22,11 @@
   boost::system::error_code ignored;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  constexpr int kBuffer = static_cast<int>(kMaxSystemBuffer.count());
+  socket.set_option(boost::asio::socket_base::send_buffer_size(kBuffer),
+                    ignored);
+  socket.set_option(boost::asio::socket_base::receive_buffer_size(kBuffer),
+                    ignored);
   const int fd = socket.native_handle();
   setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
              sizeof(kUserTimeoutMs));
--- a/src/web/socket_options.h
+++ b/src/web/socket_options.h
@@ -4,12 +4,19 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "bergamotscale/units.h"
+
 namespace bergamotscale::web {
 
+// Size that is requested for the system's buffers of a connection, one for each
+// direction. They count towards the memory of the machine, and a peer that
+// doesn't read or a paused response would fill much larger ones.
+inline constexpr Bytes kMaxSystemBuffer = Bytes(64 << 10);
+
 // Disables Nagle's algorithm and lets the kernel close connections to dead
 // peers: with TCP_USER_TIMEOUT for unacknowledged data, with keep-alive probes
-// for idle connections. If an option can't be set, the defaults detect a dead
-// peer later.
+// for idle connections. Bounds the system's buffers. If an option can't be set,
+// the defaults detect a dead peer later and use larger buffers.
 void SetConnectionOptions(boost::asio::ip::tcp::socket& socket);
 
 }  // namespace bergamotscale::web
