Gateway: connections leave descriptors for the process

At its descriptor limit a gateway reached neither the store nor its probe while callers stayed, and what it could not open counted against upstreams: they looked unreachable, and requests looked like ones that crash them. Nothing bounded the connections to upstreams, and expired idle ones were closed only when they were to be used.

policy::PlanDescriptors divides the descriptors: a fixed number for the process itself, the rest for callers and upstreams. At the limit of connections to upstreams the oldest idle one is closed, or the request waits; expired ones are closed by the maintenance. At the limit of callers, responses close their connection, so that callers that wait get their turn. A connection that fails for lack of a descriptor says nothing about the upstream.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -352,6 +352,10 @@
       WaitForAdmission("engine or link busy");
       return;
     }
+    if (!context_.upstreams_.HasFreeConnection()) {
+      WaitForAdmission("connections to upstreams are at their limit");
+      return;
+    }
     ConnectToUpstream();
   }
 
@@ -421,7 +425,7 @@
       Fail("too late to be served in time");
       return true;
     }
-    if (!LinkHasCapacity()) {
+    if (!LinkHasCapacity() || !context_.upstreams_.HasFreeConnection()) {
       return false;
     }
     const bool keeps_choice = Now() - chosen_at_ < kChoiceLifetime &&
@@ -511,6 +515,11 @@
     if (ended_) {
       return;
     }
+    if (result.is_local_failure_) {
+      ReleaseUpstream(CallOutcome::kCancelled);
+      WaitForAdmission("no further connection can be opened");
+      return;
+    }
     if (result.connection_ == nullptr) {
       Log("unreachable")
           .Add("upstream", choice_.upstream_.id_.value())
@@ -954,11 +963,11 @@
         upstream, true,
         [self = shared_from_this(), upstream, was_answered, sent_at,
          done = std::move(done)](ConnectionResult result) {
-          if (result.connection_ == nullptr) {
-            self->RecordCrash(upstream, was_answered, sent_at);
-          } else {
+          if (result.connection_ != nullptr) {
             self->context_.upstreams_.ReturnConnection(
                 upstream, std::move(result.connection_));
+          } else if (!result.is_local_failure_) {
+            self->RecordCrash(upstream, was_answered, sent_at);
           }
           done();
         });
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,7 @@
 #include "src/gateway/peer_config.h"
 #include "src/gateway/peers.h"
 #include "src/gateway/settings_reload.h"
+#include "src/policy/descriptor_plan.h"
 #include "src/web/listener.h"
 
 namespace bergamotscale::gateway {
@@ -65,17 +66,12 @@
 // Assumed number of gateways that share the retry budget while no peers are
 // known.
 constexpr int kInitialMembers = 10;
-// One in this many descriptors is reserved for logs, timers, peers and
-// connections to upstreams.
-constexpr int kOwnDescriptorShare = 4;
 // A gateway that can't serve yet accepts no callers, who use others at once.
 // Without a configuration for this long, it tells them when to come back.
 constexpr Millis kMaxListenDelay = Millis(3'000);
 // Peers that serve callers answer within this time. One may have a newer
 // configuration than a log that was restored from a copy.
 constexpr Millis kMaxPeerDelay = Millis(500);
-// Limit of sessions of probes and operators.
-constexpr size_t kMaxProbeSessions = 32;
 constexpr char kCallersListener[] = "callers";
 
 // @return the number as callers write the id of a prompt part.
@@ -97,6 +93,7 @@
  public:
   explicit Impl(GatewayParts parts)
       : settings_(std::move(parts.settings_)),
+        descriptors_(policy::PlanDescriptors(settings_.max_descriptors_)),
         buffers_(Bytes(static_cast<int64_t>(settings_.memory_mb_ * kBytesPerMb *
                                             kBufferShare))),
         header_codec_(std::move(parts.header_codec_)),
@@ -135,10 +132,10 @@
             &state_,
             &log_,
             [this] { boost::asio::post(io_, [this] { OnControlChange(); }); }),
-        callers_(io_, CallerSessionHooks(), MaxCallers()),
-        probes_(io_, ProbeHooks(), kMaxProbeSessions),
-        operators_(io_, ProbeHooks(), kMaxProbeSessions),
-        peer_calls_(io_, PeerCallHooks(), kMaxProbeSessions),
+        callers_(io_, CallerSessionHooks(), descriptors_.callers_),
+        probes_(io_, ProbeHooks(), descriptors_.probes_),
+        operators_(io_, ProbeHooks(), descriptors_.probes_),
+        peer_calls_(io_, PeerCallHooks(), descriptors_.probes_),
         listen_retry_(io_, &log_),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         listen_timer_(io_),
@@ -154,6 +151,7 @@
       OnBufferGivenUp(use, size);
     });
     retry_budget_.SetMembers(kInitialMembers);
+    upstreams_.SetMaxConnections(descriptors_.upstreams_);
     part_quarantine_.SetChangeHook(
         [this](const policy::SuspectParts& parts) { OnPartChange(parts); });
     upstreams_.SetPoolHook(
@@ -469,12 +467,6 @@
     }
   }
 
-  size_t MaxCallers() const {
-    return static_cast<size_t>(settings_.max_descriptors_ -
-                               settings_.max_descriptors_ /
-                                   kOwnDescriptorShare);
-  }
-
   web::SessionLimits Limits() const {
     const auto table = state_.table_.Read();
     return MakeSessionLimits(table == nullptr ? route::CallerLimits()
@@ -495,8 +487,11 @@
                      .Add("reason", reason));
     };
     // While the gateway sheds load, closed connections make callers use other
-    // gateways.
-    hooks.stopping_ = [this] { return stopping_ || shedding_.is_shedding(); };
+    // gateways. At the limit of sessions, they let callers in that wait.
+    hooks.stopping_ = [this] {
+      return stopping_ || shedding_.is_shedding() ||
+             callers_.sessions() >= descriptors_.callers_;
+    };
     hooks.buffers_ = &buffers_;
     return hooks;
   }
@@ -584,6 +579,7 @@
         ListenIfServing();
         UpdateShedding();
         upstreams_.UpdateRateShares();
+        upstreams_.CloseExpiredConnections();
         ReportControlState();
         ScheduleMaintenance();
       }
@@ -718,6 +714,7 @@
   }
 
   GatewaySettings settings_;
+  const policy::DescriptorPlan descriptors_;
   // Exchanges and sessions are held by the handlers of io_ and refer to it.
   policy::BufferBudget buffers_;
   const HeaderCodec header_codec_;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -2,6 +2,8 @@
 
 #include <tuple>
 
+#include "src/policy/descriptor_plan.h"
+
 namespace bergamotscale::gateway {
 namespace {
 
@@ -54,8 +56,8 @@
                   &settings->stop_grace_);
   reader.Seconds("stop_grace_s", kOptional, Millis(100), kMaxBound,
                  &settings->stop_grace_);
-  reader.Integer("max_descriptors", kOptional, 64, kMaxDescriptors,
-                 &settings->max_descriptors_);
+  reader.Integer("max_descriptors", kOptional, policy::kMinDescriptors,
+                 kMaxDescriptors, &settings->max_descriptors_);
   reader.Number("memory_mb", kOptional, 0, kMaxMemoryMb, &settings->memory_mb_);
   if (settings->memory_mb_ == 0) {
     settings->memory_mb_ = kDefaultMemoryMb;
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <unordered_map>
@@ -295,18 +296,23 @@
     Instance* instance = Find(key);
     if (instance == nullptr) {
       PostResult(std::move(done),
-                 ConnectionResult{nullptr, false, "not listed"});
+                 ConnectionResult{nullptr, false, false, "not listed"});
       return;
     }
     if (!force_new && UseIdle(instance, &done)) {
       return;
     }
+    if (IsAtLimit() && !CloseOldestIdle()) {
+      PostResult(std::move(done),
+                 ConnectionResult{nullptr, true, false, "at the limit"});
+      return;
+    }
     boost::system::error_code error;
     const auto address =
         boost::asio::ip::make_address_v4(instance->entry_.ip_, error);
     if (error) {
       PostResult(std::move(done),
-                 ConnectionResult{nullptr, false, "bad address"});
+                 ConnectionResult{nullptr, false, false, "bad address"});
       return;
     }
     ++connections_opened_;
@@ -314,6 +320,7 @@
     auto& connection = connecting_[number];
     connection = std::make_unique<web::ClientConnection>(
         io_, tcp::endpoint(address, instance->entry_.port_));
+    connection->KeepWhileOpen(open_connections_);
     connection->Connect(
         kConnectTimeout,
         [weak = weak_from_this(), key, number,
@@ -334,7 +341,12 @@
     if (failed) {
       result.connection_.reset();
       result.reason_ = failed.message();
-      OnUnreachable(key);
+      result.is_local_failure_ =
+          failed == boost::system::errc::too_many_files_open ||
+          failed == boost::system::errc::too_many_files_open_in_system;
+      if (!result.is_local_failure_) {
+        OnUnreachable(key);
+      }
     }
     return result;
   }
@@ -362,6 +374,27 @@
     });
   }
 
+  void CloseExpiredConnections() {
+    const Millis now = boot_.Now();
+    for (auto& [id, instance] : instances_) {
+      auto& idle = instance.idle_;
+      idle.erase(std::remove_if(idle.begin(), idle.end(),
+                                [now](const IdleConnection& item) {
+                                  return now >= item.until_;
+                                }),
+                 idle.end());
+    }
+  }
+
+  bool HasFreeConnection() const {
+    if (!IsAtLimit()) {
+      return true;
+    }
+    return std::any_of(
+        instances_.begin(), instances_.end(),
+        [](const auto& item) { return !item.second.idle_.empty(); });
+  }
+
   bool MarkLeaving(const UpstreamKey& key) {
     const bool is_new =
         notices_.OnLeaving(key.id_, key.started_at_, boot_.Now());
@@ -589,8 +622,34 @@
   std::unordered_map<uint64_t, std::unique_ptr<web::ClientConnection>>
       connecting_;
   int64_t connections_opened_ = 0;
+  size_t max_connections_ = std::numeric_limits<size_t>::max();
+  // Each open connection holds a copy.
+  const std::shared_ptr<const int> open_connections_ =
+      std::make_shared<const int>(0);
 
  private:
+  bool IsAtLimit() const {
+    return static_cast<size_t>(open_connections_.use_count() - 1) >=
+           max_connections_;
+  }
+
+  // @return false if no connection is idle.
+  bool CloseOldestIdle() {
+    Instance* oldest = nullptr;
+    for (auto& [id, instance] : instances_) {
+      if (!instance.idle_.empty() &&
+          (oldest == nullptr ||
+           instance.idle_.front().since_ < oldest->idle_.front().since_)) {
+        oldest = &instance;
+      }
+    }
+    if (oldest == nullptr) {
+      return false;
+    }
+    oldest->idle_.pop_front();
+    return true;
+  }
+
   void AddToSums(const LoadReport& loads, int sign) {
     for (const InstanceLoad& load : loads.instances_) {
       PeerLoadSum& sum = peer_sums_[load.id_hash_];
@@ -658,8 +717,9 @@
       IdleConnection idle = std::move(instance->idle_.back());
       instance->idle_.pop_back();
       if (now < idle.until_ && idle.connection_->IsAlive()) {
-        PostResult(std::move(*done),
-                   ConnectionResult{std::move(idle.connection_), true, ""});
+        PostResult(
+            std::move(*done),
+            ConnectionResult{std::move(idle.connection_), false, true, ""});
         return true;
       }
     }
@@ -786,6 +846,18 @@
   impl_->ReturnConnection(upstream, std::move(connection));
 }
 
+void UpstreamSet::SetMaxConnections(size_t max_connections) {
+  impl_->max_connections_ = max_connections;
+}
+
+void UpstreamSet::CloseExpiredConnections() {
+  impl_->CloseExpiredConnections();
+}
+
+bool UpstreamSet::HasFreeConnection() const {
+  return impl_->HasFreeConnection();
+}
+
 void UpstreamSet::SetCacheCapacity(const GroupId& group, Tokens capacity) {
   impl_->cache_capacity_[group] = capacity;
 }
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -86,7 +86,10 @@
 };
 
 struct ConnectionResult {
-  std::unique_ptr<web::ClientConnection> connection_;  // null if unreachable
+  std::unique_ptr<web::ClientConnection> connection_;  // null if it failed
+  // The failure says nothing about the upstream: this process can open no
+  // further connection.
+  bool is_local_failure_ = false;
   bool reused_ = false;
   std::string reason_;
 };
@@ -178,6 +181,14 @@
   // could not be reached a moment ago can't be used.
   std::optional<policy::RateForecast> ForecastRate(const GroupId& group) const;
 
+  // Limits the connections to all instances together.
+  void SetMaxConnections(size_t max_connections);
+  // Closes idle connections that are too old to be used. Call it at an interval
+  // of about a second.
+  void CloseExpiredConnections();
+  // @return whether another request can have a connection within the limit.
+  bool HasFreeConnection() const;
+
   // Chooses where to send a request.
   // @param tried instances to which the request was already sent.
   // @return false if no instance is usable; `choice` is then unchanged.
--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -386,6 +386,10 @@
   impl_->Close();
 }
 
+void ClientConnection::KeepWhileOpen(std::shared_ptr<const void> object) {
+  kept_ = std::move(object);
+}
+
 void ClientConnection::WatchIdle(std::function<void()> on_unusable) {
   impl_->WatchIdle(std::move(on_unusable));
 }
--- a/src/web/client_connection.h
+++ b/src/web/client_connection.h
@@ -77,6 +77,10 @@
   // Closes the connection; hooks are not called any more.
   void Close();
 
+  // Keeps the object until this connection is destroyed, which counts the open
+  // ones.
+  void KeepWhileOpen(std::shared_ptr<const void> object);
+
   // Watches an idle connection. on_unusable is called once if the peer closes
   // it or sends unexpected bytes.
   void WatchIdle(std::function<void()> on_unusable);
@@ -95,6 +99,7 @@
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
+  std::shared_ptr<const void> kept_;
 };
 
 }  // namespace bergamotscale::web
