Connections: a trailer of 64 KiB ends no process

Any caller could end a gateway with one request, in the usual configuration: the trailers of a chunked body had no limit, and the HTTP library throws an exception for a field of 64 KiB, which left the event loop. All requests in progress ended with the process. A faulty upstream could do the same. Trailers and extensions of chunks that never end grew in memory, uncounted, until the read timed out.

The read buffers of callers and upstreams are now bounded by what a field may hold, so a longer one is rejected (431, or 502 for an upstream's response) before it is parsed.

caller session: a trailer field of 64 KiB is rejected; gateway: a long trailer of an upstream is answered with 502: before, the first gets the exception "field value too large", the second ends the test process.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -47,8 +47,6 @@
 // A request that the caller sent at the end of the announced idle time arrives
 // within this time.
 constexpr Millis kIdleMargin = Millis(500);
-// The library throws an exception for a longer header field.
-constexpr int64_t kMaxHeaderField = 65'533;
 constexpr char kInterimResponse[] = "HTTP/1.1 100 Continue\r\n\r\n";
 // A caller whose input has ended may still read. A write tells: a closed
 // connection answers it with a reset. Single bytes are written for that which
@@ -70,7 +68,8 @@
 }
 
 int StatusForError(const error_code& error) {
-  if (error == http::error::header_limit) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     return kStatusHeadersTooLarge;
   }
   if (error == http::error::body_limit) {
@@ -371,7 +370,7 @@
     awaiting_request_ = false;
     parser_.emplace();
     parser_->header_limit(static_cast<uint32_t>(
-        std::min(limits.max_header_.count(), kMaxHeaderField)));
+        std::min(limits.max_header_.count(), int64_t{kMaxHeaderField})));
     parser_->body_limit(static_cast<uint64_t>(limits.max_body_.count()));
     StartReadTimer(limits.header_timeout_, "headers were not sent in time");
     http::async_read_header(
@@ -709,7 +708,8 @@
   const SessionHooks hooks_;
   std::optional<policy::BufferBudget::Account> request_account_;
   std::optional<policy::BufferBudget::Account> output_account_;
-  boost::beast::flat_buffer buffer_;
+  // Bounds what precedes and follows a body, too.
+  boost::beast::flat_buffer buffer_{kMaxHeaderField};
   std::optional<http::request_parser<http::string_body>> parser_;
   CallerHooks caller_hooks_;
   std::string pending_output_;
--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -343,7 +343,8 @@
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
   const tcp::endpoint peer_;
-  boost::beast::flat_buffer buffer_;
+  // Bounds what precedes and follows a body, too.
+  boost::beast::flat_buffer buffer_{kMaxHeaderField};
   std::optional<http::request<http::string_body>> request_;
   std::optional<Parser> parser_;
   std::shared_ptr<const ResponseHooks> hooks_;
--- a/src/web/socket_options.h
+++ b/src/web/socket_options.h
@@ -2,6 +2,8 @@
 #ifndef BERGAMOTSCALE_SRC_WEB_SOCKET_OPTIONS_H_
 #define BERGAMOTSCALE_SRC_WEB_SOCKET_OPTIONS_H_
 
+#include <cstddef>
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include "bergamotscale/units.h"
@@ -13,6 +15,9 @@
 // doesn't read or a paused response would fill much larger ones.
 inline constexpr Bytes kMaxSystemBuffer = Bytes(64 << 10);
 
+// The HTTP library throws an exception for a longer header or trailer field.
+inline constexpr size_t kMaxHeaderField = 65'533;
+
 // Disables Nagle's algorithm and lets the kernel close connections to dead
 // peers: with TCP_USER_TIMEOUT for unacknowledged data, with keep-alive probes
 // for idle connections. Bounds the system's buffers. If an option can't be set,
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -173,6 +173,20 @@
   CHECK(answer == "HTTP/1.1 431");
 }
 
+// Trailers had no limit, so any caller could end the process.
+TEST_CASE("caller session: a trailer field of 64 KiB is rejected") {
+  OneCaller bench;
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\nX-Long: " +
+      std::string(70'000, 'a') + "\r\n\r\n";
+  boost::asio::write(bench.caller(), boost::asio::buffer(request));
+  CHECK_NOTHROW(bench.Run(milliseconds(100)));
+  std::string answer(12, ' ');
+  boost::asio::read(bench.caller(), boost::asio::buffer(answer));
+  CHECK(answer == "HTTP/1.1 431");
+}
+
 // The kernel's buffers grew to several megabytes for a caller that reads
 // nothing, and count towards the memory of the machine.
 TEST_CASE("caller session: the system keeps little for a slow caller") {
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -614,6 +614,21 @@
   }
 }
 
+// The parser's exception ended the process.
+TEST_CASE("gateway: a long trailer of an upstream is answered with 502") {
+  RawServer server(
+      Always("HTTP/1.1 200 OK\r\nX-Bergamotscale-Request-Id: r1\r\n"
+             "X-Bergamotscale-Response-Seal: seal\r\nTransfer-Encoding: "
+             "chunked\r\n\r\n"
+             "1\r\na\r\n0\r\nX-Long: " +
+             std::string(70'000, 'a') + "\r\n\r\n"));
+  GatewayBench bench;
+  bench.SetUpstreams({server.url()});
+  const std::string answer =
+      Call(bench, GatewayBench::Request("/order/1"), "\r\n\r\n");
+  CHECK(StartsWith(answer, "HTTP/1.1 502"));
+}
+
 TEST_CASE("gateway: heads without end are cut off and answered with 502") {
   for (const std::string& head :
        {std::string("HTTP/1.1 100 Continue\r\n\r\n"),
