Caller session: any early end of a response without chunks is a reset

An HTTP/1.0 caller whose unread output was given up still saw an orderly end. The reset now belongs to the close of a session whose response is in progress, so it covers each way there; the test of the broken stream holds.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -172,14 +172,7 @@
     }
   }
 
-  void Abort() {
-    // Without chunks, the end of the connection would complete the response.
-    if (head_sent_ && !chunked_ && !closed_) {
-      error_code ignored;
-      socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    }
-    Close();
-  }
+  void Abort() { Close(); }
 
   bool MayHaveLeft() {
     if (closed_) {
@@ -699,6 +692,10 @@
     output_account_.reset();
     timer_.Cancel();
     error_code ignored;
+    // Without chunks, the end of the connection would complete the response.
+    if (in_call_ && head_sent_ && !chunked_) {
+      socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     socket_.close(ignored);
     hooks_.on_closed_();
   }
