Exchange: a slow caller is no stalled upstream

While a caller doesn't read, the gateway stops reading from the upstream, and the stall timer of a resumable stream went on: a sound upstream was left, counted as failed, and the stream broken off if no retry was granted. Older than the bounded system buffers, which bring it about sooner. From review, by reading; no test of its own. The timer now stops with the reading and starts again with it.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -187,6 +187,7 @@
   void OnCallerWritable() {
     if (connection_ != nullptr) {
       connection_->Resume();
+      StartStallTimer();
     }
   }
 
@@ -784,7 +785,12 @@
       RecordAnswered();
     }
     StartStallTimer();
-    return ForwardEvents(std::move(events));
+    const bool keep_reading = ForwardEvents(std::move(events));
+    if (!keep_reading) {
+      // The caller is slow, not the upstream.
+      pause_timer_.Cancel();
+    }
+    return keep_reading;
   }
 
   // Keeps the bytes if the response is used as a whole.
