Gateway: at the limit of callers, idle connections are closed

From review of the division of descriptors: idle connections kept all places of callers until their timeout while new callers waited; a read of a peer's configuration kept its connection; and a lack of ports or of memory for a connection counted against its upstream, as a lack of descriptors had done. By reading; no tests of their own.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -580,6 +580,9 @@
         UpdateShedding();
         upstreams_.UpdateRateShares();
         upstreams_.CloseExpiredConnections();
+        if (callers_.sessions() >= descriptors_.callers_) {
+          callers_.CloseIdle();
+        }
         ReportControlState();
         ScheduleMaintenance();
       }
--- a/src/gateway/peer_config.cc
+++ b/src/gateway/peer_config.cc
@@ -94,6 +94,8 @@
   }
 
   void OnResponse(Millis asked_at, Result<web::GetResponse> result) {
+    // The peer has few connections for such calls.
+    client_.reset();
     const bool was_read = result.ok() && result.value().status_ == kStatusOk;
     LogLine line("peer_config");
     line.Add("peer", peer_.address().to_string())
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -343,7 +343,10 @@
       result.reason_ = failed.message();
       result.is_local_failure_ =
           failed == boost::system::errc::too_many_files_open ||
-          failed == boost::system::errc::too_many_files_open_in_system;
+          failed == boost::system::errc::too_many_files_open_in_system ||
+          failed == boost::system::errc::address_not_available ||
+          failed == boost::system::errc::no_buffer_space ||
+          failed == boost::system::errc::not_enough_memory;
       if (!result.is_local_failure_) {
         OnUnreachable(key);
       }
