--- a/tools/test.sh
+++ b/tools/test.sh
@@ -23,8 +23,13 @@
 }
 
 red_filter="$(red_tests | paste -sd, -)"
-# The process tests mostly wait, so two parts of them run in parallel.
-first_part='orders:*,config faults:*'
+# The process tests mostly wait, so parts of them run in parallel. The last one
+# has what the others leave.
+process_parts=(
+  'orders:*,config faults:*'
+  'gateway*'
+  'stream version:*,store restored:*,rate limit:*,placement:*'
+)
 passed=0
 failed=0
 export TSAN_OPTIONS="suppressions=$PWD/tests/tsan.supp"
@@ -72,12 +77,16 @@
 else
   binaries+=(process_tests)
   run_part unit_tests unit_tests "" "$red_filter"
-  run_part process_tests_1 process_tests "$first_part" "$red_filter" &
-  first=$!
-  run_part process_tests_2 process_tests "" \
-    "$(join_filters "$red_filter" "$first_part")"
-  wait "$first"
-  for part in unit_tests process_tests_1 process_tests_2; do
+  parts=(unit_tests)
+  for filter in "${process_parts[@]}"; do
+    parts+=("process_tests_${#parts[@]}")
+    run_part "${parts[-1]}" process_tests "$filter" "$red_filter" &
+  done
+  parts+=("process_tests_${#parts[@]}")
+  run_part "${parts[-1]}" process_tests "" \
+    "$(join_filters "$red_filter" "${process_parts[@]}")"
+  wait
+  for part in "${parts[@]}"; do
     count_part "$part"
   done
 fi
