--- a/include/bergamotscale/bergamotscale.h
+++ b/include/bergamotscale/bergamotscale.h
@@ -7,6 +7,7 @@
 #include "bergamotscale/error.h"
 #include "bergamotscale/ids.h"
 #include "bergamotscale/result.h"
+#include "bergamotscale/software_version.h"
 #include "bergamotscale/units.h"
 #include "bergamotscale/verdict.h"
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -1,16 +1,18 @@
 #include "src/gateway/exchange.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <optional>
 #include <utility>
 #include <vector>
 
-#include <xxhash.h>
 #include <boost/asio/post.hpp>
 
 #include "src/gateway/event_splitter.h"
+#include "src/gateway/prompt_placement.h"
+#include "src/gateway/retry_after.h"
 #include "src/gateway/retry_rule.h"
+#include "src/gateway/take_up.h"
+#include "src/gateway/upstream_notices.h"
 #include "src/policy/prefix_hasher.h"
 #include "src/web/one_shot_timer.h"
 
@@ -29,12 +31,6 @@
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusGatewayTimeout = 504;
 
-// Retry-After of rejections; shorter for callers with little time left.
-constexpr Millis kRetryAfter = Millis(1'000);
-// The wait before a retry is at most a third of the time that is left after it.
-constexpr int kRetryAfterShare = 3;
-// Retry-After while the process stops: other gateways can take the request.
-constexpr Millis kRetryAfterStop = Millis(100);
 // While no upstream is usable, a request looks for one at this interval, for at
 // most its latency target divided by kNoUpstreamWaitShare.
 constexpr int kNoUpstreamWaitShare = 8;
@@ -58,43 +54,10 @@
 constexpr char kNoMemory[] = "no memory for the request";
 constexpr char kStopping[] = "this gateway is stopping";
 
-std::string FormatSeconds(Millis time) {
-  constexpr double kMillisPerSecond = 1'000;
-  char text[32];
-  std::snprintf(text, sizeof(text), "%.2f",
-                static_cast<double>(time.count()) / kMillisPerSecond);
-  return text;
-}
-
 bool IsSuccess(int status) {
   return status >= kStatusOk && status < kStatusMultipleChoices;
 }
 
-// @return the parts that other requests may have too: all but the last.
-std::vector<uint64_t> ListSharedParts(const PromptShape& prompt) {
-  std::vector<uint64_t> ids;
-  for (size_t i = 0; i + 1 < prompt.parts_.size(); ++i) {
-    ids.push_back(prompt.parts_[i].id_);
-  }
-  return ids;
-}
-
-policy::PlacementRequest MakePlacementRequest(const PromptShape& prompt,
-                                              bool engine) {
-  policy::PlacementRequest request;
-  request.engine_ = engine;
-  uint64_t hash = 0;
-  for (size_t i = 0; i + 1 < prompt.parts_.size(); ++i) {
-    const uint64_t pair[2] = {hash, prompt.parts_[i].id_};
-    hash = XXH3_64bits(pair, sizeof(pair));
-    request.shared_.push_back({hash, prompt.parts_[i].tokens_});
-  }
-  const Tokens shared = request.SharedTokens();
-  request.own_tokens_ =
-      prompt.prompt_ > shared ? prompt.prompt_ - shared : Tokens(0);
-  return request;
-}
-
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(ExchangeContext& context,
@@ -145,28 +108,15 @@
       Reject(kStatusUnavailable, kStopping, true);
       return;
     }
-    group_ = route::ChooseGroup(*route_, info_.id_.value());
-    const route::Service* service = table_->FindService(group_);
-    placement_request_ = MakePlacementRequest(
-        info_.prompt_, service != nullptr && service->kv_capacity_ > Tokens(0));
-    if (placement_request_.engine_) {
-      placement_request_.short_prompt_ = context_.upstreams_.ClassifyPrompt(
-          group_, route_->name_, placement_request_,
-          table_->TightestTarget(group_));
-      admission_rule_.tokens_per_ms_ =
-          context_.upstreams_.PrefillTokensPerMs(group_);
-      // Where only short prompts go, none makes another one late.
-      if (!placement_request_.short_prompt_ ||
-          !context_.upstreams_.HasReservedEngines(group_)) {
-        admission_rule_.tightest_target_ =
-            table_->TightestMoreUrgentTarget(group_, rank_);
-      }
-    }
-    splitter_.set_last_id(info_.last_event_id_);
-    OpenRequestAccount();
-    context_.retry_budget_.OnRequest(group_, Now());
+    is_take_up_ =
+        route_->kind_ == CallKind::kStream && !info_.last_event_id_.empty();
+    group_ = route::ChooseGroup(*route_, StreamId().value());
     StartDeadline();
-    FindUpstream();
+    if (is_take_up_) {
+      FindOrigin();
+    } else {
+      BeginPlacement();
+    }
   }
 
   void OnCallerLeft() {
@@ -192,6 +142,58 @@
   }
 
  private:
+  // The request that brought, or brings, the first event of the stream.
+  const RequestId& StreamId() const {
+    return is_take_up_ && !info_.resumes_.empty() ? info_.resumes_ : info_.id_;
+  }
+
+  // Continues the stream that the request takes up, if an upstream may.
+  void FindOrigin() {
+    const TakeUp take_up{info_.id_, number_, info_.resumes_, route_, group_};
+    ResolveTakeUp(context_, take_up,
+                  [self = shared_from_this()](const TakeUpOutcome& outcome) {
+                    if (!self->ended_) {
+                      self->OnOrigin(outcome);
+                    }
+                  });
+  }
+
+  void OnOrigin(const TakeUpOutcome& outcome) {
+    if (outcome.refusal_ != nullptr) {
+      retry_at_once_ = true;
+      Reject(kStatusUnavailable, outcome.refusal_, true);
+      return;
+    }
+    group_ = outcome.origin_.group_;
+    origin_version_ = outcome.origin_.version_;
+    BeginPlacement();
+  }
+
+  void BeginPlacement() {
+    const route::Service* service = table_->FindService(group_);
+    placement_request_ = MakePlacementRequest(
+        info_.prompt_, service != nullptr && service->kv_capacity_ > Tokens(0));
+    placement_request_.version_ = origin_version_;
+    placement_request_.begins_stream_ = route_->resumable_ && !is_take_up_;
+    if (placement_request_.engine_) {
+      placement_request_.short_prompt_ = context_.upstreams_.ClassifyPrompt(
+          group_, route_->name_, placement_request_,
+          table_->TightestTarget(group_));
+      admission_rule_.tokens_per_ms_ =
+          context_.upstreams_.PrefillTokensPerMs(group_);
+      // Where only short prompts go, none makes another one late.
+      if (!placement_request_.short_prompt_ ||
+          !context_.upstreams_.HasReservedEngines(group_)) {
+        admission_rule_.tightest_target_ =
+            table_->TightestMoreUrgentTarget(group_, rank_);
+      }
+    }
+    splitter_.set_last_id(info_.last_event_id_);
+    OpenRequestAccount();
+    context_.retry_budget_.OnRequest(group_, Now());
+    FindUpstream();
+  }
+
   // A log line with the fields that all lines of this request have.
   class RequestLine {
    public:
@@ -382,7 +384,8 @@
     const double allowed =
         policy::ComputePrefillLimit(admission_rule_, choice_.unread_tokens_,
                                     choice_.recomputes_cached_prefix_);
-    return allowed < 0 || response_started_ || choice_.unread_ahead_ <= allowed;
+    return allowed < 0 || response_started_ || is_take_up_ ||
+           choice_.unread_ahead_ <= allowed;
   }
 
   Bytes RequestBytes() const {
@@ -595,8 +598,13 @@
   // @return whether a newer table still routes this request to its group.
   bool IsAllowedBy(const route::RouteTable& table) const {
     const route::Route* route = table.FindRoute(call_.host_, call_.target_);
-    if (route == nullptr ||
-        route::ChooseGroup(*route, info_.id_.value()) != group_) {
+    if (route == nullptr) {
+      return false;
+    }
+    const bool is_same_group =
+        is_take_up_ ? LeadsTo(*route, group_)
+                    : route::ChooseGroup(*route, info_.id_.value()) == group_;
+    if (!is_same_group) {
       return false;
     }
     if (!table.NeedsKey(*route)) {
@@ -635,6 +643,7 @@
         .Add("route", route_->name_)
         .Add("upstream", choice_.upstream_.id_.value())
         .Add("started_at", choice_.upstream_.started_at_)
+        .Add("version", choice_.version_.value())
         .Add("send", int64_t{sends_})
         .Add("may_repeat", int64_t{route_->is_retryable() ? 1 : 0})
         .Add("reused", int64_t{reused ? 1 : 0})
@@ -684,7 +693,10 @@
 
   bool MatchesRequest(const web::ResponseHead& head) {
     response_info_ = context_.header_codec_.decode_response_(head);
-    RecordNotices();
+    RecordNotices(
+        context_,
+        {info_.id_, number_, Now() - arrived_, choice_.upstream_, sent_at_},
+        response_info_);
     const bool ours =
         response_info_.request_.empty() || response_info_.request_ == info_.id_;
     if (!ours) {
@@ -697,44 +709,6 @@
     return ours;
   }
 
-  // Records what the upstream says of itself, also in a response to another
-  // request.
-  void RecordNotices() {
-    const UpstreamKey& upstream = choice_.upstream_;
-    if (response_info_.is_leaving_ &&
-        context_.upstreams_.MarkLeaving(upstream)) {
-      Log("upstream_leaving")
-          .Add("upstream", upstream.id_.value())
-          .Add("started_at", upstream.started_at_)
-          .Write();
-      context_.metrics_.Add("bergamot_gateway_upstreams_leaving");
-    }
-    RecordRate();
-    if (response_info_.pause_ > Millis(0)) {
-      context_.upstreams_.Pause(upstream, response_info_.pause_);
-      Log("upstream_paused")
-          .Add("upstream", upstream.id_.value())
-          .Add("started_at", upstream.started_at_)
-          .Add("for_ms", response_info_.pause_.count())
-          .Write();
-      context_.metrics_.Add("bergamot_gateway_upstream_pauses");
-    }
-  }
-
-  // Only the response to this request tells that a limit has ended: the
-  // upstream had none at some time after the request was sent.
-  void RecordRate() {
-    const bool is_limit = response_info_.requests_per_second_.has_value();
-    const bool is_own =
-        response_info_.request_ == info_.id_ &&
-        (response_info_.is_authentic_ || response_info_.not_executed_);
-    if (response_info_.tells_rate_ && (is_limit || is_own)) {
-      context_.upstreams_.OnRateStated(
-          choice_.upstream_,
-          {response_info_.requests_per_second_, is_limit ? Now() : sent_at_});
-    }
-  }
-
   // MatchesRequest() has already decoded the headers.
   void OnHead(const web::ResponseHead& head) {
     response_head_ = head;
@@ -848,12 +822,22 @@
           "bergamot_gateway_first_event_ms", route_->name_,
           static_cast<double>((Now() - arrived_).count()));
       responder_->BeginStream(response_head_.status_, response_head_.headers_);
+      ConfineToVersion();
     }
     context_.link_budget_.RecordSent(Bytes(static_cast<int64_t>(events.size())),
                                      Now());
     return responder_->Write(std::move(events));
   }
 
+  // Only upstreams of the version that sent the first event may send more.
+  void ConfineToVersion() {
+    origin_version_ = choice_.version_;
+    placement_request_.version_ = origin_version_;
+    if (route_->resumable_) {
+      context_.origins_.OnBegun(StreamId(), {group_, choice_.version_}, Now());
+    }
+  }
+
   // Moves a resumable response that stalls to another upstream.
   void StartStallTimer() {
     if (!route_->resumable_ || executions_ >= route_->max_attempts_) {
@@ -1104,19 +1088,15 @@
     End();
   }
 
-  // Never shorter than the time for which all upstreams asked for no requests,
-  // or until their limits allow one.
   Millis RetryAfter() const {
-    if (context_.stop_.is_stopping()) {
-      return std::max(kRetryAfterStop, upstream_pause_);
-    }
-    Millis wait = kRetryAfter;
+    Rejection rejection;
+    rejection.is_stopping_ = context_.stop_.is_stopping();
+    rejection.may_begin_anew_ = retry_at_once_;
+    rejection.upstream_pause_ = upstream_pause_;
     if (info_.patience_ > Millis(0)) {
-      const Millis left = info_.patience_ - (Now() - arrived_);
-      wait = std::max(std::min(kRetryAfter, left / (kRetryAfterShare + 1)),
-                      Millis(0));
+      rejection.time_left_ = info_.patience_ - (Now() - arrived_);
     }
-    return std::max(wait, upstream_pause_);
+    return ChooseRetryAfter(rejection);
   }
 
   void ReleaseUpstream(CallOutcome outcome) {
@@ -1170,6 +1150,8 @@
   Millis time_limit_;
   uint64_t digest_ = 0;
   policy::PlacementRequest placement_request_;
+  // The version that began the stream, once it is known.
+  std::optional<SoftwareVersion> origin_version_;
   UpstreamSet::Choice choice_;
   std::vector<UpstreamKey> tried_upstreams_;
   std::unique_ptr<web::ClientConnection> connection_;
@@ -1192,6 +1174,8 @@
   policy::PrefillLimitParams admission_rule_;
   uint64_t admission_id_ = 0;
   std::optional<policy::RateQueue::Ticket> rate_ticket_;
+  bool is_take_up_ = false;     // of a stream that an earlier request began
+  bool retry_at_once_ = false;  // the caller can begin anew
   bool is_queued_ = false;
   bool wait_logged_ = false;  // whether the wait for an upstream is logged
   bool holds_upstream_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include "src/gateway/control_state.h"
 #include "src/gateway/decision_log.h"
 #include "src/gateway/header_codec.h"
+#include "src/gateway/origin_log.h"
 #include "src/gateway/upstream_set.h"
 #include "src/metrics/metrics.h"
 #include "src/policy/buffer_budget.h"
@@ -23,6 +24,7 @@
 #include "src/policy/service_time.h"
 #include "src/policy/shared_retry_budget.h"
 #include "src/policy/stop_deadline.h"
+#include "src/policy/stream_origins.h"
 #include "src/web/caller_session.h"
 
 namespace bergamotscale::gateway {
@@ -62,6 +64,9 @@
   policy::RateQueue rate_queue_ = {};
   // Bounds what exchanges keep in memory; may be null. Must outlive them.
   policy::BufferBudget* buffers_ = nullptr;
+  policy::StreamOrigins origins_ = {};
+  // Knows origins that origins_ lacks; may be null. Must outlive exchanges.
+  OriginLog* origin_log_ = nullptr;
   // The exchanges in progress, by their numbers: ends one with a response.
   std::map<int64_t, std::function<void()>> end_exchange_ = {};
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 #include "src/core/chrono_time.h"
 #include "src/gateway/exchange.h"
 #include "src/gateway/listen_retry.h"
+#include "src/gateway/origin_log.h"
 #include "src/gateway/peer_config.h"
 #include "src/gateway/peers.h"
 #include "src/gateway/settings_reload.h"
@@ -147,6 +148,14 @@
                 MakeReloadHooks(std::move(parts.reload_)),
                 &log_) {
     context_.buffers_ = &buffers_;
+    if (parts.make_origin_store_) {
+      origin_log_ = std::make_unique<OriginLog>(
+          io_, boot_, parts.make_origin_store_(io_), &context_.origins_,
+          [this] { return peers_ == nullptr || peers_->IsFirst(); },
+          [this] { return state_.UpstreamsAge(boot_.Now()); }, &metrics_,
+          &log_);
+      context_.origin_log_ = origin_log_.get();
+    }
     buffers_.SetGiveUpHook([this](policy::BufferUse use, size_t size) {
       OnBufferGivenUp(use, size);
     });
@@ -156,6 +165,9 @@
         [this](const policy::SuspectParts& parts) { OnPartChange(parts); });
     upstreams_.SetPoolHook(
         [this](const PoolChange& change) { OnPoolChange(change); });
+    upstreams_.SetVersionHook([this](const policy::StreamOrigin& origin) {
+      return UseOfVersion(origin);
+    });
     upstreams_.SetRateHook(
         [this](const RateChange& change) { OnRateChange(change); });
   }
@@ -326,6 +338,18 @@
     hooks.on_rates_ = [this](const std::vector<policy::RateNotice>& notices) {
       upstreams_.ApplyPeerRates(notices);
     };
+    hooks.versions_ = [this] {
+      return context_.origins_.MixedVersions(boot_.Now());
+    };
+    hooks.origins_ = [this] {
+      return context_.origins_.RecentRecords(boot_.Now());
+    };
+    hooks.on_versions_ = [this](const policy::VersionSets& versions) {
+      context_.origins_.OnPeerVersions(versions, boot_.Now());
+    };
+    hooks.on_origin_ = [this](const policy::StreamRecord& record) {
+      context_.origins_.Merge(record, boot_.Now());
+    };
     hooks.on_peer_seen_ = [this](uint64_t peer) {
       upstreams_.OnPeerSeen(peer);
     };
@@ -446,11 +470,33 @@
     }
     const auto upstreams = state_.upstreams_.Read();
     if (upstreams != nullptr) {
+      UpdateVersions(*upstreams);
       upstreams_.Update(*upstreams);
     }
     ListenIfServing();
   }
 
+  // While the log of origins doesn't answer, streams begin at any version.
+  VersionUse UseOfVersion(const policy::StreamOrigin& origin) const {
+    if (context_.origins_.IsSettled(origin, boot_.Now())) {
+      return VersionUse::kPreferred;
+    }
+    const bool may_begin = origin_log_ == nullptr || origin_log_->is_lost() ||
+                           context_.origins_.IsStored(origin);
+    return may_begin ? VersionUse::kIfNeeded : VersionUse::kNone;
+  }
+
+  void UpdateVersions(const std::vector<route::UpstreamEntry>& upstreams) {
+    policy::VersionSets versions;
+    for (const route::UpstreamEntry& upstream : upstreams) {
+      versions[upstream.group_].insert(upstream.version_);
+    }
+    context_.origins_.OnListed(versions, boot_.Now());
+    if (origin_log_ != nullptr) {
+      origin_log_->Update();
+    }
+  }
+
   // Listens for callers once all is known that requests need. The newest
   // configuration may be that of a peer.
   void ListenIfServing() {
@@ -599,6 +645,8 @@
                  static_cast<double>(state_.peer_version_));
     metrics_.Set("bergamot_gateway_config_age_ms", "",
                  static_cast<double>(state_.TableAge(boot_.Now()).count()));
+    metrics_.Set("bergamot_gateway_streams_remembered", "",
+                 static_cast<double>(context_.origins_.size()));
     metrics_.Set("bergamot_gateway_upstreams_rate_limited", "",
                  upstreams_.rate_limited());
     metrics_.Set("bergamot_gateway_upstreams_age_ms", "",
@@ -750,6 +798,7 @@
   boost::asio::steady_timer listen_timer_;
   boost::asio::steady_timer maintenance_timer_;
   boost::asio::steady_timer stop_timer_;
+  std::unique_ptr<OriginLog> origin_log_;
   PeerConfigReader peer_config_;
   SettingsReloader reload_;
   std::thread control_thread_;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "bergamotscale/result.h"
 #include "src/gateway/control.h"
 #include "src/gateway/header_codec.h"
+#include "src/gateway/origin_log.h"
 #include "src/gateway/settings.h"
 
 namespace bergamotscale::gateway {
@@ -20,6 +21,9 @@
   HeaderCodec header_codec_;
   // Makes the log sources for control, which run on the given context.
   std::function<ControlSources(boost::asio::io_context&)> make_sources_;
+  // Makes the store of stream origins for the traffic thread. Without it, they
+  // are only known to gateways that live.
+  std::function<OriginStore(boost::asio::io_context&)> make_origin_store_;
   // Reads the settings again; called on SIGHUP and once a second.
   std::function<Result<GatewaySettings>()> reload_;
 };
--- a/src/gateway/header_codec.h
+++ b/src/gateway/header_codec.h
@@ -42,6 +42,8 @@
   // Id of the last event that the caller received of an earlier response; may
   // be empty.
   std::string last_event_id_;
+  // The request that brought the first event of that response; may be empty.
+  RequestId resumes_;
 };
 
 // Values that the gateway adds to the headers of a request to an upstream.
--- a/src/gateway/peer_config.cc
+++ b/src/gateway/peer_config.cc
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <utility>
 
-#include "src/web/get_client.h"
+#include "src/web/call_client.h"
 #include "src/web/one_shot_timer.h"
 
 namespace bergamotscale::gateway {
@@ -84,16 +84,16 @@
   void Read() {
     is_waiting_ = true;
     const Millis asked_at = boot_.Now();
-    client_ = std::make_unique<web::GetClient>(io_, peer_,
-                                               ErrorCode::kUpstreamUnreachable);
+    client_ = std::make_unique<web::CallClient>(
+        io_, peer_, ErrorCode::kUpstreamUnreachable);
     client_->Get(kConfigTarget, kResponseTimeout,
                  [self = shared_from_this(),
-                  asked_at](Result<web::GetResponse> response) {
+                  asked_at](Result<web::CallResponse> response) {
                    self->OnResponse(asked_at, std::move(response));
                  });
   }
 
-  void OnResponse(Millis asked_at, Result<web::GetResponse> result) {
+  void OnResponse(Millis asked_at, Result<web::CallResponse> result) {
     // The peer has few connections for such calls.
     client_.reset();
     const bool was_read = result.ok() && result.value().status_ == kStatusOk;
@@ -102,7 +102,7 @@
         .Add("peer_version", newest_version_)
         .Add("version", hooks_.own_version_());
     if (was_read) {
-      web::GetResponse response = std::move(result).value();
+      web::CallResponse response = std::move(result).value();
       const std::string_view text = response.headers_.Find(kAgeHeader);
       int64_t age = 0;
       const auto read =
@@ -130,7 +130,7 @@
   DecisionLog* const log_;
   const PeerConfigHooks hooks_;
   web::OneShotTimer timer_;
-  std::unique_ptr<web::GetClient> client_;
+  std::unique_ptr<web::CallClient> client_;
   int64_t newest_version_ = 0;
   tcp::endpoint peer_;  // has newest_version_
   bool is_waiting_ = false;
--- a/src/gateway/peer_message.cc
+++ b/src/gateway/peer_message.cc
@@ -7,6 +7,7 @@
 
 #include <msgpack.hpp>
 
+#include "src/gateway/origin_records.h"
 #include "src/wire/unpack_limit.h"
 
 namespace bergamotscale::gateway {
@@ -32,7 +33,9 @@
                                   std::vector<ShortPromptRow>,
                                   std::vector<SuspectPartsRow>,
                                   std::vector<RateRow>,
-                                  int64_t>;
+                                  int64_t,
+                                  std::string,   // versions, may be empty
+                                  std::string>;  // origins, may be empty
 
 constexpr int64_t kNoRate = -1;
 constexpr double kRateUnit = 1'000;
@@ -77,6 +80,12 @@
                                      rate.age_.count());
   }
   std::get<10>(fields) = message.config_version_;
+  if (!message.versions_.empty()) {
+    std::get<11>(fields) = EncodeVersions(message.versions_);
+  }
+  if (!message.origins_.empty()) {
+    std::get<12>(fields) = EncodeOrigins(message.origins_);
+  }
   std::get<6>(fields) = {message.status_.zone_hash_, message.status_.link_kbps_,
                          message.status_.is_shedding_, message.has_loads_};
   msgpack::sbuffer buffer;
@@ -133,6 +142,20 @@
     message.status_ = {zone_hash, link_kbps, is_shedding};
     message.has_loads_ = has_loads;
     message.config_version_ = std::get<10>(fields);
+    if (!std::get<11>(fields).empty()) {
+      auto versions = DecodeVersions(std::get<11>(fields));
+      if (!versions.ok()) {
+        return versions.error();
+      }
+      message.versions_ = std::move(versions).value();
+    }
+    if (!std::get<12>(fields).empty()) {
+      auto origins = DecodeOrigins(std::get<12>(fields));
+      if (!origins.ok()) {
+        return origins.error();
+      }
+      message.origins_ = std::move(origins).value();
+    }
     return message;
   } catch (const std::exception& error) {
     return Error(ErrorCode::kProtocolError, error.what());
--- a/src/gateway/peer_message.h
+++ b/src/gateway/peer_message.h
@@ -12,6 +12,7 @@
 #include "src/policy/part_quarantine.h"
 #include "src/policy/quarantine.h"
 #include "src/policy/shared_rate_limits.h"
+#include "src/policy/stream_origins.h"
 
 namespace bergamotscale::gateway {
 
@@ -40,6 +41,9 @@
   std::vector<policy::SuspectParts> suspect_parts_;
   std::vector<SentPrompt> prompts_;
   std::vector<policy::RateNotice> rates_;
+  // Of groups with several versions: these, and recent streams begun there.
+  policy::VersionSets versions_;
+  std::vector<policy::StreamRecord> origins_;
 };
 
 // @return the message as msgpack bytes. Thread safety: safe.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -125,6 +125,10 @@
         });
   }
 
+  bool IsFirst() const {
+    return peers_.empty() || own_address_ < peers_.begin()->first;
+  }
+
   policy::PeerLinkSpeeds LinksInZone(uint32_t zone_hash) const {
     policy::PeerLinkSpeeds links;
     for (const auto& [endpoint, peer] : peers_) {
@@ -214,6 +218,8 @@
     message.suspect_parts_ = hooks_.suspect_parts_(max_suspects);
     message.prompts_ = hooks_.recent_prompts_();
     message.rates_ = hooks_.rates_();
+    message.versions_ = hooks_.versions_();
+    message.origins_ = hooks_.origins_();
     return message;
   }
 
@@ -294,6 +300,12 @@
     if (!message.rates_.empty()) {
       hooks_.on_rates_(message.rates_);
     }
+    if (!message.versions_.empty()) {
+      hooks_.on_versions_(message.versions_);
+    }
+    for (const policy::StreamRecord& record : message.origins_) {
+      hooks_.on_origin_(record);
+    }
     for (const policy::CrashRecord& record : message.suspects_) {
       hooks_.on_suspect_(record);
     }
@@ -365,6 +377,10 @@
   return impl_->LinksInZone(zone_hash);
 }
 
+bool Peers::IsFirst() const {
+  return impl_->IsFirst();
+}
+
 void Peers::SetSeedPeers(std::vector<udp::endpoint> seeds) {
   impl_->SetSeedPeers(std::move(seeds));
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -17,6 +17,7 @@
 #include "src/policy/caller_shedding.h"
 #include "src/policy/quarantine.h"
 #include "src/policy/shared_rate_limits.h"
+#include "src/policy/stream_origins.h"
 
 namespace bergamotscale::gateway {
 
@@ -40,6 +41,11 @@
   // The same for the rates that upstreams have asked for.
   std::function<std::vector<policy::RateNotice>()> rates_;
   std::function<void(const std::vector<policy::RateNotice>&)> on_rates_;
+  // The same for versions and origins of streams.
+  std::function<policy::VersionSets()> versions_;
+  std::function<std::vector<policy::StreamRecord>()> origins_;
+  std::function<void(const policy::VersionSets&)> on_versions_;
+  std::function<void(const policy::StreamRecord&)> on_origin_;
   // The version of the configuration in force here, and at a peer; zero if it
   // is unknown whether peers have a newer one.
   std::function<int64_t()> config_version_;
@@ -79,6 +85,9 @@
   // next periodic datagram. Updates in quick succession share a datagram, so
   // that a series of crashes doesn't fill the links.
   void SendUpdateSoon();
+  // @return whether no known peer has a lower address. Peers may disagree for a
+  // few seconds.
+  bool IsFirst() const;
   // @return the links of the known peers in a zone.
   policy::PeerLinkSpeeds LinksInZone(uint32_t zone_hash) const;
   void SetSeedPeers(std::vector<boost::asio::ip::udp::endpoint> seeds);
--- a/src/gateway/upstream_set.cc
+++ b/src/gateway/upstream_set.cc
@@ -33,6 +33,8 @@
 constexpr Millis kPeerCheckInterval = Millis(100);
 // Interval of the number of engines reserved for short prompts.
 constexpr Millis kPoolInterval = Millis(100);
+// Interval of the check at which versions streams may begin.
+constexpr Millis kVersionInterval = Millis(20);
 // An instance that fails more of its calls is no engine for short prompts.
 constexpr double kMaxPoolFailureShare = 0.25;
 // Sent prompts are shared with peers for this long, a few datagrams.
@@ -56,6 +58,7 @@
   double unread_tokens_ = 0;
   bool listed_ = true;
   bool reserved_ = false;  // for short prompts, as of the latest choice
+  VersionUse use_ = VersionUse::kPreferred;  // of its version
 };
 
 // The engines of a group, for choosing those that get short prompts only.
@@ -126,6 +129,7 @@
       Instance& instance = instances_[entry.id_];
       const bool is_new_incarnation =
           instance.entry_.started_at_ != entry.started_at_ ||
+          instance.entry_.version_ != entry.version_ ||
           instance.entry_.ip_ != entry.ip_ ||
           instance.entry_.port_ != entry.port_;
       if (is_new_incarnation) {
@@ -153,6 +157,7 @@
       }
     }
     OrderEngines();
+    CheckVersions(boot_.Now());
   }
 
   bool Choose(const GroupId& group,
@@ -161,26 +166,74 @@
               Choice* choice) {
     const Millis now = boot_.Now();
     ExpirePeerLoads(now);
+    if (now - versions_checked_at_ >= kVersionInterval) {
+      CheckVersions(now);
+    }
     const bool has_pool = request.engine_ && ReserveEngines(group, now);
     // Without a usable engine of its kind, a request goes to any.
-    return (has_pool &&
-            ChooseAmong(group, request, tried, true, now, choice)) ||
-           ChooseAmong(group, request, tried, false, now, choice);
+    for (const VersionUse use :
+         {VersionUse::kPreferred, VersionUse::kIfNeeded}) {
+      for (const bool by_pool : {true, false}) {
+        if ((has_pool || !by_pool) &&
+            ChooseAmong(group, request, tried, {by_pool, use}, now, choice)) {
+          return true;
+        }
+      }
+      if (!request.begins_stream_) {
+        break;
+      }
+    }
+    return false;
+  }
+
+  void CheckVersions(Millis now) {
+    versions_checked_at_ = now;
+    for (auto& [id, instance] : instances_) {
+      instance.use_ = use_of_version_
+                          ? use_of_version_({instance.entry_.group_,
+                                             instance.entry_.version_})
+                          : VersionUse::kPreferred;
+    }
+  }
+
+  bool HasVersion(const policy::StreamOrigin& origin) const {
+    return std::any_of(instances_.begin(), instances_.end(),
+                       [&](const auto& item) {
+                         const Instance& instance = item.second;
+                         return instance.entry_.group_ == origin.group_ &&
+                                instance.entry_.version_ == origin.version_ &&
+                                IsOpen(instance);
+                       });
+  }
+
+  // Which instances of a group a choice is limited to.
+  struct Subset {
+    bool by_pool_ = false;  // short prompts only reserved engines, others none
+    VersionUse use_ = VersionUse::kPreferred;  // at least, for new streams
+  };
+
+  static bool IsIn(const Instance& instance,
+                   const policy::PlacementRequest& request,
+                   const Subset& subset) {
+    if (request.version_.has_value() &&
+        instance.entry_.version_ != *request.version_) {
+      return false;
+    }
+    return (!subset.by_pool_ || instance.reserved_ == request.short_prompt_) &&
+           (!request.begins_stream_ || instance.use_ >= subset.use_);
   }
 
-  // @param by_pool whether short prompts get only reserved engines, and others
-  // none of these.
   bool ChooseAmong(const GroupId& group,
                    const policy::PlacementRequest& request,
                    const std::vector<UpstreamKey>& tried,
-                   bool by_pool,
+                   const Subset& subset,
                    Millis now,
                    Choice* choice) {
     std::vector<policy::InstanceView> views;
     std::vector<const Instance*> candidates;
     for (auto& [id, instance] : instances_) {
       if (instance.entry_.group_ != group || !TakesRequests(instance, now) ||
-          (by_pool && instance.reserved_ != request.short_prompt_)) {
+          !IsIn(instance, request, subset)) {
         continue;
       }
       views.push_back(MakeInstanceView(instance, now));
@@ -199,6 +252,7 @@
     const auto chosen = static_cast<size_t>(best);
     choice->upstream_ = KeyOf(*candidates[chosen]);
     choice->group_ = group;
+    choice->version_ = candidates[chosen]->entry_.version_;
     choice->unread_tokens_ = views[chosen].uncached_tokens_ +
                              static_cast<double>(request.own_tokens_.count());
     choice->running_ = views[chosen].running_;
@@ -612,6 +666,8 @@
   std::unordered_map<uint64_t, PeerLoadSum> peer_sums_;
   std::unordered_map<uint64_t, ShortPromptLoad> peer_short_prompts_;  // sums
   std::function<void(const PoolChange&)> on_pool_change_;
+  std::function<VersionUse(const policy::StreamOrigin&)> use_of_version_;
+  Millis versions_checked_at_;
   Millis peer_loads_checked_at_;
   policy::InstanceNotices notices_;
   policy::GatewayMembers members_{0, false, Millis(0)};
@@ -849,6 +905,15 @@
   impl_->ReturnConnection(upstream, std::move(connection));
 }
 
+void UpstreamSet::SetVersionHook(
+    std::function<VersionUse(const policy::StreamOrigin&)> use_of) {
+  impl_->use_of_version_ = std::move(use_of);
+}
+
+bool UpstreamSet::HasVersion(const policy::StreamOrigin& origin) const {
+  return impl_->HasVersion(origin);
+}
+
 void UpstreamSet::SetMaxConnections(size_t max_connections) {
   impl_->max_connections_ = max_connections;
 }
--- a/src/gateway/upstream_set.h
+++ b/src/gateway/upstream_set.h
@@ -18,6 +18,7 @@
 #include "src/policy/rate_queue.h"
 #include "src/policy/shared_rate_limits.h"
 #include "src/policy/short_prompt_pool.h"
+#include "src/policy/stream_origins.h"
 #include "src/route/directory.h"
 #include "src/web/client_connection.h"
 
@@ -85,6 +86,13 @@
   kCancelled,       // cancelled by the gateway; does not affect the health
 };
 
+// Whether streams that may be taken up can begin at a version.
+enum class VersionUse {
+  kNone,
+  kIfNeeded,  // if no upstream of a preferred version takes them
+  kPreferred,
+};
+
 struct ConnectionResult {
   std::unique_ptr<web::ClientConnection> connection_;  // null if it failed
   // The failure says nothing about the upstream: this process can open no
@@ -106,6 +114,9 @@
   // Sets the function that is told of each change of a pool.
   void SetPoolHook(std::function<void(const PoolChange&)> on_pool_change);
 
+  // Sets the function that tells at which versions streams may begin.
+  void SetVersionHook(
+      std::function<VersionUse(const policy::StreamOrigin&)> use_of);
   // Sets the function that is told of each change of a rate.
   void SetRateHook(std::function<void(const RateChange&)> on_rate_change);
   // Sets the gateways that share the rates that upstreams take; without it,
@@ -124,6 +135,7 @@
   struct Choice {
     UpstreamKey upstream_;
     GroupId group_;
+    SoftwareVersion version_;
     // Prompt tokens that the instance is expected to prefill.
     double unread_tokens_ = 0;
     // Load of the instance before this request.
@@ -181,6 +193,9 @@
   // could not be reached a moment ago can't be used.
   std::optional<policy::RateForecast> ForecastRate(const GroupId& group) const;
 
+  // @return whether an instance of the version takes requests at all.
+  bool HasVersion(const policy::StreamOrigin& origin) const;
+
   // Limits the connections to all instances together.
   void SetMaxConnections(size_t max_connections);
   // Closes idle connections that are too old to be used. Call it at an interval
--- a/src/policy/descriptor_plan.cc
+++ b/src/policy/descriptor_plan.cc
@@ -6,8 +6,8 @@
 namespace {
 
 // Standard streams, event loops, timers, signals, listeners, the datagrams of
-// peers, two connections to the platform's log, one to a peer, the settings.
-constexpr int kFixedDescriptors = 24;
+// peers, six connections to the platform's log, one to a peer, the settings.
+constexpr int kFixedDescriptors = 28;
 constexpr int kProbeListeners = 3;
 constexpr int kMinProbes = 4;
 constexpr int kMaxProbes = 32;
--- a/src/policy/placer.h
+++ b/src/policy/placer.h
@@ -3,9 +3,11 @@
 #define BERGAMOTSCALE_SRC_POLICY_PLACER_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "bergamotscale/ids.h"
+#include "bergamotscale/software_version.h"
 #include "bergamotscale/units.h"
 #include "src/policy/prefix_cache_estimate.h"
 
@@ -38,6 +40,10 @@
   bool short_prompt_ = false;
   // Weight of prefix affinity, from 1 to 0.
   double patience_ = 1;
+  // Set if only upstreams of this version may continue the response.
+  std::optional<SoftwareVersion> version_;
+  // Whether the request may begin a stream that is taken up later.
+  bool begins_stream_ = false;
 
   // @return the tokens of all shared parts.
   Tokens SharedTokens() const;
--- a/src/route/directory.cc
+++ b/src/route/directory.cc
@@ -23,11 +23,17 @@
 bool SameUpstream(const UpstreamEntry& a, const UpstreamEntry& b) {
   return a.started_at_ == b.started_at_ && a.group_ == b.group_ &&
          a.ip_ == b.ip_ && a.port_ == b.port_ && a.zone_ == b.zone_ &&
-         a.slots_ == b.slots_ && a.draining_ == b.draining_;
+         a.version_ == b.version_ && a.slots_ == b.slots_ &&
+         a.draining_ == b.draining_;
 }
 
 }  // namespace
 
+SoftwareVersion MakeOwnVersion(const InstanceId& id, int64_t started_at) {
+  return SoftwareVersion("none " + id.value() + " " +
+                         std::to_string(started_at));
+}
+
 Directory::Directory(Millis grace_period) : grace_period_(grace_period) {}
 
 bool Directory::IsOutdated(const UpstreamEntry& entry, Millis now) const {
--- a/src/route/directory.h
+++ b/src/route/directory.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bergamotscale/ids.h"
+#include "bergamotscale/software_version.h"
 #include "bergamotscale/units.h"
 
 namespace bergamotscale::route {
@@ -35,12 +36,18 @@
   std::string ip_;
   uint16_t port_ = 0;
   ZoneId zone_;
+  // An upstream that names no version has one of its own; see
+  // MakeOwnVersion().
+  SoftwareVersion version_;
   int slots_ = 1;
   bool draining_ = false;
   // Set by Directory::Entries().
   Registration registration_ = Registration::kListed;
 };
 
+// @return a version that no other incarnation has. Thread safety: safe.
+SoftwareVersion MakeOwnVersion(const InstanceId& id, int64_t started_at);
+
 // Keeps the registry entries of upstreams. An entry that expired while the
 // registry was unavailable may belong to a live upstream that couldn't renew
 // it, so it is kept until a grace period after the registry is available again.
--- a/src/web/get_client.cc
+++ b/src/web/call_client.cc
@@ -1,4 +1,4 @@
-#include "src/web/get_client.h"
+#include "src/web/call_client.h"
 
 #include <utility>
 
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-class GetClient::Impl : public std::enable_shared_from_this<Impl> {
+class CallClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& io,
        boost::asio::ip::tcp::endpoint server,
@@ -28,32 +28,30 @@
     connection_.reset();
   }
 
-  void Get(const std::string& target, Millis timeout, Done done) {
+  void Call(OutgoingRequest call, Millis timeout, Done done) {
     done_ = std::move(done);
-    response_ = GetResponse();
+    response_ = CallResponse();
     if (connection_ != nullptr && connection_->usable()) {
-      Send(target, timeout);
+      Send(std::move(call), timeout);
       return;
     }
     connection_ = std::make_unique<ClientConnection>(io_, server_);
     connection_->Connect(
-        kConnectTimeout, [self = shared_from_this(), target,
+        kConnectTimeout, [self = shared_from_this(), call = std::move(call),
                           timeout](const boost::system::error_code& error) {
           if (error) {
             self->Finish(Error(self->failure_, "connect: " + error.message()));
           } else {
-            self->Send(target, timeout);
+            self->Send(call, timeout);
           }
         });
   }
 
  private:
-  void Send(const std::string& target, Millis timeout) {
+  void Send(OutgoingRequest call, Millis timeout) {
     timer_.StartDeadlineTimer(timeout, [self = shared_from_this()] {
       self->Finish(Error(self->failure_, "no answer in time"));
     });
-    OutgoingRequest call;
-    call.target_ = target;
     call.headers_.Add("Host", server_.address().to_string() + ":" +
                                   std::to_string(server_.port()));
     ResponseHooks hooks;
@@ -80,7 +78,7 @@
     connection_->Send(std::move(call), std::move(hooks));
   }
 
-  void Finish(Result<GetResponse> response) {
+  void Finish(Result<CallResponse> response) {
     if (!done_) {
       return;
     }
@@ -98,21 +96,34 @@
   const ErrorCode failure_;
   OneShotTimer timer_;
   std::unique_ptr<ClientConnection> connection_;
-  GetResponse response_;
+  CallResponse response_;
   Done done_;
 };
 
-GetClient::GetClient(boost::asio::io_context& io,
-                     boost::asio::ip::tcp::endpoint server,
-                     ErrorCode failure)
+CallClient::CallClient(boost::asio::io_context& io,
+                       boost::asio::ip::tcp::endpoint server,
+                       ErrorCode failure)
     : impl_(std::make_shared<Impl>(io, std::move(server), failure)) {}
 
-GetClient::~GetClient() {
+CallClient::~CallClient() {
   impl_->Stop();
 }
 
-void GetClient::Get(const std::string& target, Millis timeout, Done done) {
-  impl_->Get(target, timeout, std::move(done));
+void CallClient::Get(const std::string& target, Millis timeout, Done done) {
+  OutgoingRequest call;
+  call.target_ = target;
+  impl_->Call(std::move(call), timeout, std::move(done));
+}
+
+void CallClient::Post(const std::string& target,
+                      std::string body,
+                      Millis timeout,
+                      Done done) {
+  OutgoingRequest call;
+  call.method_ = "POST";
+  call.target_ = target;
+  call.body_ = std::move(body);
+  impl_->Call(std::move(call), timeout, std::move(done));
 }
 
 }  // namespace bergamotscale::web
--- a/src/web/get_client.h
+++ b/src/web/call_client.h
@@ -1,6 +1,6 @@
-// Reads small documents of one server.
-#ifndef BERGAMOTSCALE_SRC_WEB_GET_CLIENT_H_
-#define BERGAMOTSCALE_SRC_WEB_GET_CLIENT_H_
+// Calls one server that answers with small documents.
+#ifndef BERGAMOTSCALE_SRC_WEB_CALL_CLIENT_H_
+#define BERGAMOTSCALE_SRC_WEB_CALL_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -16,31 +16,36 @@
 
 namespace bergamotscale::web {
 
-struct GetResponse {
+struct CallResponse {
   int status_ = 0;
   HeaderList headers_;  // end-to-end
   std::string body_;
 };
 
-// Sends one GET at a time over one connection, which is reopened after a
+// Sends one request at a time over one connection, which is reopened after a
 // failure. Thread safety: use from the thread of the io_context.
-class GetClient {
+class CallClient {
  public:
-  using Done = std::function<void(Result<GetResponse>)>;
+  using Done = std::function<void(Result<CallResponse>)>;
 
   // @param failure the code of errors without a complete response.
-  GetClient(boost::asio::io_context& io,
-            boost::asio::ip::tcp::endpoint server,
-            ErrorCode failure);
+  CallClient(boost::asio::io_context& io,
+             boost::asio::ip::tcp::endpoint server,
+             ErrorCode failure);
   // Pending calls are not answered any more.
-  ~GetClient();
-  GetClient(const GetClient&) = delete;
-  GetClient& operator=(const GetClient&) = delete;
+  ~CallClient();
+  CallClient(const CallClient&) = delete;
+  CallClient& operator=(const CallClient&) = delete;
 
   // Precondition: no call is in progress.
   // @param timeout of the response, in addition to that of the connection.
   // @param done called once, with any status.
   void Get(const std::string& target, Millis timeout, Done done);
+  // The same with a body. The call may have been carried out even if it failed.
+  void Post(const std::string& target,
+            std::string body,
+            Millis timeout,
+            Done done);
 
  private:
   class Impl;
@@ -49,4 +54,4 @@
 
 }  // namespace bergamotscale::web
 
-#endif  // BERGAMOTSCALE_SRC_WEB_GET_CLIENT_H_
+#endif  // BERGAMOTSCALE_SRC_WEB_CALL_CLIENT_H_
--- a/tests/descriptor_plan_test.cc
+++ b/tests/descriptor_plan_test.cc
@@ -8,7 +8,7 @@
 namespace {
 
 TEST_CASE("descriptor plan: connections leave descriptors for the process") {
-  constexpr size_t kOthers = 24;
+  constexpr size_t kOthers = 28;
   for (const int max : {kMinDescriptors, 80, 1'024, 4'100, 1'000'000}) {
     CAPTURE(max);
     const DescriptorPlan plan = PlanDescriptors(max);
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -41,6 +41,10 @@
   hooks.on_sent_ = [](Bytes) {};
   hooks.on_received_ = [](Bytes) {};
   hooks.on_member_count_ = [](int) {};
+  hooks.versions_ = [] { return policy::VersionSets(); };
+  hooks.origins_ = [] { return std::vector<policy::StreamRecord>(); };
+  hooks.on_versions_ = [](const policy::VersionSets&) {};
+  hooks.on_origin_ = [](const policy::StreamRecord&) {};
   hooks.rates_ = [] { return std::vector<policy::RateNotice>(); };
   hooks.on_rates_ = [](const std::vector<policy::RateNotice>&) {};
   hooks.on_peer_seen_ = [](uint64_t) {};
--- /dev/null
+++ b/tests/process/stream_version_test.cc
@@ -0,0 +1,399 @@
+// Streams before servers of two software versions: no stream holds events of
+// both, and one that is taken up goes on where its version still serves.
+#include <csignal>
+
+#include <atomic>
+#include <memory>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "tests/support/child_process.h"
+#include "tests/support/gateway_process.h"
+
+namespace bergamotscale::tests {
+namespace {
+
+constexpr Millis kReadyTimeout = Millis(10'000);
+constexpr Millis kGrace = Millis(8'000);
+constexpr int kServers = 6;
+constexpr int kGateways = 2;
+constexpr int kStreams = 60;
+constexpr int kEvents = 24;
+constexpr int kEventsBeforeBreak = 4;
+constexpr Millis kPace = Millis(20);
+// New versions get streams once all gateways know them.
+constexpr Millis kSettleTime = Millis(3'500);
+// Of an event, so that origins are known beyond the gateway before it is
+// killed.
+constexpr Millis kShareTime = Millis(700);
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+
+// Sends events that name the server's version. The header X-Break-After ends a
+// response that begins a stream after as many.
+bool AnswerWithVersion(const ServerCall& call, Wire& wire) {
+  const int64_t last = call.Number("X-Events", kEvents);
+  const int64_t first = call.Number("Last-Event-Id", 0) + 1;
+  const int64_t end = first == 1 ? call.Number("X-Break-After", last) : last;
+  if (!wire.Write(AnswerHead(call, "200 OK",
+                             "Content-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n"))) {
+    return false;
+  }
+  for (int64_t i = first; i <= end; ++i) {
+    SleepFor(kPace);
+    const std::string event =
+        "id: " + std::to_string(i) + "\ndata: " + call.version_ + "\n\n";
+    std::ostringstream chunk;
+    chunk << std::hex << event.size() << "\r\n" << event << "\r\n";
+    if (wire.PeerHasClosed() || !wire.Write(chunk.str())) {
+      return false;
+    }
+  }
+  if (end < last) {
+    wire.Shutdown(true);
+    return false;
+  }
+  return wire.Write("0\r\n\r\n");
+}
+
+// @return the values of the lines that begin with the name.
+std::vector<std::string> ValuesOf(const std::string& events,
+                                  const std::string& name) {
+  std::vector<std::string> values;
+  std::istringstream lines(events);
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.rfind(name, 0) == 0) {
+      values.push_back(line.substr(name.size()));
+    }
+  }
+  return values;
+}
+
+struct Stream {
+  std::string id_;
+  std::string events_;  // all that the caller received
+  int status_ = 0;      // of the last answer
+  bool is_whole_ = false;
+
+  bool IsJoined() const {
+    const auto versions = ValuesOf(events_, "data: ");
+    return std::set<std::string>(versions.begin(), versions.end()).size() > 1;
+  }
+  // @return whether all events are there, once each and in order.
+  bool IsComplete() const {
+    const auto ids = ValuesOf(events_, "id: ");
+    for (size_t i = 0; i < ids.size(); ++i) {
+      if (ids[i] != std::to_string(i + 1)) {
+        return false;
+      }
+    }
+    return is_whole_ && ids.size() == static_cast<size_t>(kEvents);
+  }
+  std::string LastId() const {
+    const auto ids = ValuesOf(events_, "id: ");
+    return ids.empty() ? "" : ids.back();
+  }
+};
+
+struct Counts {
+  int joined_ = 0;
+  int complete_ = 0;
+  int refused_ = 0;
+};
+
+class VersionBench {
+ public:
+  // @param new_servers how many of the servers have the version "v2".
+  explicit VersionBench(int new_servers) {
+    store_.Put("keyed.op", "config", MakeConfig(1));
+    for (int i = 0; i < kServers; ++i) {
+      AddServer(i < new_servers ? "v2" : "v1");
+    }
+    std::string seeds;
+    for (int i = 0; i < kGateways; ++i) {
+      seeds += (i == 0 ? "\"" : ",\"") + LoopbackIp(10 + i) + ":8229\"";
+    }
+    for (int i = 0; i < kGateways; ++i) {
+      gateways_.push_back(std::make_unique<GatewayProcess>(
+          folder_.File(""), LoopbackIp(10 + i), store_.address(),
+          TemplateFields{{"seeds", "[" + seeds + "]"}}));
+    }
+  }
+
+  bool Start() {
+    for (const auto& gateway : gateways_) {
+      gateway->Start();
+    }
+    bool is_ready = true;
+    for (const auto& gateway : gateways_) {
+      is_ready = gateway->AwaitReady(kReadyTimeout) && is_ready;
+    }
+    return is_ready;
+  }
+
+  void KillAll() {
+    for (const auto& gateway : gateways_) {
+      gateway->Signal(SIGKILL);
+    }
+    for (const auto& gateway : gateways_) {
+      gateway->AwaitEnd(kGrace);
+    }
+  }
+
+  void AddServer(const std::string& version) {
+    const int number = static_cast<int>(servers_.size());
+    servers_.push_back(std::make_unique<ServerStandIn>(
+        store_, "i-" + std::to_string(number), "llm", LoopbackIp(100 + number),
+        [](const ServerCall& call, Wire& wire, bool* /*did_run*/) {
+          return AnswerWithVersion(call, wire);
+        }));
+    servers_.back()->SetVersion(version);
+    servers_.back()->Restart();
+  }
+
+  // The servers of the range leave without a notice.
+  void LeaveServers(size_t begin, size_t end) {
+    for (size_t i = begin; i < end; ++i) {
+      servers_[i]->Leave();
+    }
+  }
+
+  // Begins all streams at once, each at one gateway.
+  // @param events how many events each caller waits for before it closes its
+  // connection; all if zero.
+  // @param stays_for how long it reads on behind them.
+  std::vector<Stream> Begin(int events, Millis stays_for = Millis(0)) {
+    return RunAll([&](int i, Stream* stream) {
+      CallerRequest request = MakeRequest("s" + std::to_string(i));
+      if (events == 0) {
+        request.headers_ +=
+            "X-Break-After: " + std::to_string(kEventsBeforeBreak) + "\r\n";
+      }
+      stream->id_ = request.id_;
+      const auto wire = Wire::Open(gateways_[i % kGateways]->address());
+      if (wire == nullptr) {
+        return;
+      }
+      if (events == 0) {
+        Take(Exchange(*wire, request), stream);
+        return;
+      }
+      ReadEvents(*wire, request, events, stream);
+      const Millis until = SteadyNow() + stays_for;
+      while (SteadyNow() < until) {
+        ReadChunk(*wire, stream);
+      }
+    });
+  }
+
+  // Takes all streams up, each at another gateway than it began at.
+  void TakeUp(std::vector<Stream>* streams) {
+    const std::vector<Stream> before = *streams;
+    *streams = RunAll([&](int i, Stream* stream) {
+      *stream = before[static_cast<size_t>(i)];
+      CallerRequest request = MakeRequest("t" + std::to_string(i));
+      request.headers_ += "Last-Event-Id: " + stream->LastId() +
+                          "\r\nResumes: " + stream->id_ + "\r\n";
+      const auto wire = Wire::Open(gateways_[(i + 1) % kGateways]->address());
+      if (wire != nullptr) {
+        Take(Exchange(*wire, request), stream);
+      }
+    });
+  }
+
+  static Counts Count(const std::vector<Stream>& streams) {
+    Counts counts;
+    for (const Stream& stream : streams) {
+      counts.joined_ += stream.IsJoined() ? 1 : 0;
+      counts.complete_ += stream.IsComplete() ? 1 : 0;
+      counts.refused_ += stream.status_ == kStatusUnavailable ? 1 : 0;
+      // What was not refused is whole or has been broken off.
+      CHECK((stream.status_ != kStatusOk || !stream.is_whole_ ||
+             stream.IsComplete()));
+    }
+    MESSAGE(streams.size() << " streams, " << counts.complete_ << " complete, "
+                           << counts.refused_ << " refused, " << counts.joined_
+                           << " joined");
+    return counts;
+  }
+
+  StoreStandIn& store() { return store_; }
+
+ private:
+  static CallerRequest MakeRequest(const std::string& id) {
+    CallerRequest request;
+    request.path_ = "/resume/1";
+    request.id_ = id;
+    request.patience_ = Millis(6'000);
+    request.headers_ = "X-Events: " + std::to_string(kEvents) + "\r\n";
+    return request;
+  }
+
+  template <typename Run>
+  static std::vector<Stream> RunAll(Run run) {
+    std::vector<Stream> streams(kStreams);
+    std::vector<std::thread> callers;
+    callers.reserve(kStreams);
+    for (int i = 0; i < kStreams; ++i) {
+      callers.emplace_back(
+          [&run, &streams, i] { run(i, &streams[static_cast<size_t>(i)]); });
+    }
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    return streams;
+  }
+
+  static void Take(const CallerAnswer& answer, Stream* stream) {
+    stream->status_ = answer.status_;
+    stream->is_whole_ = answer.status_ == kStatusOk && answer.is_whole_;
+    if (answer.status_ == kStatusOk) {
+      stream->events_ += answer.body_;
+    }
+  }
+
+  static bool ReadChunk(Wire& wire, Stream* stream) {
+    std::string line;
+    std::string event;
+    if (!wire.ReadLine(&line) ||
+        !wire.ReadExactly(std::strtoul(line.c_str(), nullptr, 16), &event) ||
+        !wire.ReadLine(&line)) {
+      return false;
+    }
+    stream->events_ += event;
+    return !event.empty();
+  }
+
+  static void ReadEvents(Wire& wire,
+                         const CallerRequest& request,
+                         int events,
+                         Stream* stream) {
+    std::string head;
+    wire.SetReadTimeout(request.patience_);
+    if (!wire.Write(request.Head()) || !wire.ReadHead(&head)) {
+      return;
+    }
+    for (int i = 0; i < events && ReadChunk(wire, stream); ++i) {
+    }
+  }
+
+  ScratchFolder folder_;
+  StoreStandIn store_{LoopbackIp(1)};
+  std::vector<std::unique_ptr<ServerStandIn>> servers_;
+  std::vector<std::unique_ptr<GatewayProcess>> gateways_;
+};
+
+// A response went on at any server of the group.
+TEST_CASE("stream version: a response continues at the version that began it") {
+  VersionBench bench(kServers / 2);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  const Counts counts = VersionBench::Count(bench.Begin(0));
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.complete_ >= kStreams / 2);
+}
+
+// A gateway took up a stream without knowing which version began it.
+TEST_CASE("stream version: another gateway takes up at the same version") {
+  VersionBench bench(kServers / 2);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  std::vector<Stream> streams = bench.Begin(kEventsBeforeBreak);
+  bench.TakeUp(&streams);
+  const Counts counts = VersionBench::Count(streams);
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.complete_ >= kStreams / 2);
+}
+
+// All that knew the origins had ended.
+TEST_CASE(
+    "stream version: a stream is taken up after all gateways were killed") {
+  VersionBench bench(kServers / 2);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  std::vector<Stream> streams = bench.Begin(kEventsBeforeBreak, kShareTime / 2);
+  SleepFor(kShareTime / 2);
+  bench.KillAll();
+  REQUIRE(bench.Start());
+  bench.TakeUp(&streams);
+  const Counts counts = VersionBench::Count(streams);
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.complete_ >= kStreams / 2);
+}
+
+TEST_CASE("stream version: a stream whose version has left is refused") {
+  VersionBench bench(kServers / 2);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  std::vector<Stream> streams = bench.Begin(kEventsBeforeBreak, kShareTime);
+  bench.KillAll();
+  bench.LeaveServers(kServers / 2, kServers);
+  REQUIRE(bench.Start());
+  bench.TakeUp(&streams);
+  const Counts counts = VersionBench::Count(streams);
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.complete_ + counts.refused_ == kStreams);
+  CHECK(counts.refused_ > 0);
+}
+
+// The registry showed one version, and nothing named the one before it.
+TEST_CASE("stream version: a version that was replaced unseen is not joined") {
+  VersionBench bench(0);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  std::vector<Stream> streams = bench.Begin(kEventsBeforeBreak, kShareTime);
+  bench.KillAll();
+  bench.LeaveServers(0, kServers);
+  for (int i = 0; i < kServers; ++i) {
+    bench.AddServer("v2");
+  }
+  REQUIRE(bench.Start());
+  bench.TakeUp(&streams);
+  const Counts counts = VersionBench::Count(streams);
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.refused_ == kStreams);
+  // What begins anew is served.
+  CHECK(VersionBench::Count(bench.Begin(0)).complete_ >= kStreams / 2);
+}
+
+TEST_CASE("stream version: with one version, streams go on without a record") {
+  VersionBench bench(0);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  std::vector<Stream> streams = bench.Begin(kEventsBeforeBreak);
+  bench.KillAll();
+  REQUIRE(bench.Start());
+  bench.TakeUp(&streams);
+  const Counts counts = VersionBench::Count(streams);
+  CHECK(counts.complete_ == kStreams);
+  CHECK(bench.store().Count("stream-origins") == 0);
+}
+
+// Without the store, gateways that live still tell each other.
+TEST_CASE("stream version: the log of origins is away") {
+  VersionBench bench(kServers / 2);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  bench.store().SetAppends(false);
+  std::vector<Stream> streams = bench.Begin(kEventsBeforeBreak, kShareTime / 2);
+  bench.TakeUp(&streams);
+  const Counts counts = VersionBench::Count(streams);
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.complete_ >= kStreams / 2);
+
+  std::vector<Stream> others = bench.Begin(kEventsBeforeBreak, kShareTime / 2);
+  bench.KillAll();
+  REQUIRE(bench.Start());
+  bench.TakeUp(&others);
+  CHECK(VersionBench::Count(others).joined_ == 0);
+}
+
+}  // namespace
+}  // namespace bergamotscale::tests
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -29,6 +29,8 @@
 constexpr Millis kHeartbeat = Millis(1'200);
 constexpr size_t kMaxReadBytes = size_t{1'024} << 10;
 constexpr char kServersTopic[] = "keyed.servers";
+constexpr char kKeyedPrefix[] = "keyed.";
+constexpr size_t kLengthSize = 4;
 
 sockaddr_in ParseAddress(const std::string& address) {
   const size_t colon = address.rfind(':');
@@ -96,6 +98,18 @@
   return text.empty() ? fallback : std::strtoll(text.c_str(), nullptr, 10);
 }
 
+uint64_t ReadBigEndian(const std::string& bytes, size_t size) {
+  uint64_t number = 0;
+  for (size_t i = 0; i < size && i < bytes.size(); ++i) {
+    number = (number << 8) | static_cast<unsigned char>(bytes[i]);
+  }
+  return number;
+}
+
+bool IsKeyed(const std::string& topic) {
+  return topic.rfind(kKeyedPrefix, 0) == 0;
+}
+
 std::string BigEndian(uint64_t number, int size) {
   std::string bytes;
   for (int i = size - 1; i >= 0; --i) {
@@ -407,8 +421,14 @@
 void StoreStandIn::Serve(Wire& wire) {
   std::string head;
   while (wire.ReadHead(&head)) {
-    const std::string target =
-        head.substr(4, head.find(" HTTP/") - 4);  // behind "GET "
+    const size_t begin = head.find(' ') + 1;
+    const std::string target = head.substr(begin, head.find(" HTTP/") - begin);
+    std::string body;
+    const auto length =
+        static_cast<size_t>(ParseNumber(HeaderOf(head, "Content-Length"), 0));
+    if (!wire.ReadExactly(length, &body)) {
+      return;
+    }
     {
       std::unique_lock<std::mutex> lock(mutex_);
       changed_.wait(lock,
@@ -420,7 +440,8 @@
     }
     const std::string topic = QueryValue(target, "topic");
     const std::string response =
-        target.rfind("/log-newest", 0) == 0
+        target.rfind("/log-append", 0) == 0 ? Append(target, body)
+        : target.rfind("/log-newest", 0) == 0
             ? Newest(topic)
             : Read(topic,
                    static_cast<size_t>(
@@ -432,6 +453,41 @@
   }
 }
 
+std::string StoreStandIn::Append(const std::string& target,
+                                 const std::string& body) {
+  const std::string topic = QueryValue(target, "topic");
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<Entry>& entries = topics_[topic];
+  if (!serves_appends_) {
+    return Respond("503 Unavailable", "");
+  }
+  const std::string at = QueryValue(target, "at");
+  if (!at.empty() && at != std::to_string(entries.size())) {
+    return Respond("412 Changed",
+                   "{\"end\":" + std::to_string(entries.size()) + "}");
+  }
+  const size_t offset = entries.size();
+  std::string rest = body;
+  while (rest.size() >= kLengthSize) {
+    const size_t size = ReadBigEndian(rest, kLengthSize);
+    const std::string content = rest.substr(kLengthSize, size);
+    rest.erase(0, kLengthSize + size);
+    const size_t key =
+        IsKeyed(topic) ? ReadBigEndian(content, 1) + 1 : size_t{0};
+    entries.push_back(
+        {key == 0 ? "" : content.substr(1, key - 1), content.substr(key)});
+  }
+  changed_.notify_all();
+  return Respond("200 OK", "{\"offset\":" + std::to_string(offset) +
+                               ",\"end\":" + std::to_string(entries.size()) +
+                               "}");
+}
+
+size_t StoreStandIn::Count(const std::string& topic) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return topics_[topic].size();
+}
+
 void StoreStandIn::TakeCopy() {
   const std::lock_guard<std::mutex> lock(mutex_);
   copy_ = topics_;
@@ -491,7 +547,9 @@
   for (size_t i = from; i < entries.size(); ++i) {
     const Entry& entry = entries[i];
     const std::string content =
-        BigEndian(entry.key_.size(), 1) + entry.key_ + entry.value_;
+        IsKeyed(topic)
+            ? BigEndian(entry.key_.size(), 1) + entry.key_ + entry.value_
+            : entry.value_;
     if (body.size() + content.size() > kMaxReadBytes) {
       break;
     }
@@ -531,6 +589,9 @@
   const Millis pace = Millis(call.Number("X-Pace-Ms", 20));
   const Millis began = SteadyNow();
   const int64_t first = call.Number("Last-Event-Id", 0) + 1;
+  const std::string& data = HeaderOf(call.head_, "X-Names-Version").empty()
+                                ? call.id_
+                                : call.version_;
   if (!wire.Write(AnswerHead(call, "200 OK",
                              "Content-Type: text/event-stream\r\n"
                              "Transfer-Encoding: chunked\r\n"))) {
@@ -539,8 +600,8 @@
   for (int64_t i = first; i <= last; ++i) {
     SleepFor(began + pace * (i - first) - SteadyNow());
     if (wire.PeerHasClosed() ||
-        !wire.Write(MakeChunk("id: " + std::to_string(i) +
-                              "\ndata: " + call.id_ + "\n\n"))) {
+        !wire.Write(MakeChunk("id: " + std::to_string(i) + "\ndata: " + data +
+                              "\n\n"))) {
       return false;
     }
   }
@@ -607,6 +668,10 @@
 
 void ServerStandIn::Serve(Wire& wire) {
   ServerCall call;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    call.version_ = version_;
+  }
   while (wire.ReadHead(&call.head_)) {
     call.body_.clear();
     const int64_t length = call.Number("Content-Length", 0);
@@ -644,9 +709,8 @@
   store_.Put(kServersTopic, id_,
              "{\"service\":" + Quote(service_) +
                  ",\"address\":" + Quote(ip_ + ":" + std::to_string(port_)) +
-                 ",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":128,"
-                 "\"state\":" +
-                 Quote(state) +
+                 ",\"zone\":\"z1\",\"version\":" + Quote(version_) +
+                 ",\"slots\":128,\"state\":" + Quote(state) +
                  ",\"cold_left_ms\":0,\"seq\":" + std::to_string(++seq_) +
                  ",\"born\":" + std::to_string(born_) + "}");
 }
@@ -662,6 +726,11 @@
   }
 }
 
+void ServerStandIn::SetVersion(const std::string& version) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  version_ = version;
+}
+
 void ServerStandIn::SetDraining() {
   const std::lock_guard<std::mutex> lock(mutex_);
   draining_ = true;
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -125,6 +125,10 @@
            const std::string& key,
            const std::string& value);
   void SetMode(Mode mode);
+  // @param served whether records may be appended; otherwise 503 answers.
+  void SetAppends(bool served) { serves_appends_ = served; }
+  // @return the number of records of a topic.
+  size_t Count(const std::string& topic);
   // Keeps a copy of all topics.
   void TakeCopy();
   // Puts the copy in place of all topics and begins the next era.
@@ -140,6 +144,7 @@
   // @return the whole response.
   std::string Newest(const std::string& topic);
   std::string Read(const std::string& topic, size_t from, Millis wait);
+  std::string Append(const std::string& target, const std::string& body);
   // Precondition: mutex_ is held.
   std::string Respond(const std::string& status, const std::string& body) const;
 
@@ -150,6 +155,7 @@
   std::map<std::string, std::vector<Entry>> copy_;
   int era_ = 1;
   Mode mode_ = Mode::kServing;
+  std::atomic<bool> serves_appends_{true};
   bool stopping_ = false;
   std::unique_ptr<WireListener> listener_;
 };
@@ -160,6 +166,7 @@
   std::string id_;
   std::string body_;
   std::string answer_headers_;  // of its answer, each with its line end
+  std::string version_;         // of the server
 
   // @return the value of a numeric header.
   int64_t Number(const std::string& name, int64_t fallback) const;
@@ -172,7 +179,8 @@
 // Answers after the time of the header X-Work-Ms with as many bytes as
 // X-Answer-Bytes says.
 bool AnswerWhole(const ServerCall& call, Wire& wire);
-// Sends as many events as X-Events says, one each X-Pace-Ms.
+// Sends as many events as X-Events says, one each X-Pace-Ms. They hold the id
+// of the call, or with X-Names-Version the version of the server.
 bool AnswerEvents(const ServerCall& call, Wire& wire);
 // Sends bytes until the connection ends: X-Endless is "answer" for a body
 // without a length or "event" for one event.
@@ -201,6 +209,8 @@
                 Run run);
   ~ServerStandIn();
 
+  // Names another version from the next start or heartbeat on.
+  void SetVersion(const std::string& version);
   void SetDraining();
   // Removes the entry and writes no further heartbeat.
   void Leave();
@@ -228,6 +238,7 @@
   std::mutex mutex_;
   std::condition_variable stopped_;
   std::map<std::string, int> runs_;
+  std::string version_ = "v1";
   int64_t born_ = 0;
   int64_t seq_ = 0;
   bool draining_ = false;
