Soak: upstreams change their version, callers take streams up

Callers take up resumable streams that broke off, at any gateway; upstreams come back with another version; all gateways are killed at once. A stream with events of two versions is an ORDER violation.

--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -26,6 +26,7 @@
 constexpr Millis kReadyTimeout = Millis(10'000);
 constexpr Millis kProbeInterval = Millis(250);
 constexpr Millis kForever = Millis(1'000'000'000'000);
+constexpr char kResumePath[] = "/resume/1";
 
 class Random {
  public:
@@ -51,6 +52,9 @@
   bool is_order_ = false;
   int64_t events_ = 0;  // zero: no stream
   Millis began_;
+  // Of a stream that is taken up: what its caller had received.
+  std::string received_;
+  bool is_take_up_ = false;
 };
 
 class Soak {
@@ -195,7 +199,7 @@
       // A few last until the end of a stop.
       sent.events_ = random.Between(0, 3) == 0 ? random.Between(60, 110)
                                                : random.Between(3, 40);
-      request.path_ = kind < 3 ? "/stream/1" : "/resume/1";
+      request.path_ = kind < 3 ? "/stream/1" : kResumePath;
       request.patience_ = Millis(10'000);
       request.headers_ =
           "X-Events: " + std::to_string(sent.events_) +
@@ -203,7 +207,7 @@
           "\r\nX-Bergamotscale-Token-Counts: 1460,100\r\n"
           "X-Bergamotscale-Prefix-Hash: " +
           std::to_string(10 + random.Between(0, 40)) + ":350," + id +
-          ":1110\r\n";
+          ":1110\r\n" + (kind < 3 ? "" : "X-Names-Version: 1\r\n");
     } else {
       request.path_ = sent.is_order_ ? "/order/1" : "/read/1";
       request.patience_ = Millis(1'500);
@@ -262,6 +266,10 @@
       if (!keeps) {
         wire.reset();
       }
+      if (sent.request_.path_ == kResumePath && !sent.answer_.is_whole_ &&
+          !sent.answer_.body_.empty()) {
+        TakeUp(sent, random);
+      }
       {
         const std::lock_guard<std::mutex> lock(mutex_);
         sent_.push_back(std::move(sent));
@@ -270,10 +278,44 @@
     }
   }
 
+  // Goes on behind what was received of the stream, at any gateway.
+  void TakeUp(const Sent& broken, Random& random) {
+    Sent sent;
+    sent.received_ = WholeEvents(broken.answer_.body_);
+    const size_t last = sent.received_.rfind("id: ");
+    if (last == std::string::npos) {
+      return;
+    }
+    sent.is_take_up_ = true;
+    sent.events_ = broken.events_;
+    sent.request_ = broken.request_;
+    sent.request_.id_ += "-up";
+    sent.request_.headers_ +=
+        "Resumes: " + broken.request_.id_ + "\r\nLast-Event-Id: " +
+        sent.received_.substr(last + 4,
+                              sent.received_.find('\n', last) - last - 4) +
+        "\r\n";
+    SleepFor(Millis(random.Between(0, 1'500)));
+    sent.gateway_ = PickGateway(random);
+    const auto wire = Wire::Open(gateways_[sent.gateway_]->process_->address());
+    if (wire == nullptr) {
+      return;
+    }
+    sent.began_ = SteadyNow();
+    sent.answer_ = Exchange(*wire, sent.request_);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    sent_.push_back(std::move(sent));
+  }
+
+  static std::string WholeEvents(const std::string& body) {
+    const size_t end = body.rfind("\n\n");
+    return end == std::string::npos ? "" : body.substr(0, end + 2);
+  }
+
   // Runs a fault in a thread of its own, if its target has none.
   void StartFault() {
     ++result_.faults_;
-    int64_t kind = random_.Between(0, 10);
+    int64_t kind = random_.Between(0, 11);
     if (options_.planned_only_) {
       kind = kind == 9 ? 8 : kind % 2;
     }
@@ -300,6 +342,8 @@
           TroubleServer(*servers_[index], kind == 6, Millis(span));
         });
       }
+    } else if (kind == 11) {
+      KillAll(Millis(span / 4));
     } else if (kind == 10) {
       ServerStandIn& server = *servers_[static_cast<size_t>(
           random_.Between(0, static_cast<int64_t>(servers_.size()) - 1))];
@@ -392,6 +436,18 @@
     }
   }
 
+  // Kills all gateways that have no other fault at once.
+  void KillAll(Millis down) {
+    for (const auto& gateway : gateways_) {
+      if (!gateway->busy_.exchange(true)) {
+        faults_.emplace_back([this, &gateway = *gateway, down] {
+          TroubleGateway(gateway, 2, down * 10);
+          gateway.busy_ = false;
+        });
+      }
+    }
+  }
+
   void RecordStop(Gateway& gateway) {
     const std::lock_guard<std::mutex> lock(mutex_);
     gateway.stops_.push_back(SteadyNow());
@@ -426,6 +482,10 @@
     const size_t trouble = OpenTrouble(server_troubles_);
     server.Crash();
     SleepFor(span);
+    // Some come back with another version.
+    if (span.count() % 2 == 0) {
+      server.SetVersion("v" + std::to_string(span.count() % 3));
+    }
     server.Restart();
     CloseTrouble(server_troubles_, trouble);
   }
@@ -448,16 +508,34 @@
                        });
   }
 
-  // @return the body that a whole answer to the request has.
+  // @return the body that a whole answer to the request has, with the events
+  // that its caller had received before.
   static std::string ExpectedBody(const Sent& sent) {
+    const std::string all = sent.received_ + sent.answer_.body_;
+    const size_t data = all.find("data: ");
+    const bool names_version = sent.request_.path_ == kResumePath;
+    const std::string text =
+        names_version && data != std::string::npos
+            ? all.substr(data + 6, all.find('\n', data) - data - 6)
+            : sent.request_.id_;
     std::string body;
     for (int64_t i = 1; i <= sent.events_; ++i) {
-      body +=
-          "id: " + std::to_string(i) + "\ndata: " + sent.request_.id_ + "\n\n";
+      body += "id: " + std::to_string(i) + "\ndata: " + text + "\n\n";
     }
     return sent.events_ == 0 ? sent.request_.id_ : body;
   }
 
+  // Events of two versions in one stream, also if it broke off.
+  void JudgeVersions(const Sent& sent, const std::string& seen) {
+    if (sent.request_.path_ != kResumePath || sent.answer_.status_ != 200) {
+      return;
+    }
+    const std::string all = sent.received_ + WholeEvents(sent.answer_.body_);
+    if (ExpectedBody(sent).compare(0, all.size(), all) != 0) {
+      Fail("ORDER: " + seen);
+    }
+  }
+
   void Judge() {
     for (const Sent& sent : sent_) {
       JudgeRequest(sent);
@@ -479,9 +557,13 @@
         std::to_string(answer.status_) + (answer.is_whole_ ? "" : ", cut off") +
         " after " + std::to_string(elapsed.count()) + " ms, ran " +
         std::to_string(runs) + " times";
+    JudgeVersions(sent, seen);
+    result_.taken_up_ += sent.is_take_up_ ? 1 : 0;
+    result_.gone_on_ +=
+        sent.is_take_up_ && answer.status_ == 200 && answer.is_whole_ ? 1 : 0;
     if (answer.status_ == 200 && answer.is_whole_) {
       ++result_.served_;
-      if (answer.body_ != ExpectedBody(sent)) {
+      if (sent.received_ + answer.body_ != ExpectedBody(sent)) {
         Fail("MIXED: " + seen);
       }
     } else if (answer.status_ == 503 || answer.status_ == 429) {
--- a/tests/soak/gateway_soak.h
+++ b/tests/soak/gateway_soak.h
@@ -30,6 +30,8 @@
   int requests_ = 0;
   int served_ = 0;
   int refused_ = 0;
+  int taken_up_ = 0;  // streams that broke off or that their caller left
+  int gone_on_ = 0;   // of these
   int starts_ = 0;
   int faults_ = 0;
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -39,8 +39,9 @@
     std::cout << "seed " << seed << ": " << result.requests_ << " requests, "
               << result.served_ << " served, " << result.refused_
               << " refused, " << result.starts_ << " starts, " << result.faults_
-              << " faults, " << result.violations_.size() << " violations"
-              << std::endl;
+              << " faults, " << result.taken_up_ << " take-ups, "
+              << result.gone_on_ << " went on, " << result.violations_.size()
+              << " violations" << std::endl;
     for (const std::string& violation : result.violations_) {
       std::cout << "  " << violation << "\n";
     }
