Origin log: each gateway writes its own records at once

Each gateway now writes its own behind the first event, and those that begin during a write together behind it. Nothing is chosen by address any more, so a gateway that can't reach the log stops no other's records.

origin log: a gateway writes its own records at once: new; the case of the one writer goes with it.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -152,7 +152,6 @@
     if (parts.make_origin_store_) {
       origin_log_ = std::make_unique<OriginLog>(
           io_, boot_, parts.make_origin_store_(io_), &context_.origins_,
-          [this] { return peers_ == nullptr || peers_->IsFirst(); },
           [this] { return state_.UpstreamsAge(boot_.Now()); }, &metrics_,
           &log_);
       context_.origin_log_ = origin_log_.get();
--- a/src/gateway/origin_log.cc
+++ b/src/gateway/origin_log.cc
@@ -17,16 +17,16 @@
 using policy::StreamRecord;
 using policy::VersionSets;
 
-// Interval of batches of origins.
-constexpr Millis kFlushInterval = Millis(250);
+constexpr Millis kUpdateInterval = Millis(250);
 // Gateways see a new version at the same time; the first write spares the rest
 // theirs.
 constexpr int64_t kMaxJitterMs = 40;
 constexpr Millis kRetryPause = Millis(500);
-// Batches that are read at first: with two writers, those of a stream's
-// lifetime.
+// A write takes at least so long. All gateways write to one log, one at a time.
+constexpr Millis kMinWriteTime = Millis(3);
+// Batches that are read at first: those of a stream's lifetime.
 constexpr int64_t kMaxBatches =
-    2 * (StreamOrigins::kStreamLifetime.count() / kFlushInterval.count());
+    StreamOrigins::kStreamLifetime.count() / kMinWriteTime.count();
 constexpr Bytes kMaxRead = Bytes(1 << 20);
 
 std::string FormatVersions(const VersionSets& versions) {
@@ -47,7 +47,6 @@
        Clock boot,
        OriginStore store,
        StreamOrigins* origins,
-       std::function<bool()> is_writer,
        std::function<Millis()> list_age,
        metrics::Metrics* metrics,
        DecisionLog* log)
@@ -55,24 +54,23 @@
         boot_(std::move(boot)),
         store_(std::move(store)),
         origins_(origins),
-        is_writer_(std::move(is_writer)),
         list_age_(std::move(list_age)),
         metrics_(metrics),
         log_(log),
         sync_timer_(io),
-        flush_timer_(io),
+        update_timer_(io),
         random_(std::random_device{}()) {}
 
   void Stop() {
     stopped_ = true;
     sync_timer_.cancel();
-    flush_timer_.cancel();
+    update_timer_.cancel();
   }
 
   void Update() {
     if (!started_) {
       started_ = true;
-      ScheduleFlush();
+      ScheduleUpdate();
     }
     if (!is_syncing_ && origins_->IsStoreOutdated(boot_.Now())) {
       // The first read is awaited by streams that are taken up.
@@ -92,6 +90,21 @@
     }
   }
 
+  void WriteRecords() {
+    if (stopped_ || is_appending_ || origins_->unwritten() == 0) {
+      return;
+    }
+    const std::vector<StreamRecord> records = origins_->TakeUnwritten(Now());
+    if (records.empty()) {
+      return;
+    }
+    is_appending_ = true;
+    appending_ = records;
+    metrics_->Add("bergamot_gateway_stream_origins_written", "",
+                  static_cast<int64_t>(records.size()));
+    store_.append_(EncodeOrigins(records), Guard(&Impl::OnAppended));
+  }
+
  private:
   Millis Now() const { return boot_.Now(); }
 
@@ -173,34 +186,19 @@
     Update();
   }
 
-  void ScheduleFlush() {
-    flush_timer_.expires_after(ToChrono(kFlushInterval));
-    flush_timer_.async_wait(
+  void ScheduleUpdate() {
+    update_timer_.expires_after(ToChrono(kUpdateInterval));
+    update_timer_.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (!error && !self->stopped_) {
-            self->Flush();
-            self->ScheduleFlush();
+            self->origins_->Expire(self->Now());
+            self->Update();
+            self->WriteRecords();
+            self->ScheduleUpdate();
           }
         });
   }
 
-  void Flush() {
-    origins_->Expire(Now());
-    Update();
-    if (is_appending_ || origins_->unwritten() == 0 || !is_writer_()) {
-      return;
-    }
-    const std::vector<StreamRecord> records = origins_->TakeUnwritten(Now());
-    if (records.empty()) {
-      return;
-    }
-    is_appending_ = true;
-    appending_ = records;
-    metrics_->Add("bergamot_gateway_stream_origins_written", "",
-                  static_cast<int64_t>(records.size()));
-    store_.append_(EncodeOrigins(records), Guard(&Impl::OnAppended));
-  }
-
   // Repeated records do no harm; lost ones make their streams unknown, which
   // refuses them.
   void OnAppended(Status appended) {
@@ -210,6 +208,7 @@
       OnFailure("write origins", appended.error());
     } else {
       OnSuccess();
+      WriteRecords();
     }
   }
 
@@ -352,12 +351,11 @@
   const Clock boot_;
   const OriginStore store_;
   StreamOrigins* const origins_;
-  const std::function<bool()> is_writer_;
   const std::function<Millis()> list_age_;
   metrics::Metrics* const metrics_;
   DecisionLog* const log_;
   boost::asio::steady_timer sync_timer_;
-  boost::asio::steady_timer flush_timer_;
+  boost::asio::steady_timer update_timer_;
   std::mt19937_64 random_;
   std::optional<LogEra> era_;
   std::optional<LogOffset> next_;  // of the origins; none before a read
@@ -382,7 +380,6 @@
                      Clock boot,
                      OriginStore store,
                      StreamOrigins* origins,
-                     std::function<bool()> is_writer,
                      std::function<Millis()> list_age,
                      metrics::Metrics* metrics,
                      DecisionLog* log)
@@ -390,7 +387,6 @@
                                    std::move(boot),
                                    std::move(store),
                                    origins,
-                                   std::move(is_writer),
                                    std::move(list_age),
                                    metrics,
                                    log)) {}
@@ -403,6 +399,10 @@
   impl_->Update();
 }
 
+void OriginLog::WriteRecords() {
+  impl_->WriteRecords();
+}
+
 bool OriginLog::is_lost() const {
   return impl_->is_lost();
 }
--- a/src/gateway/origin_log.h
+++ b/src/gateway/origin_log.h
@@ -64,13 +64,11 @@
 // use from the traffic thread.
 class OriginLog {
  public:
-  // @param is_writer whether this gateway writes the origins.
   // @param list_age the age of the list of upstreams.
   OriginLog(boost::asio::io_context& io,
             Clock boot,
             OriginStore store,
             policy::StreamOrigins* origins,
-            std::function<bool()> is_writer,
             std::function<Millis()> list_age,
             metrics::Metrics* metrics,
             DecisionLog* log);
@@ -81,6 +79,9 @@
   // Begins to write. Call it again when the versions may have changed.
   void Update();
 
+  // Writes new records at once, or behind a write in progress.
+  void WriteRecords();
+
   // Reads what the log has of versions and of origins of streams.
   // @param done called once, with whether the versions were read in time.
   void Refresh(std::function<void(bool is_fresh)> done);
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -125,10 +125,6 @@
         });
   }
 
-  bool IsFirst() const {
-    return peers_.empty() || own_address_ < peers_.begin()->first;
-  }
-
   policy::PeerLinkSpeeds LinksInZone(uint32_t zone_hash) const {
     policy::PeerLinkSpeeds links;
     for (const auto& [endpoint, peer] : peers_) {
@@ -377,10 +373,6 @@
   return impl_->LinksInZone(zone_hash);
 }
 
-bool Peers::IsFirst() const {
-  return impl_->IsFirst();
-}
-
 void Peers::SetSeedPeers(std::vector<udp::endpoint> seeds) {
   impl_->SetSeedPeers(std::move(seeds));
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -85,9 +85,6 @@
   // next periodic datagram. Updates in quick succession share a datagram, so
   // that a series of crashes doesn't fill the links.
   void SendUpdateSoon();
-  // @return whether no known peer has a lower address. Peers may disagree for a
-  // few seconds.
-  bool IsFirst() const;
   // @return the links of the known peers in a zone.
   policy::PeerLinkSpeeds LinksInZone(uint32_t zone_hash) const;
   void SetSeedPeers(std::vector<boost::asio::ip::udp::endpoint> seeds);
--- a/src/gateway/take_up.cc
+++ b/src/gateway/take_up.cc
@@ -80,6 +80,9 @@
   } else if (context.upstreams_.IsListed(origin.upstream_)) {
     context.origins_.OnBegun(origin.stream_, origin.origin_,
                              context.boot_.Now());
+    if (context.origin_log_ != nullptr) {
+      context.origin_log_->WriteRecords();
+    }
   }
 }
 
--- a/src/policy/stream_origins.cc
+++ b/src/policy/stream_origins.cc
@@ -102,7 +102,7 @@
   }
   for (const RequestId& id : order_) {
     const auto found = streams_.find(id);
-    if (found != streams_.end() &&
+    if (found != streams_.end() && found->second.is_own_ &&
         newly_mixed.count(found->second.origin_.group_) > 0) {
       WriteLater(id, &found->second, now);
     }
@@ -154,13 +154,6 @@
     streams_.erase(known);
   }
   MergeWritten(record, now);
-  const auto found = streams_.find(record.stream_);
-  if (found != streams_.end()) {
-    found->second.is_written_ = false;
-    if (IsMixed(record.origin_.group_)) {
-      WriteLater(record.stream_, &found->second, now);
-    }
-  }
 }
 
 void StreamOrigins::MergeWritten(const StreamRecord& record, Millis now) {
--- a/src/policy/stream_origins.h
+++ b/src/policy/stream_origins.h
@@ -75,8 +75,7 @@
   static constexpr Millis kTellTime = Millis(5'000);
   // Each record is given out for this long, as datagrams may be lost.
   static constexpr Millis kShareTime = Millis(350);
-  // Gateways that don't write to the shared log keep records for this long, as
-  // the one that does may end.
+  // Records that the shared log doesn't take are kept for this long.
   static constexpr Millis kUnwrittenLifetime = Millis(5'000);
   static constexpr size_t kMaxStreams = 100'000;
 
--- a/tests/origin_log_test.cc
+++ b/tests/origin_log_test.cc
@@ -113,14 +113,12 @@
   boost::asio::io_context io_;
   FakeStore store_{io_};
   policy::StreamOrigins origins_;
-  bool is_writer_ = true;
   metrics::Metrics metrics_;
   DecisionLog lines_{dup(STDERR_FILENO), Clock::Wall()};
   OriginLog log_{io_,
                  Clock::Boot(),
                  store_.Make(),
                  &origins_,
-                 [this] { return is_writer_; },
                  [] { return Millis(0); },
                  &metrics_,
                  &lines_};
@@ -163,19 +161,23 @@
   CHECK(bench.store_.versions_.size() == 2);
 }
 
-TEST_CASE("origin log: one gateway writes what all have told") {
+TEST_CASE("origin log: a gateway writes its own records at once") {
   LogBench bench;
-  bench.is_writer_ = false;
   bench.List({"a", "b"});
-  bench.origins_.OnBegun(RequestId("own"), Record("", "a").origin_,
-                         Clock::Boot().Now());
+  const auto begin = [&bench](const std::string& stream) {
+    bench.origins_.OnBegun(RequestId(stream), Record("", "a").origin_,
+                           Clock::Boot().Now());
+    bench.log_.WriteRecords();
+  };
+  begin("first");
+  CHECK(bench.store_.batches_.size() == 1);
+  // Behind the write in progress, these go together.
+  begin("second");
+  begin("third");
   bench.origins_.Merge(Record("peer's", "b"), Clock::Boot().Now());
   bench.Run();
-  CHECK(bench.store_.batches_.empty());
-  bench.is_writer_ = true;
-  bench.Run();
-  REQUIRE(bench.store_.batches_.size() == 1);
-  CHECK(DecodeOrigins(bench.store_.batches_[0]).value().size() == 2);
+  REQUIRE(bench.store_.batches_.size() == 2);
+  CHECK(DecodeOrigins(bench.store_.batches_[1]).value().size() == 2);
 }
 
 TEST_CASE("origin log: streams of gateways that have ended are found") {
--- a/tests/stream_origins_test.cc
+++ b/tests/stream_origins_test.cc
@@ -285,7 +285,7 @@
           origins.OnStored(stored_, now_);
         }
       }
-      if (IsWriter(*gateway) && Chance(30)) {
+      if (Chance(80)) {
         batches_.push_back({origins.TakeUnwritten(now_), now_});
       }
     }
@@ -301,13 +301,6 @@
     }
   }
 
-  bool IsWriter(const Gateway& gateway) const {
-    const auto first = std::find_if(
-        gateways_.begin(), gateways_.end(),
-        [](const Gateway& other) { return other.origins_ != nullptr; });
-    return first != gateways_.end() && &*first == &gateway;
-  }
-
   VersionSets Listed() const {
     std::set<std::string> names;
     for (const Server& server : servers_) {
