--- a/tests/stream_origins_test.cc
+++ b/tests/stream_origins_test.cc
@@ -371,7 +371,7 @@
     OriginDecision decision = Find(gateway, stream, false);
     if (decision.source_ == OriginSource::kUnknown && ReachesStore(gateway)) {
       for (const Batch& batch : batches_) {
-        for (StreamRecord record : batch.records_) {
+        for (const StreamRecord& record : batch.records_) {
           gateway.origins_->MergeWritten(record, now_);
         }
       }
