Exchange: only an upstream that was paused for its caller is watched again

A caller that can be written to again started the stall timer in any case. While a continued stream waits for its first event, or for the list of upstreams to confirm its connection, that replaced the wait by a stall. The timer now starts again only where it was stopped.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -139,7 +139,9 @@
   void OnCallerWritable() {
     if (connection_ != nullptr) {
       connection_->Resume();
-      StartStallTimer();
+      if (std::exchange(is_paused_, false)) {
+        StartStallTimer();
+      }
     }
   }
 
@@ -800,6 +802,7 @@
     const bool keep_reading = ForwardEvents(std::move(events));
     if (!keep_reading) {
       // The caller is slow, not the upstream.
+      is_paused_ = true;
       pause_timer_.Cancel();
     }
     return keep_reading;
@@ -869,8 +872,7 @@
 
   // Only upstreams of the version that sent the first event may send more.
   void ConfineToVersion() {
-    origin_version_ = choice_.version_;
-    placement_request_.version_ = origin_version_;
+    placement_request_.version_ = choice_.version_;
     if (route_->resumable_ && !is_take_up_) {
       RecordOrigin(context_, {StreamId(),
                               {group_, choice_.version_},
@@ -1145,6 +1147,7 @@
       return;
     }
     holds_upstream_ = false;
+    is_paused_ = false;
     context_.upstreams_.End(choice_, prefill_done_, outcome);
     context_.admission_.RunPassSoon();
     if (connection_ != nullptr) {
@@ -1191,7 +1194,7 @@
   Millis time_limit_;
   uint64_t digest_ = 0;
   policy::PlacementRequest placement_request_;
-  // The version that began the stream, once it is known.
+  // The version that began the stream that the request takes up.
   std::optional<SoftwareVersion> origin_version_;
   UpstreamSet::Choice choice_;
   std::vector<UpstreamKey> tried_upstreams_;
@@ -1215,6 +1218,7 @@
   policy::PrefillLimitParams admission_rule_;
   uint64_t admission_id_ = 0;
   std::optional<policy::RateQueue::Ticket> rate_ticket_;
+  bool is_paused_ = false;      // the upstream, as the caller is slow
   bool is_take_up_ = false;     // of a stream that an earlier request began
   bool retry_at_once_ = false;  // the caller can begin anew
   bool is_queued_ = false;
--- a/src/gateway/origin_log.h
+++ b/src/gateway/origin_log.h
@@ -59,9 +59,8 @@
 };
 
 // Writes versions before streams begin there, and origins of streams while
-// several versions serve. Only one gateway writes the origins of all. Reads
-// them when a stream is taken up whose origin nobody here knows. Thread safety:
-// use from the traffic thread.
+// several versions serve. Reads them when a stream is taken up whose origin
+// nobody here knows. Thread safety: use from the traffic thread.
 class OriginLog {
  public:
   // @param list_age the age of the list of upstreams.
