Stream version test: a gateway that is out of step joins no streams

Another operator saw streams joined from two versions by a gateway that stood still or was cut off while servers of a new version joined. No change of the product.

--- a/tests/process/stream_version_test.cc
+++ b/tests/process/stream_version_test.cc
@@ -2,6 +2,7 @@
 // both, and one that is taken up goes on where its version still serves.
 #include <csignal>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <set>
@@ -11,9 +12,12 @@
 #include <vector>
 
 #include <doctest/doctest.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
 
 #include "tests/support/child_process.h"
 #include "tests/support/gateway_process.h"
+#include "tests/support/relay.h"
 
 namespace bergamotscale::tests {
 namespace {
@@ -108,21 +112,63 @@
   int refused_ = 0;
 };
 
+// The path of one gateway to the store, which can be cut.
+class StorePath {
+ public:
+  explicit StorePath(const std::string& store)
+      : relay_(io_,
+               {store.substr(0, store.rfind(':')),
+                static_cast<uint16_t>(
+                    std::stoul(store.substr(store.rfind(':') + 1)))}),
+        thread_([this] { io_.run(); }) {}
+  ~StorePath() {
+    io_.stop();
+    thread_.join();
+  }
+  StorePath(const StorePath&) = delete;
+  StorePath& operator=(const StorePath&) = delete;
+
+  std::string address() const { return relay_.endpoint().ToString(); }
+  // Open connections and new ones go silent.
+  void Cut() {
+    relay_.FreezeNew(true);
+    relay_.Freeze();
+  }
+  void Heal() {
+    relay_.FreezeNew(false);
+    relay_.Cut();
+  }
+
+ private:
+  boost::asio::io_context io_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+      guard_{io_.get_executor()};
+  testing::Relay relay_;
+  std::thread thread_;
+};
+
 class VersionBench {
  public:
   // @param new_servers how many of the servers have the version "v2".
-  explicit VersionBench(int new_servers) {
+  // @param first_may_be_cut whether the first gateway has a path to the store
+  // that can be cut; the gateways then know no peers.
+  explicit VersionBench(int new_servers, bool first_may_be_cut = false) {
     store_.Put("keyed.op", "config", MakeConfig(1));
     for (int i = 0; i < kServers; ++i) {
       AddServer(i < new_servers ? "v2" : "v1");
     }
     std::string seeds;
-    for (int i = 0; i < kGateways; ++i) {
+    for (int i = 0; i < kGateways && !first_may_be_cut; ++i) {
       seeds += (i == 0 ? "\"" : ",\"") + LoopbackIp(10 + i) + ":8229\"";
     }
+    if (first_may_be_cut) {
+      first_path_ = std::make_unique<StorePath>(store_.address());
+    }
     for (int i = 0; i < kGateways; ++i) {
       gateways_.push_back(std::make_unique<GatewayProcess>(
-          folder_.File(""), LoopbackIp(10 + i), store_.address(),
+          folder_.File(""), LoopbackIp(10 + i),
+          i == 0 && first_may_be_cut ? first_path_->address()
+                                     : store_.address(),
           TemplateFields{{"seeds", "[" + seeds + "]"}}));
     }
   }
@@ -170,9 +216,11 @@
   // connection; all if zero.
   // @param stays_for how long it reads on behind them.
   // @param prefix of the ids.
+  // @param gateway where all begin; negative for each of them in turn.
   std::vector<Stream> Begin(int events,
                             Millis stays_for = Millis(0),
-                            const std::string& prefix = "s") {
+                            const std::string& prefix = "s",
+                            int gateway = -1) {
     return RunAll([&](int i, Stream* stream) {
       CallerRequest request = MakeRequest(prefix + std::to_string(i));
       if (events == 0) {
@@ -180,7 +228,8 @@
             "X-Break-After: " + std::to_string(kEventsBeforeBreak) + "\r\n";
       }
       stream->id_ = request.id_;
-      const auto wire = Wire::Open(gateways_[i % kGateways]->address());
+      const int at = gateway < 0 ? i % kGateways : gateway;
+      const auto wire = Wire::Open(gateways_[at]->address());
       if (wire == nullptr) {
         return;
       }
@@ -202,21 +251,37 @@
     SleepFor(Millis(1'500));
   }
 
-  // Takes all streams up, each at another gateway than it began at.
-  void TakeUp(std::vector<Stream>* streams) {
+  // Takes all streams up.
+  // @param gateway where; negative for another one than each began at.
+  // @param prefix of the ids.
+  void TakeUp(std::vector<Stream>* streams,
+              int gateway = -1,
+              const std::string& prefix = "t") {
     const std::vector<Stream> before = *streams;
     *streams = RunAll([&](int i, Stream* stream) {
       *stream = before[static_cast<size_t>(i)];
-      CallerRequest request = MakeRequest("t" + std::to_string(i));
+      CallerRequest request = MakeRequest(prefix + std::to_string(i));
       request.headers_ += "Last-Event-Id: " + stream->LastId() +
                           "\r\nResumes: " + stream->id_ + "\r\n";
-      const auto wire = Wire::Open(gateways_[(i + 1) % kGateways]->address());
+      const int at = gateway < 0 ? (i + 1) % kGateways : gateway;
+      const auto wire = Wire::Open(gateways_[at]->address());
       if (wire != nullptr) {
         Take(Exchange(*wire, request), stream);
       }
     });
   }
 
+  // @return how many streams have events of the version.
+  static int CountOfVersion(const std::vector<Stream>& streams,
+                            const std::string& version) {
+    return static_cast<int>(std::count_if(
+        streams.begin(), streams.end(), [&version](const Stream& stream) {
+          const auto versions = ValuesOf(stream.events_, "data: ");
+          return std::find(versions.begin(), versions.end(), version) !=
+                 versions.end();
+        }));
+  }
+
   static Counts Count(const std::vector<Stream>& streams) {
     Counts counts;
     for (const Stream& stream : streams) {
@@ -234,6 +299,9 @@
   }
 
   StoreStandIn& store() { return store_; }
+  GatewayProcess& gateway(int number) { return *gateways_[number]; }
+  // Precondition: the first gateway may be cut.
+  StorePath& first_path() { return *first_path_; }
 
  private:
   static CallerRequest MakeRequest(const std::string& id) {
@@ -295,6 +363,7 @@
 
   ScratchFolder folder_;
   StoreStandIn store_{LoopbackIp(1)};
+  std::unique_ptr<StorePath> first_path_;
   std::vector<std::unique_ptr<ServerStandIn>> servers_;
   std::vector<std::unique_ptr<GatewayProcess>> gateways_;
 };
@@ -405,5 +474,65 @@
   CHECK(VersionBench::Count(others).joined_ == 0);
 }
 
+// Takes streams up at the first gateway again and again, from the moment at
+// which it is back: refused at first, they go on in the end.
+void CheckTakeUpsOfFirst(VersionBench* bench,
+                         const std::vector<Stream>& begun) {
+  constexpr int kRounds = 10;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<Stream> streams = begun;
+    bench->TakeUp(&streams, 0, "round" + std::to_string(round) + "-");
+    const Counts counts = VersionBench::Count(streams);
+    CHECK(counts.joined_ == 0);
+    if (round == kRounds - 1) {
+      CHECK(counts.complete_ >= kStreams / 2);
+    }
+    SleepFor(Millis(400));
+  }
+}
+
+// Guards against a gateway that stood still while another version joined, and
+// whose list shows the former version only.
+TEST_CASE("stream version: a gateway that stood still joins no streams") {
+  VersionBench bench(0);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  bench.gateway(0).Signal(SIGSTOP);
+  for (int i = 0; i < kServers; ++i) {
+    bench.AddServer("v2");
+  }
+  SleepFor(kSettleTime);
+  const std::vector<Stream> begun =
+      bench.Begin(kEventsBeforeBreak, kShareTime, "s", 1);
+  CHECK(VersionBench::CountOfVersion(begun, "v2") > 0);
+  // The first take-ups wait at the gateway when it goes on.
+  std::thread thaw([&bench] {
+    SleepFor(Millis(300));
+    bench.gateway(0).Signal(SIGCONT);
+  });
+  CheckTakeUpsOfFirst(&bench, begun);
+  thaw.join();
+}
+
+// The same of a gateway that was cut off from the store and knows no peers.
+TEST_CASE("stream version: a gateway that was cut off joins no streams") {
+  VersionBench bench(0, true);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  bench.first_path().Cut();
+  for (int i = 0; i < kServers; ++i) {
+    bench.AddServer("v2");
+  }
+  SleepFor(kSettleTime);
+  const std::vector<Stream> begun =
+      bench.Begin(kEventsBeforeBreak, kShareTime, "s", 1);
+  CHECK(VersionBench::CountOfVersion(begun, "v2") > 0);
+  std::vector<Stream> during = begun;
+  bench.TakeUp(&during, 0, "during");
+  CHECK(VersionBench::Count(during).joined_ == 0);
+  bench.first_path().Heal();
+  CheckTakeUpsOfFirst(&bench, begun);
+}
+
 }  // namespace
 }  // namespace bergamotscale::tests
