Exchange: a wait for the list of upstreams has its whole time at each send

Callers of resumable streams saw them broken off when the upstream broke off or paused more than 2 s after the request was sent, although others of its version were usable. A response that goes on waits until the list of upstreams confirms the version, for at most 2 s, but those were counted from the earlier send, so that none were left. The time is counted from the begin of the wait.

--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -236,6 +236,7 @@
   Millis sent_at_;
   Millis first_byte_at_;
   Millis chosen_at_;
+  std::optional<Millis> confirmation_wait_began_;
   // How long all upstreams of the group have asked for no requests, when this
   // request last found none.
   Millis upstream_pause_;
--- a/src/gateway/exchange_sending.cc
+++ b/src/gateway/exchange_sending.cc
@@ -58,6 +58,7 @@
     WaitForConfirmation(&Exchange::SendIfAllowed);
     return;
   }
+  confirmation_wait_began_.reset();
   Send(reused_);
 }
 
--- a/src/gateway/exchange_waiting.cc
+++ b/src/gateway/exchange_waiting.cc
@@ -24,6 +24,7 @@
     WaitForConfirmation(&Exchange::FindUpstream);
     return;
   }
+  confirmation_wait_began_.reset();
   if (!ChooseUpstream()) {
     WaitForUsableUpstream();
     return;
@@ -52,8 +53,10 @@
 }
 
 void Exchange::WaitForConfirmation(void (Exchange::*act)()) {
-  if (Now() - sent_at_ > kMaxConfirmationWait &&
-      Now() - arrived_ > kMaxConfirmationWait) {
+  if (!confirmation_wait_began_.has_value()) {
+    confirmation_wait_began_ = Now();
+  }
+  if (Now() - *confirmation_wait_began_ > kMaxConfirmationWait) {
     Fail("the upstream's version is not confirmed");
     return;
   }
--- a/tests/process/stream_version_test.cc
+++ b/tests/process/stream_version_test.cc
@@ -38,8 +38,8 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 
-// Sends events that name the server's version. The header X-Break-After ends a
-// response that begins a stream after as many.
+// Sends events that name the server's version, one each X-Pace-Ms. The header
+// X-Break-After ends a response that begins a stream after as many.
 bool AnswerWithVersion(const ServerCall& call, Wire& wire) {
   const int64_t last = call.Number("X-Events", kEvents);
   const int64_t first = call.Number("Last-Event-Id", 0) + 1;
@@ -49,8 +49,9 @@
                              "Transfer-Encoding: chunked\r\n"))) {
     return false;
   }
+  const Millis pace = Millis(call.Number("X-Pace-Ms", kPace.count()));
   for (int64_t i = first; i <= end; ++i) {
-    SleepFor(kPace);
+    SleepFor(pace);
     const std::string event =
         "id: " + std::to_string(i) + "\ndata: " + call.version_ + "\n\n";
     std::ostringstream chunk;
@@ -225,7 +226,8 @@
       CallerRequest request = MakeRequest(prefix + std::to_string(i));
       if (events == 0) {
         request.headers_ +=
-            "X-Break-After: " + std::to_string(kEventsBeforeBreak) + "\r\n";
+            "X-Break-After: " + std::to_string(events_before_break_) +
+            "\r\nX-Pace-Ms: " + std::to_string(pace_.count()) + "\r\n";
       }
       stream->id_ = request.id_;
       const int at = gateway < 0 ? i % kGateways : gateway;
@@ -302,6 +304,12 @@
   GatewayProcess& gateway(int number) { return *gateways_[number]; }
   // Precondition: the first gateway may be cut.
   StorePath& first_path() { return *first_path_; }
+  // Sets the time between two events, and breaks responses off before their
+  // last event.
+  void BreakLate(Millis pace) {
+    pace_ = pace;
+    events_before_break_ = kEvents - 1;
+  }
 
  private:
   static CallerRequest MakeRequest(const std::string& id) {
@@ -364,6 +372,8 @@
   ScratchFolder folder_;
   StoreStandIn store_{LoopbackIp(1)};
   std::unique_ptr<StorePath> first_path_;
+  Millis pace_ = kPace;
+  int events_before_break_ = kEventsBeforeBreak;
   std::vector<std::unique_ptr<ServerStandIn>> servers_;
   std::vector<std::unique_ptr<GatewayProcess>> gateways_;
 };
@@ -378,6 +388,19 @@
   CHECK(counts.complete_ >= kStreams / 2);
 }
 
+// The time that a response waits for the list of upstreams was counted from its
+// first send, so that a response of more than 2 s never went on.
+TEST_CASE("stream version: a response that breaks off late continues") {
+  constexpr Millis kSlowPace = Millis(100);
+  VersionBench bench(kServers / 2);
+  REQUIRE(bench.Start());
+  SleepFor(kSettleTime);
+  bench.BreakLate(kSlowPace);
+  const Counts counts = VersionBench::Count(bench.Begin(0));
+  CHECK(counts.joined_ == 0);
+  CHECK(counts.complete_ >= kStreams / 2);
+}
+
 // A gateway took up a stream without knowing which version began it.
 TEST_CASE("stream version: another gateway takes up at the same version") {
   VersionBench bench(kServers / 2);
