Stop deadline: a request that arrives late needs its whole time

Callers that sent a stream on an open connection more than 3 s after SIGTERM saw it broken off when the process ended. Such a request was passed on if the longest of the latest 100 to 200 of its route, and a quarter more, fitted the time left. Streams have no usual length: one that is longer than those before it ran and was cut off. That hit the kind with the shortest streams, as the others never fitted.

The longest usual time still decides for requests that arrived before and were held, since a caller is better served by the likely answer than by another try elsewhere.

--- a/src/gateway/exchange_admission.cc
+++ b/src/gateway/exchange_admission.cc
@@ -101,7 +101,8 @@
 
 bool Exchange::CanEndBeforeStop() const {
   return context_.stop_.Allows(
-      context_.service_time_.LongestUsual(route_->name_), TimeLeft(), Now());
+      arrived_, context_.service_time_.LongestUsual(route_->name_), TimeLeft(),
+      Now());
 }
 
 void Exchange::FindOrigin() {
--- a/src/policy/stop_deadline.cc
+++ b/src/policy/stop_deadline.cc
@@ -14,7 +14,8 @@
   return is_stopping_ ? std::min(limit, ends_ - now) : limit;
 }
 
-bool StopDeadline::Allows(std::optional<Millis> expected,
+bool StopDeadline::Allows(Millis arrived,
+                          std::optional<Millis> expected,
                           Millis limit,
                           Millis now) const {
   if (!is_stopping_) {
@@ -24,8 +25,11 @@
   if (left <= Millis(0)) {
     return false;
   }
-  return now < listening_until_ ||
-         left >= std::min(expected.value_or(limit), limit);
+  if (now < listening_until_) {
+    return true;
+  }
+  const bool is_late = arrived >= listening_until_;
+  return left >= (is_late ? limit : std::min(expected.value_or(limit), limit));
 }
 
 }  // namespace bergamotscale::policy
--- a/src/policy/stop_deadline.h
+++ b/src/policy/stop_deadline.h
@@ -25,12 +25,17 @@
   // @return the time until the requests in progress are ended, at most `limit`.
   Millis Cap(Millis limit, Millis now) const;
 
+  // @param arrived when the request was read.
   // @param expected longest time that requests of this kind usually take, if
-  // known.
+  // known. It decides only for requests that arrived while load balancers might
+  // still send callers here: some requests take longer than any before them.
   // @param limit longest time that this request may take.
-  // @return whether a request should still be sent. Where `expected` is not
-  // known, the process must have the time for `limit`.
-  bool Allows(std::optional<Millis> expected, Millis limit, Millis now) const;
+  // @return whether a request should still be sent. Where `expected` doesn't
+  // decide, the process must have the time for `limit`.
+  bool Allows(Millis arrived,
+              std::optional<Millis> expected,
+              Millis limit,
+              Millis now) const;
 
  private:
   bool is_stopping_ = false;
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -222,5 +222,52 @@
   }
 }
 
+// A stream was passed on late in a stop, because those before it had been
+// short, and was cut off when the process ended.
+TEST_CASE("gateway stop: a stream longer than those before is not cut off") {
+  constexpr int kShort = 130;
+  constexpr int kClients = 12;
+  StopBench bench;
+  std::vector<std::thread> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.emplace_back([&, i] {
+      const auto wire = Wire::Open(bench.gateway_.address());
+      for (int k = i; k < kShort; k += kClients) {
+        Exchange(*wire, MakeStream("short" + std::to_string(k), 4));
+      }
+    });
+  }
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  clients.clear();
+  std::vector<CallerRequest> requests(kClients);
+  std::vector<CallerAnswer> answers(kClients);
+  for (int i = 0; i < kClients; ++i) {
+    const std::string number = std::to_string(i);
+    requests[i] = MakeStream("long" + number, 70);
+    clients.emplace_back([&, i, number] {
+      const auto wire = Wire::Open(bench.gateway_.address());
+      const CallerAnswer first =
+          Exchange(*wire, MakeStream("first" + number, 46 + i));
+      if (first.is_whole_ && !first.closes_) {
+        answers[i] = Exchange(*wire, requests[i]);
+      }
+    });
+  }
+  SleepFor(Millis(200));
+  bench.gateway_.Signal(SIGTERM);
+  CHECK(bench.gateway_.AwaitEnd(kGrace));
+  for (std::thread& client : clients) {
+    client.join();
+  }
+  int sent = 0;
+  for (int i = 0; i < kClients; ++i) {
+    sent += answers[i].is_sent_ ? 1 : 0;
+    bench.CheckAnswered(requests[i], answers[i]);
+  }
+  CHECK(sent > 0);
+}
+
 }  // namespace
 }  // namespace bergamotscale::tests
