--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -249,6 +249,7 @@
           random, "r" + std::to_string(number) + "-" + std::to_string(i));
       sent.gateway_ = gateway;
       sent.began_ = SteadyNow();
+      bool sends_no_more = false;
       if (random.Between(0, 9) == 0) {
         // An upload that takes a while, some until the end of a stop.
         const int64_t longest_pause = random.Between(0, 2) == 0 ? 1'900 : 200;
@@ -266,10 +267,18 @@
         if (ok) {
           sent.answer_ = ReadAnswer(*wire, sent.request_, began);
         }
+      } else if (random.Between(0, 9) == 0) {
+        sends_no_more = true;
+        const Millis began = SteadyNow();
+        if (wire->Write(sent.request_.Head() + sent.request_.body_)) {
+          wire->ShutdownSending();
+          sent.answer_ = ReadAnswer(*wire, sent.request_, began);
+        }
       } else {
         sent.answer_ = Exchange(*wire, sent.request_);
       }
-      const bool keeps = sent.answer_.is_whole_ && !sent.answer_.closes_;
+      const bool keeps =
+          sent.answer_.is_whole_ && !sent.answer_.closes_ && !sends_no_more;
       if (!keeps) {
         wire.reset();
       }
