Exchange: a stalled stream doesn't move while the process stops

A move can still end the stream: the other upstream may reject the request, and a third send then comes too late for the stop. Callers that lose patience with a silent upstream can take the stream up at another gateway.

From reading; no run has shown a stream that was lost so. The process cases "gateway stop: ..." pass.

--- a/src/gateway/exchange_stall.cc
+++ b/src/gateway/exchange_stall.cc
@@ -56,6 +56,11 @@
 }
 
 const char* Exchange::FindMoveObstacle() const {
+  // The other upstream may still reject the request, and a third send may come
+  // too late.
+  if (context_.stop_.is_stopping()) {
+    return kStopping;
+  }
   if (const char* obstacle = FindObstacle()) {
     return obstacle;
   }
