Exchange: a move ends with the stall that began it

While a stalled response connected to another upstream, its own one could break off and the request be sent again elsewhere. The connection that came then moved it a second time. A move now belongs to one stall: events, and leaving the upstream, end it. Found when the change was read again; it has no test of its own, as the connection takes about a millisecond.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -58,6 +58,7 @@
   }
   holds_upstream_ = false;
   is_paused_ = false;
+  ++stall_epoch_;
   DropMove();
   context_.upstreams_.End(choice_, prefill_done_, outcome);
   context_.admission_.RunPassSoon();
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -276,7 +276,7 @@
   int sends_ = 0;
   int executions_ = 0;  // sends that may have run
   int unreachable_ = 0;
-  int64_t progress_ = 0;  // how often events have arrived
+  int64_t stall_epoch_ = 0;  // changes when a stall ends
   policy::PrefillLimitParams admission_rule_;
   uint64_t admission_id_ = 0;
   std::optional<policy::RateQueue::Ticket> rate_ticket_;
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -111,7 +111,7 @@
   if (events.empty()) {
     return true;
   }
-  ++progress_;
+  ++stall_epoch_;
   DropMove();
   // The upstream may still crash while it sends the first event.
   if (std::exchange(has_events_, true)) {
--- a/src/gateway/exchange_stall.cc
+++ b/src/gateway/exchange_stall.cc
@@ -44,9 +44,8 @@
   context_.upstreams_.Connect(
       upstream, true,
       [self = shared_from_this(), choice,
-       progress = progress_](ConnectionResult result) {
-        if (!self->ended_ && self->holds_upstream_ &&
-            self->progress_ == progress) {
+       epoch = stall_epoch_](ConnectionResult result) {
+        if (!self->ended_ && self->stall_epoch_ == epoch) {
           self->OnMoveConnection(choice, std::move(result));
         } else if (result.connection_ != nullptr) {
           self->context_.upstreams_.ReturnConnection(
