Origin log: a log that takes no writes stays lost while it is read

While the log is lost, streams begin at versions that it doesn't name. A failed write of versions now counts until one succeeds.

Unit "origin log: a log that takes no writes stays lost when it is read" fails before and passes.

--- a/src/gateway/origin_log.cc
+++ b/src/gateway/origin_log.cc
@@ -81,7 +81,7 @@
     }
   }
 
-  bool is_lost() const { return is_lost_; }
+  bool is_lost() const { return is_lost_ || is_write_refused_; }
 
   void Refresh(std::function<void(bool)> done) {
     waiting_.push_back(std::move(done));
@@ -169,6 +169,7 @@
       // Another write moves the end of the log, so that this one fails if it is
       // carried out later.
       is_write_unsure_ = true;
+      is_write_refused_ = true;
       OnFailure("write versions", written.error());
       SyncAfter(kRetryPause);
       return;
@@ -179,6 +180,7 @@
     }
     is_syncing_ = false;
     is_write_unsure_ = false;
+    is_write_refused_ = false;
     origins_->OnStored(writing_, Now());
     metrics_->Add("bergamot_gateway_stream_version_writes");
     log_->Write(LogLine("stream_versions_written")
@@ -367,7 +369,8 @@
   Millis read_at_;  // the latest read of origins
   bool started_ = false;
   bool has_read_ = false;
-  bool is_write_unsure_ = false;  // a write may still be carried out
+  bool is_write_unsure_ = false;   // a write may still be carried out
+  bool is_write_refused_ = false;  // although the log may be read
   bool is_syncing_ = false;
   bool is_appending_ = false;
   bool is_reading_ = false;
--- a/src/gateway/origin_log.h
+++ b/src/gateway/origin_log.h
@@ -85,7 +85,8 @@
   // @param done called once, with whether the versions were read in time.
   void Refresh(std::function<void(bool is_fresh)> done);
 
-  // @return whether the log did not answer the latest call.
+  // @return whether the log did not answer the latest call, or took no versions
+  // when they were last to be written.
   bool is_lost() const;
 
  private:
--- a/tests/origin_log_test.cc
+++ b/tests/origin_log_test.cc
@@ -45,6 +45,7 @@
   int64_t first_ = 0;  // of the batches
   LogEra era_ = LogEra(1);
   bool is_away_ = false;
+  bool takes_writes_ = true;
   int changes_before_write_ = 0;  // by others
 
   template <typename T>
@@ -74,6 +75,10 @@
         --changes_before_write_;
         versions_.push_back(EncodeVersions(Versions({"other"})));
       }
+      if (!takes_writes_) {
+        Answer<bool>(std::move(done), Error(ErrorCode::kLogUnavailable));
+        return;
+      }
       const bool is_same =
           end == LogOffset(static_cast<int64_t>(versions_.size()));
       if (is_same && !is_away_) {
@@ -204,6 +209,26 @@
   CHECK(bench.Refresh("s") == OriginSource::kOnlyVersion);
 }
 
+// Each read of a log that took no writes counted as its return, so that streams
+// waited for it to name their versions.
+TEST_CASE("origin log: a log that takes no writes stays lost when it is read") {
+  LogBench bench;
+  bench.store_.takes_writes_ = false;
+  bench.List({"a"});
+  bench.Run();
+  CHECK(bench.log_.is_lost());
+  bool is_lost = false;
+  bench.log_.Refresh([&](bool is_fresh) {
+    CHECK(is_fresh);
+    is_lost = bench.log_.is_lost();
+  });
+  bench.Run();
+  CHECK(is_lost);
+  bench.store_.takes_writes_ = true;
+  bench.Run();
+  CHECK_FALSE(bench.log_.is_lost());
+}
+
 TEST_CASE("origin log: a restored log is read and completed again") {
   LogBench bench;
   bench.store_.batches_.push_back(EncodeOrigins({Record("s", "a")}));
