Stream origins: a log that doesn't name the only version proves nothing

The list showed one version, a fresh read of the log named none, and that counted as proof that no other one had been there. The log must now name the version itself, which it does within milliseconds where it takes writes; else the take-up is refused.

The unit case of a version that has left gets a log that names the one that is left, and also checks the outcome without it. Once the log takes writes again the streams are still joined: a known red of its own.

--- a/src/policy/stream_origins.cc
+++ b/src/policy/stream_origins.cc
@@ -193,7 +193,9 @@
     }
     only = &name;
   }
-  if (only != nullptr) {
+  // A log that doesn't name the version takes no writes. What came before it
+  // may then be named nowhere.
+  if (only != nullptr && IsStored({group, *only})) {
     decision.source_ = OriginSource::kOnlyVersion;
     decision.origin_ = {group, *only};
   }
--- a/src/policy/stream_origins.h
+++ b/src/policy/stream_origins.h
@@ -38,8 +38,10 @@
 };
 
 enum class OriginSource {
-  kRecorded,     // begun here, or told by a peer or the shared log
-  kOnlyVersion,  // no other version of the group can have begun it
+  kRecorded,  // begun here, or told by a peer or the shared log
+  // No other version of the group can have begun it, and the log names this
+  // one.
+  kOnlyVersion,
   kUnknown,
 };
 
--- a/tests/process/stream_version_test.cc
+++ b/tests/process/stream_version_test.cc
@@ -497,6 +497,61 @@
   CHECK(VersionBench::Count(others).joined_ == 0);
 }
 
+// Begins streams at "v1" while the log is read but takes no writes; then all
+// gateways are killed and all servers replaced by ones of "v2".
+std::vector<Stream> ReplaceUnnamedVersion(VersionBench* bench) {
+  bench->store().SetAppends(false);
+  REQUIRE(bench->Start());
+  SleepFor(kShareTime);
+  std::vector<Stream> streams = bench->Begin(kEventsBeforeBreak);
+  bench->KillAll();
+  bench->LeaveServers(0, kServers);
+  for (int i = 0; i < kServers; ++i) {
+    bench->AddServer("v2");
+  }
+  REQUIRE(bench->Start());
+  SleepFor(kShareTime);
+  return streams;
+}
+
+// Nothing named the version that began the streams, and all were joined.
+TEST_CASE("stream version: a log that takes no writes proves no version") {
+  VersionBench bench(0);
+  std::vector<Stream> streams = ReplaceUnnamedVersion(&bench);
+  CHECK(VersionBench::CountOfVersion(streams, "v1") == kStreams);
+  bench.TakeUp(&streams);
+  CHECK(VersionBench::Count(streams).joined_ == 0);
+  // What begins anew is served.
+  CHECK(VersionBench::Count(bench.Begin(0)).complete_ >= kStreams / 2);
+}
+
+// The log names the new version as soon as it takes writes again.
+TEST_CASE("stream version: a version that the log never named is not joined") {
+  VersionBench bench(0);
+  std::vector<Stream> streams = ReplaceUnnamedVersion(&bench);
+  bench.store().SetAppends(true);
+  SleepFor(kShareTime);
+  bench.TakeUp(&streams);
+  CHECK(VersionBench::Count(streams).joined_ == 0);
+}
+
+// Each read of a log that takes no writes made gateways wait for it to name the
+// versions, so that streams were refused beside free servers.
+TEST_CASE("stream version: a log that takes no writes holds up no new stream") {
+  VersionBench bench(0);
+  bench.store().SetAppends(false);
+  REQUIRE(bench.Start());
+  int begun = 0;
+  constexpr int kRounds = 5;
+  for (int round = 0; round < kRounds; ++round) {
+    const auto streams = bench.Begin(kEventsBeforeBreak, Millis(0),
+                                     "r" + std::to_string(round) + "-");
+    begun += VersionBench::CountOfVersion(streams, "v1");
+    SleepFor(Millis(100));
+  }
+  CHECK(begun == kRounds * kStreams);
+}
+
 // Takes streams up at the first gateway again and again, from the moment at
 // which it is back: refused at first, they go on in the end.
 void CheckTakeUpsOfFirst(VersionBench* bench,
--- a/tests/stream_origins_test.cc
+++ b/tests/stream_origins_test.cc
@@ -58,6 +58,9 @@
   origins.OnListed(Versions({"b"}), Millis(100));
   CHECK(SourceOf(origins, "s", Millis(200)) == OriginSource::kUnknown);
   const Millis later = StreamOrigins::kVersionLifetime + Millis(300);
+  // The log doesn't name the one that is left.
+  CHECK(SourceOf(origins, "s", later) == OriginSource::kUnknown);
+  origins.OnStored(Versions({"b"}), later);
   CHECK(SourceOf(origins, "s", later) == OriginSource::kOnlyVersion);
 }
 
