--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -274,6 +274,13 @@
           wire->ShutdownSending();
           sent.answer_ = ReadAnswer(*wire, sent.request_, began);
         }
+      } else if (random.Between(0, 11) == 0) {
+        // A caller that reads late, perhaps after its gateway has ended.
+        const Millis began = SteadyNow();
+        if (wire->Write(sent.request_.Head() + sent.request_.body_)) {
+          SleepFor(Millis(random.Between(0, 3'000)));
+          sent.answer_ = ReadAnswer(*wire, sent.request_, began);
+        }
       } else {
         sent.answer_ = Exchange(*wire, sent.request_);
       }
