Exchange: a move checks once more that its caller is there

Parity with other sends: a caller that closes its connection while its stream is silent is not served elsewhere. The line of a failed send is written in one place. No test of its own; the cases of "gateway: ..." and "gateway stop: ..." pass.

--- a/src/gateway/exchange_failure.cc
+++ b/src/gateway/exchange_failure.cc
@@ -91,6 +91,17 @@
          ChooseNextStep(failed) == NextStep::kRetry;
 }
 
+void Exchange::LogFailedSend(const char* event,
+                             const char* reason,
+                             Verdict verdict) {
+  Log(event)
+      .Add("upstream", choice_.upstream_.id_.value())
+      .Add("reason", reason)
+      .Add("status", int64_t{response_head_.status_})
+      .Add("verdict", VerdictName(verdict))
+      .Write();
+}
+
 void Exchange::HandleFailedSend(Verdict verdict,
                                 const char* reason,
                                 bool has_answer) {
@@ -99,12 +110,7 @@
   splitter_.ExtractRemainder();
   const bool retry =
       CanSendAgain(verdict) && context_.retry_budget_.TryRetry(group_, Now());
-  Log(retry ? "send_again" : "send_failed")
-      .Add("upstream", choice_.upstream_.id_.value())
-      .Add("reason", reason)
-      .Add("status", int64_t{response_head_.status_})
-      .Add("verdict", VerdictName(verdict))
-      .Write();
+  LogFailedSend(retry ? "send_again" : "send_failed", reason, verdict);
   if (retry) {
     context_.metrics_.Add("bergamot_gateway_sent_again");
     FindUpstream();
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -217,6 +217,7 @@
                    Millis sent_at);
   // @return whether the request may be sent again, but for the retry budget.
   bool CanSendAgain(Verdict verdict) const;
+  void LogFailedSend(const char* event, const char* reason, Verdict verdict);
   void HandleFailedSend(Verdict verdict, const char* reason, bool has_answer);
   // Forwards the upstream's error response unchanged.
   void ForwardUpstreamError();
--- a/src/gateway/exchange_stall.cc
+++ b/src/gateway/exchange_stall.cc
@@ -14,8 +14,6 @@
 constexpr Millis kMaxMoveWait = Millis(1'000);
 constexpr Millis kConfirmationInterval = Millis(20);
 
-constexpr char kStalled[] = "the answer stalled";
-
 }  // namespace
 
 void Exchange::StartStallTimer() {
@@ -120,6 +118,10 @@
     StayStalled(obstacle);
     return;
   }
+  if (responder_->MayHaveLeft()) {
+    StayStalled("the caller may have left");
+    return;
+  }
   UpstreamSet::Choice* const next = &move_->choice_;
   context_.upstreams_.Begin(next, placement_request_);
   const bool takes_requests = context_.upstreams_.MaySend(next);
@@ -129,12 +131,7 @@
                                : "the other upstream takes no requests");
     return;
   }
-  Log("send_again")
-      .Add("upstream", choice_.upstream_.id_.value())
-      .Add("reason", kStalled)
-      .Add("status", int64_t{response_head_.status_})
-      .Add("verdict", VerdictName(Verdict::kMayHaveExecuted))
-      .Write();
+  LogFailedSend("send_again", "the answer stalled", Verdict::kMayHaveExecuted);
   context_.metrics_.Add("bergamot_gateway_sent_again");
   Move move = std::move(*move_);
   move_.reset();
--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -229,6 +229,7 @@
   constexpr int kClients = 12;
   StopBench bench;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int i = 0; i < kClients; ++i) {
     clients.emplace_back([&, i] {
       const auto wire = Wire::Open(bench.gateway_.address());
