--- a/tests/process/gateway_stop_test.cc
+++ b/tests/process/gateway_stop_test.cc
@@ -36,6 +36,26 @@
       CHECK(answer.status_ != 503);
     }
   }
+
+  // The same of all callers, of which some must have sent a request.
+  void CheckAllAnswered(const std::vector<CallerRequest>& requests,
+                        const std::vector<CallerAnswer>& answers) {
+    int sent = 0;
+    for (size_t i = 0; i < requests.size(); ++i) {
+      sent += answers[i].is_sent_ ? 1 : 0;
+      CheckAnswered(requests[i], answers[i]);
+    }
+    CHECK(sent > 0);
+  }
+
+  // Waits for the end of the gateway, which has been signalled, and of the
+  // callers.
+  void AwaitEnd(std::vector<std::thread>* clients) {
+    CHECK(gateway_.AwaitEnd(kGrace));
+    for (std::thread& client : *clients) {
+      client.join();
+    }
+  }
 };
 
 // An order that followed a stream on its connection was passed on, ran, and was
@@ -65,16 +85,8 @@
     SleepFor(Millis(15));
   }
   bench.gateway_.Signal(SIGTERM);
-  CHECK(bench.gateway_.AwaitEnd(kGrace));
-  for (std::thread& client : clients) {
-    client.join();
-  }
-  int sent = 0;
-  for (int i = 0; i < kClients; ++i) {
-    sent += answers[i].is_sent_ ? 1 : 0;
-    bench.CheckAnswered(requests[i], answers[i]);
-  }
-  CHECK(sent > 0);
+  bench.AwaitEnd(&clients);
+  bench.CheckAllAnswered(requests, answers);
 }
 
 // Orders whose upload ended late in the grace time ran and were cut off, or got
@@ -112,10 +124,7 @@
   }
   SleepFor(stop_at - SteadyNow());
   bench.gateway_.Signal(SIGTERM);
-  CHECK(bench.gateway_.AwaitEnd(kGrace));
-  for (std::thread& client : clients) {
-    client.join();
-  }
+  bench.AwaitEnd(&clients);
   int served = 0;
   for (int i = 0; i < kUploads; ++i) {
     bench.CheckAnswered(requests[i], answers[i]);
@@ -165,10 +174,7 @@
   for (int i = 1; i <= kHeld; ++i) {
     send(i);
   }
-  CHECK(bench.gateway_.AwaitEnd(kGrace));
-  for (std::thread& client : clients) {
-    client.join();
-  }
+  bench.AwaitEnd(&clients);
   int held = 0;
   for (int i = 0; i <= kHeld; ++i) {
     CAPTURE(i);
@@ -209,10 +215,7 @@
       answers[i] = Exchange(*wire, requests[i]);
     });
   }
-  CHECK(bench.gateway_.AwaitEnd(kGrace));
-  for (std::thread& client : clients) {
-    client.join();
-  }
+  bench.AwaitEnd(&clients);
   for (int i = 0; i < kStreams; ++i) {
     CAPTURE(i);
     CHECK(answers[i].status_ == 200);
@@ -258,16 +261,8 @@
   }
   SleepFor(Millis(200));
   bench.gateway_.Signal(SIGTERM);
-  CHECK(bench.gateway_.AwaitEnd(kGrace));
-  for (std::thread& client : clients) {
-    client.join();
-  }
-  int sent = 0;
-  for (int i = 0; i < kClients; ++i) {
-    sent += answers[i].is_sent_ ? 1 : 0;
-    bench.CheckAnswered(requests[i], answers[i]);
-  }
-  CHECK(sent > 0);
+  bench.AwaitEnd(&clients);
+  bench.CheckAllAnswered(requests, answers);
 }
 
 }  // namespace
