Soak: callers that close their sending side or read late use Exchange()

Both branches wrote out what Exchange() does, but for one step between the write and the read, which it now takes as a hook. Checks and the order of random numbers are unchanged.

--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -269,18 +269,13 @@
         }
       } else if (random.Between(0, 9) == 0) {
         sends_no_more = true;
-        const Millis began = SteadyNow();
-        if (wire->Write(sent.request_.Head() + sent.request_.body_)) {
-          wire->ShutdownSending();
-          sent.answer_ = ReadAnswer(*wire, sent.request_, began);
-        }
+        sent.answer_ = Exchange(*wire, sent.request_,
+                                [&wire] { wire->ShutdownSending(); });
       } else if (random.Between(0, 11) == 0) {
         // A caller that reads late, perhaps after its gateway has ended.
-        const Millis began = SteadyNow();
-        if (wire->Write(sent.request_.Head() + sent.request_.body_)) {
+        sent.answer_ = Exchange(*wire, sent.request_, [&random] {
           SleepFor(Millis(random.Between(0, 3'000)));
-          sent.answer_ = ReadAnswer(*wire, sent.request_, began);
-        }
+        });
       } else {
         sent.answer_ = Exchange(*wire, sent.request_);
       }
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -1132,7 +1132,9 @@
   return answer;
 }
 
-CallerAnswer Exchange(Wire& wire, const CallerRequest& request) {
+CallerAnswer Exchange(Wire& wire,
+                      const CallerRequest& request,
+                      const std::function<void()>& before_reading) {
   const Millis began = SteadyNow();
   if (!wire.Write(request.Head() + request.body_)) {
     CallerAnswer answer;
@@ -1140,6 +1142,9 @@
     answer.sent_at_ = answer.ended_at_ = SteadyNow();
     return answer;
   }
+  if (before_reading) {
+    before_reading();
+  }
   return ReadAnswer(wire, request, began);
 }
 
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -377,7 +377,10 @@
                         const CallerRequest& request,
                         Millis last_write_began);
 // Sends the request and reads its answer.
-CallerAnswer Exchange(Wire& wire, const CallerRequest& request);
+// @param before_reading called once the request is written; may be empty.
+CallerAnswer Exchange(Wire& wire,
+                      const CallerRequest& request,
+                      const std::function<void()>& before_reading = {});
 
 // @return a configuration with the routes "/stream/", "/resume/" (service
 // "llm"), "/order/" and "/read/" (service "app") of host "h.example", and the
