--- a/review/second/case_support.h
+++ b/review/second/case_support.h
@@ -71,6 +71,8 @@
   // Between the first bytes of a request and its first event.
   Millis first_ = Millis(40);
   size_t event_bytes_ = 55;
+  // How fast it reads the body of a request; zero: as fast as it can.
+  size_t bytes_per_second_ = 0;
 };
 
 // A request as an engine got it.
@@ -124,6 +126,11 @@
         runs_.begin(), runs_.end(),
         [&](const std::string& id) { return id.rfind(prefix, 0) == 0; }));
   }
+  // @return whether the head of the request has arrived.
+  bool HasReceived(const std::string& id) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return received_.count(id) > 0;
+  }
   // @return all runs so far.
   std::vector<EngineRun> AllRuns() {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -150,10 +157,14 @@
     std::string head;
     while (wire.ReadHead(&head)) {
       const std::string id = HeaderOf(head, "X-Bergamotscale-Request-Id");
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        received_.insert(id);
+      }
       std::string body;
       const auto length = static_cast<size_t>(
           std::strtoll(HeaderOf(head, "Content-Length").c_str(), nullptr, 10));
-      if (!wire.ReadExactly(length, &body)) {
+      if (!ReadBody(wire, length, &body)) {
         return;
       }
       const std::string names = "X-Bergamotscale-Request-Id: " + id + "\r\n";
@@ -176,6 +187,23 @@
     }
   }
 
+  bool ReadBody(Wire& wire, size_t length, std::string* body) {
+    if (options_.bytes_per_second_ == 0) {
+      return wire.ReadExactly(length, body);
+    }
+    constexpr size_t kSteps = 10;  // a second
+    const size_t step = options_.bytes_per_second_ / kSteps;
+    while (body->size() < length) {
+      SleepFor(Millis(1'000 / kSteps));
+      std::string part;
+      if (!wire.ReadExactly(std::min(step, length - body->size()), &part)) {
+        return false;
+      }
+      *body += part;
+    }
+    return true;
+  }
+
   bool Enter() {
     const std::lock_guard<std::mutex> lock(mutex_);
     if (active_ >= options_.slots_ + options_.queue_) {
@@ -302,6 +330,7 @@
   int running_ = 0;  // in a slot
   std::multiset<std::string> runs_;
   std::vector<EngineRun> all_runs_;
+  std::set<std::string> received_;  // requests whose head arrived
   Millis paused_until_;
   int64_t born_ = 0;
   int64_t seq_ = 0;
