--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 
-program=target/review/slow_engines
+program=target/review/slow_reader
 record=review/9/record.txt
 if [ ! -x "$program" ] || [ ! -x target/bin/bergamot_gateway ]; then
   echo "build the deploy file and run review/build-2.sh first" >&2
@@ -17,7 +17,7 @@
 wait "$group"
 result=$?
 kill -KILL -- "-$group" 2>/dev/null
-grep "peak of the gateway" "$record" || tail -n 1 "$record"
+grep "streams:" "$record" || tail -n 1 "$record"
 case "$result" in
   0 | 1) exit "$result" ;;
   *) exit 2 ;;
