--- a/review/second/slow_engines.cc
+++ b/review/second/slow_engines.cc
@@ -18,7 +18,8 @@
 constexpr size_t kBody = 4'000'000;
 constexpr int kEvents = 24;
 constexpr int64_t kMemoryMb = 260;
-constexpr int64_t kBytesPerMb = 1'000'000;
+// The larger reading of the limit.
+constexpr int64_t kBytesPerMb = 1'048'576;
 // What a slow engine reads of a request in a second.
 constexpr size_t kBytesPerSecond = 500'000;
 
