Exchange: a send uses the caller's whole body or does not happen

Cause: memory for a request that an upstream has is given up by dropping its body, and "there was a send, and there is a connection" was taken for that. A resumed request also holds a connection while it waits for the list of upstreams to confirm it; the body was dropped then, and the send wrote an empty one.

Change: RequestBody owns the body and yields the whole of it or nothing. in_flight_ is set by the send itself; memory that is given up at any other time ends the request. What is given up first follows from what it costs the caller: copies for a further send, then requests not sent, then interrupted streams; less urgent requests first. The lines `send` (body_bytes) and `request_body_released` tell it.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -16,6 +16,7 @@
       number_(++context.num_calls_),
       arrived_(context.boot_.Now()),
       info_(context.header_codec_.decode_request_(call_)),
+      request_body_(std::move(call_.body_)),
       shared_parts_(ListSharedParts(info_.prompt_)),
       deadline_timer_(context.io_.get_executor()),
       pause_timer_(context.io_.get_executor()) {}
@@ -57,6 +58,8 @@
     return;
   }
   holds_upstream_ = false;
+  in_flight_ = false;
+  UpdateRequestUse();
   is_paused_ = false;
   ++stall_epoch_;
   DropMove();
--- a/src/gateway/exchange_admission.cc
+++ b/src/gateway/exchange_admission.cc
@@ -15,8 +15,6 @@
 constexpr int kStatusUnauthorized = 401;
 constexpr int kStatusNotFound = 404;
 
-constexpr char kNoMemory[] = "no memory for the request";
-
 }  // namespace
 
 void Exchange::Start() {
@@ -24,7 +22,8 @@
   context_.end_exchange_[number_] = [self = shared_from_this()] {
     self->Fail(kStopping);
   };
-  context_.link_budget_.RecordReceived(RequestBytes() + kHeaderBytes, Now());
+  context_.link_budget_.RecordReceived(request_body_.size() + kHeaderBytes,
+                                       Now());
   if (info_.id_.empty()) {
     Reject(kStatusBadRequest, "no request id", false);
     return;
@@ -45,7 +44,8 @@
   time_limit_ = info_.patience_ > Millis(0)
                     ? std::min(info_.patience_, route_->timeout_)
                     : route_->timeout_;
-  digest_ = policy::ComputeDigest(call_.target_, info_.key_ + call_.body_);
+  digest_ =
+      policy::ComputeDigest(call_.target_, info_.key_ + *request_body_.bytes());
   if (const char* reason = FindQuarantine()) {
     Reject(kStatusUnavailable, reason, true);
     return;
@@ -154,26 +154,41 @@
     request_account_.emplace(
         *context_.buffers_, policy::BufferUse::kRequest,
         GiveUpHook([](Exchange& self) { self.OnRequestGivenUp(); }));
-    request_account_->SetSize(call_.body_.size() + call_.headers_.MemorySize());
+    const route::UrgencyLevel urgency = table_->FindUrgency(rank_);
+    request_account_->SetUrgency(urgency.level_, urgency.levels_);
+    request_account_->SetSize(
+        static_cast<size_t>(request_body_.size().count()) +
+        call_.headers_.MemorySize());
   }
 }
 
-void Exchange::OnRequestGivenUp() {
-  if (sends_ > 0 && connection_ != nullptr) {
-    DropRequestBody();
+void Exchange::UpdateRequestUse() {
+  if (!request_account_.has_value()) {
+    return;
+  }
+  if (in_flight_) {
+    request_account_->SetUse(route_->resumable_
+                                 ? policy::BufferUse::kResumableCopy
+                                 : policy::BufferUse::kRetryCopy);
   } else {
-    Fail(kNoMemory);
+    request_account_->SetUse(response_started_
+                                 ? policy::BufferUse::kInterruptedRequest
+                                 : policy::BufferUse::kRequest);
   }
 }
 
-void Exchange::DropRequestBody() {
-  request_dropped_ = true;
-  std::string().swap(call_.body_);
+void Exchange::OnRequestGivenUp() {
+  if (!in_flight_) {
+    Fail(kNoMemory);
+    return;
+  }
+  Log("request_body_released")
+      .Add("reason", kNoMemory)
+      .Add("bytes", request_body_.size().count())
+      .Add("upstream", choice_.upstream_.id_.value())
+      .Write();
+  request_body_.Release();
   request_account_.reset();
 }
 
-Bytes Exchange::RequestBytes() const {
-  return Bytes(static_cast<int64_t>(call_.body_.size()));
-}
-
 }  // namespace bergamotscale::gateway
--- a/src/gateway/exchange_failure.cc
+++ b/src/gateway/exchange_failure.cc
@@ -86,7 +86,8 @@
   failed.sends_ = sends_;
   failed.time_left_ = TimeLeft();
   const bool can_resume =
-      (!response_started_ || !splitter_.last_id().empty()) && !request_dropped_;
+      (!response_started_ || !splitter_.last_id().empty()) &&
+      request_body_.is_kept();
   return !caller_left_ && can_resume && FindQuarantine() == nullptr &&
          ChooseNextStep(failed) == NextStep::kRetry;
 }
@@ -131,8 +132,7 @@
 }
 
 void Exchange::Fail(const char* reason) {
-  const bool is_sending =
-      holds_upstream_ && connection_ != nullptr && sends_ > 0;
+  const bool was_in_flight = in_flight_;
   if (holds_upstream_) {
     ReleaseUpstream(CallOutcome::kCancelled);
   }
@@ -143,7 +143,7 @@
     responder_->Abort();
     End();
   } else if (may_have_run) {
-    const bool timed_out = is_sending && TimeLeft() <= Millis(0);
+    const bool timed_out = was_in_flight && TimeLeft() <= Millis(0);
     Reject(timed_out ? kStatusGatewayTimeout : kStatusBadGateway, reason,
            false);
   } else {
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -15,6 +15,7 @@
 
 #include "src/gateway/event_splitter.h"
 #include "src/gateway/exchange.h"
+#include "src/gateway/request_body.h"
 #include "src/gateway/retry_rule.h"
 #include "src/gateway/take_up.h"
 #include "src/policy/admission_queue.h"
@@ -39,6 +40,7 @@
   // Approximate size of a request's headers on the link.
   static constexpr Bytes kHeaderBytes = Bytes(600);
   static constexpr char kStopping[] = "this gateway is stopping";
+  static constexpr char kNoMemory[] = "no memory for the request";
 
   // A log line with the fields that all lines of this request have.
   class RequestLine {
@@ -102,10 +104,10 @@
   void OnOrigin(const TakeUpOutcome& outcome);
   void BeginPlacement();
   void OpenRequestAccount();
-  // A request that is being served does without the copy for a retry.
+  // Tells the account what giving up the body would cost the caller.
+  void UpdateRequestUse();
+  // A request in flight does without the copy for a further send.
   void OnRequestGivenUp();
-  void DropRequestBody();
-  Bytes RequestBytes() const;
 
   // exchange_waiting.cc: until there is an upstream to send to.
 
@@ -243,6 +245,7 @@
   const int64_t number_;
   const Millis arrived_;
   const RequestInfo info_;
+  RequestBody request_body_;
   const std::vector<uint64_t> shared_parts_;
   web::OneShotTimer deadline_timer_;
   web::OneShotTimer pause_timer_;
@@ -287,12 +290,13 @@
   bool is_queued_ = false;
   bool wait_logged_ = false;  // whether the wait for an upstream is logged
   bool holds_upstream_ = false;
+  // An upstream has, or is being sent, the request, and may still answer it.
+  bool in_flight_ = false;
   bool prefill_done_ = false;
   bool response_started_ = false;
   bool reused_ = false;       // the connection of the latest send
   bool has_events_ = false;   // of the latest send
   bool is_answered_ = false;  // the upstream of the latest send has answered
-  bool request_dropped_ = false;  // the copy of its body for a retry
   bool was_suspect_ = false;
   bool is_run_counted_ = false;
   bool caller_left_ = false;
--- a/src/gateway/exchange_sending.cc
+++ b/src/gateway/exchange_sending.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/exchange_impl.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -126,6 +127,13 @@
 }
 
 void Exchange::Send(bool reused) {
+  const bool may_retry = sends_ + 1 < kMaxSends;
+  std::optional<std::string> body =
+      may_retry ? request_body_.bytes() : request_body_.Take();
+  if (!body.has_value()) {
+    Fail(kNoMemory);
+    return;
+  }
   ForwardInfo info;
   info.time_left_ = context_.stop_.Cap(TimeLeft(), Now());
   info.upstream_ = choice_.upstream_.id_;
@@ -137,8 +145,7 @@
   outgoing.target_ = call_.target_;
   outgoing.headers_ =
       context_.header_codec_.encode_headers_(call_.headers_, info);
-  const bool may_retry = sends_ + 1 < kMaxSends;
-  outgoing.body_ = may_retry ? call_.body_ : std::move(call_.body_);
+  outgoing.body_ = *std::move(body);
   if (!may_retry) {
     request_account_.reset();
   }
@@ -156,6 +163,7 @@
       .Add("send", int64_t{sends_})
       .Add("may_repeat", int64_t{route_->is_retryable() ? 1 : 0})
       .Add("reused", int64_t{reused ? 1 : 0})
+      .Add("body_bytes", request_body_.size().count())
       .Add("urgency", int64_t{info.urgency_.level_})
       .Add("running", int64_t{choice_.running_})
       .Add("unread_ahead", static_cast<int64_t>(choice_.unread_ahead_))
@@ -171,6 +179,8 @@
   reused_ = reused;
   has_events_ = false;
   is_answered_ = false;
+  in_flight_ = true;
+  UpdateRequestUse();
   connection_->Send(std::move(outgoing), Hooks());
 }
 
--- a/src/gateway/exchange_waiting.cc
+++ b/src/gateway/exchange_waiting.cc
@@ -78,7 +78,7 @@
 }
 
 bool Exchange::LinkHasCapacity() const {
-  return context_.link_budget_.HasRoom(RequestBytes(), Now());
+  return context_.link_budget_.HasRoom(request_body_.size(), Now());
 }
 
 bool Exchange::EngineHasCapacity(const UpstreamSet::Choice& choice) const {
--- a/src/policy/buffer_budget.cc
+++ b/src/policy/buffer_budget.cc
@@ -5,15 +5,22 @@
 namespace bergamotscale::policy {
 namespace {
 
-size_t Weight(BufferUse use) {
+// @return how much a byte weighs at the highest urgency.
+double Weight(BufferUse use) {
   switch (use) {
     case BufferUse::kUnboundedResponse:
       return 4;
+    case BufferUse::kRetryCopy:
+      return 3;
+    case BufferUse::kResumableCopy:
+      return 2.5;
     case BufferUse::kResponse:
     case BufferUse::kOutput:
       return 2;
     case BufferUse::kRequest:
       return 1;
+    case BufferUse::kInterruptedRequest:
+      return 0.4;
   }
   return 1;
 }
@@ -30,6 +37,12 @@
       return "output";
     case BufferUse::kRequest:
       return "request";
+    case BufferUse::kRetryCopy:
+      return "retry_copy";
+    case BufferUse::kResumableCopy:
+      return "resumable_copy";
+    case BufferUse::kInterruptedRequest:
+      return "interrupted_request";
   }
   return "";
 }
@@ -40,7 +53,7 @@
     : budget_(budget),
       buffer_(budget.buffers_.insert(
           budget.buffers_.end(),
-          Buffer{use, 0, false, std::move(on_give_up)})) {}
+          Buffer{use, 0, 1, false, std::move(on_give_up)})) {}
 
 BufferBudget::Account::~Account() {
   budget_.SetSize(*buffer_, 0);
@@ -51,6 +64,10 @@
   budget_.SetSize(*buffer_, size);
 }
 
+void BufferBudget::Account::SetUrgency(int level, int levels) {
+  buffer_->slack_ = levels > 1 ? static_cast<double>(level) / (levels - 1) : 0;
+}
+
 void BufferBudget::SetSize(Buffer& buffer, size_t size) {
   const bool grows = size > buffer.size_;
   if (!buffer.given_up_) {
@@ -68,10 +85,12 @@
 
 void BufferBudget::GiveUpHeaviest() {
   Buffer* heaviest = nullptr;
-  size_t most = 0;
+  double most = 0;
   for (Buffer& buffer : buffers_) {
-    const size_t weight =
-        buffer.given_up_ ? 0 : buffer.size_ * Weight(buffer.use_);
+    const double weight = buffer.given_up_
+                              ? 0
+                              : static_cast<double>(buffer.size_) *
+                                    Weight(buffer.use_) * (1 + buffer.slack_);
     if (weight > most) {
       most = weight;
       heaviest = &buffer;
--- a/src/policy/buffer_budget.h
+++ b/src/policy/buffer_budget.h
@@ -17,6 +17,12 @@
   kResponse,           // of an upstream that announced a length
   kOutput,             // for a caller that hasn't read it yet
   kRequest,            // of a caller
+  // Of a request that an upstream has: a further send would need it.
+  kRetryCopy,
+  // The same, of a stream that another upstream can continue.
+  kResumableCopy,
+  // Of a stream that has begun and waits for another upstream.
+  kInterruptedRequest,
 };
 
 // @return the use as it is logged and counted.
@@ -25,8 +31,11 @@
 // Limits on single requests don't bound the memory of the process: a hundred
 // upstreams that sent without end at once, each within the limit of a response,
 // used up all of it. When the buffers together exceed the limit, the one that
-// weighs most is given up: a response without a length weighs four times its
-// size, a request just its size, so that small and sound ones come last.
+// weighs most is given up: a response without a length weighs four times as
+// much as a request of its size, so that small and sound ones come last. Of
+// requests, copies for a further send go first, as most requests need none;
+// those of resumable streams go behind others, and less urgent requests before
+// more urgent ones.
 // Thread safety: none.
 class BufferBudget {
  public:
@@ -39,6 +48,8 @@
   struct Buffer {
     BufferUse use_;
     size_t size_ = 0;
+    // From 0 for the most to 1 for the least urgent; 1 if unknown.
+    double slack_ = 1;
     bool given_up_ = false;
     std::function<void()> on_give_up_;
   };
@@ -59,6 +70,9 @@
 
     void SetSize(size_t size);
     void SetUse(BufferUse use) { buffer_->use_ = use; }
+    // @param level of the request, of so many levels; 0 is the most urgent. A
+    // buffer without an urgency counts as the least urgent one.
+    void SetUrgency(int level, int levels);
 
    private:
     BufferBudget& budget_;
--- a/tests/buffer_budget_test.cc
+++ b/tests/buffer_budget_test.cc
@@ -18,12 +18,20 @@
 struct Buffers {
   explicit Buffers(Bytes limit) : budget_(limit) {}
 
-  void Set(const std::string& name, BufferUse use, size_t size) {
+  // @param level of two, 0 is the more urgent one; unknown if negative.
+  void Set(const std::string& name,
+           BufferUse use,
+           size_t size,
+           int level = -1) {
     auto& account = accounts_[name];
     if (account == nullptr) {
       account = std::make_unique<BufferBudget::Account>(
           budget_, use, [this, name] { given_up_.push_back(name); });
     }
+    account->SetUse(use);
+    if (level >= 0) {
+      account->SetUrgency(level, 2);
+    }
     account->SetSize(size);
   }
 
@@ -82,6 +90,36 @@
   CHECK(buffers.budget_.held() == 0);
 }
 
+// All of them were given up by size alone: memory that retries had needed was
+// kept, and streams that an upstream had left were broken off.
+TEST_CASE("buffer budget: urgent and resumable requests go last") {
+  Buffers buffers(Bytes{7 * kMegabyte});
+  buffers.Set("interrupted", BufferUse::kInterruptedRequest, kMegabyte, 1);
+  buffers.Set("waiting urgent", BufferUse::kRequest, kMegabyte, 0);
+  buffers.Set("waiting", BufferUse::kRequest, kMegabyte, 1);
+  buffers.Set("resumable urgent", BufferUse::kResumableCopy, kMegabyte, 0);
+  buffers.Set("resumable", BufferUse::kResumableCopy, kMegabyte, 1);
+  buffers.Set("copy urgent", BufferUse::kRetryCopy, kMegabyte, 0);
+  buffers.Set("copy", BufferUse::kRetryCopy, kMegabyte, 1);
+  for (int i = 0; i < 7; ++i) {
+    buffers.Set("more" + std::to_string(i), BufferUse::kInterruptedRequest,
+                kMegabyte, 0);
+  }
+  const std::vector<std::string> order = {
+      "copy",    "resumable",      "copy urgent", "resumable urgent",
+      "waiting", "waiting urgent", "interrupted"};
+  CHECK(buffers.given_up_ == order);
+}
+
+// A caller that has not sent its whole request has no known urgency.
+TEST_CASE("buffer budget: unfinished requests go before known ones") {
+  Buffers buffers(Bytes{10 * kMegabyte});
+  buffers.Set("known", BufferUse::kRequest, 4 * kMegabyte, 0);
+  buffers.Set("unfinished", BufferUse::kRequest, 3 * kMegabyte);
+  buffers.Set("more", BufferUse::kRequest, 4 * kMegabyte, 0);
+  CHECK(buffers.given_up_ == std::vector<std::string>{"unfinished"});
+}
+
 TEST_CASE("buffer budget: without a limit nothing is given up") {
   Buffers buffers(Bytes{0});
   buffers.Set("a", BufferUse::kUnboundedResponse, 1'000 * kMegabyte);
