Exchange: a request that looks for its stream counts toward the memory

A gateway whose log of origins was silent held the bodies of take-ups without counting them, so nothing bounded them.

Cause: the account of a request was opened in BeginPlacement(), which a take-up reaches only once its origin is known. Change: it is opened before.

Evidence: "request body: a request that looks for its stream counts" failed on the code before (0 bytes counted of 3,000,000) and passes.

--- a/src/gateway/exchange_admission.cc
+++ b/src/gateway/exchange_admission.cc
@@ -58,6 +58,7 @@
       route_->kind_ == CallKind::kStream && !info_.last_event_id_.empty();
   group_ = route::ChooseGroup(*route_, StreamId().value());
   StartDeadline();
+  OpenRequestAccount();
   if (is_take_up_) {
     FindOrigin();
   } else {
@@ -144,7 +145,6 @@
     }
   }
   splitter_.set_last_id(info_.last_event_id_);
-  OpenRequestAccount();
   context_.retry_budget_.OnRequest(group_, Now());
   FindUpstream();
 }
--- a/tests/request_body_test.cc
+++ b/tests/request_body_test.cc
@@ -2,6 +2,7 @@
 #include "src/gateway/request_body.h"
 
 #include <chrono>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 
 #include <doctest/doctest.h>
 
+#include "src/gateway/origin_log.h"
 #include "src/policy/buffer_budget.h"
 #include "tests/support/gateway_bench.h"
 #include "tests/support/raw_caller.h"
@@ -247,6 +249,42 @@
   CHECK(first.bodies().size() + second.bodies().size() == 1);
 }
 
+// The body counted only once the origin of the stream was known.
+TEST_CASE("request body: a request that looks for its stream counts") {
+  BodyServer server(SendsRest);
+  ShortOfMemory system;
+  system.bench_.SetUpstreams({server.url()});
+  // A log that never answers.
+  gateway::OriginStore store;
+  store.read_versions_ = [](auto) {};
+  store.read_fresh_versions_ = [](auto) {};
+  store.write_versions_ = [](auto, auto, auto) {};
+  store.append_ = [](auto, auto) {};
+  store.read_ = [](auto, auto, auto) {};
+  std::unique_ptr<gateway::OriginLog> log;
+  gateway::ExchangeContext& context = system.bench_.context();
+  system.bench_.Do([&] {
+    log = std::make_unique<gateway::OriginLog>(
+        context.io_, Clock::Boot(), store, &context.origins_,
+        [] { return Millis(0); }, &context.metrics_, &context.log_);
+    context.origin_log_ = log.get();
+  });
+  RawCaller caller(system.bench_.port());
+  REQUIRE(caller.Send(
+      GatewayBench::Request("/resume/1", "Last-Event-Id: 1\r\n", MakeBody())));
+  Pause(Millis(300));
+  size_t held = 0;
+  system.bench_.Do([&] { held = system.budget_.held(); });
+  CHECK(held >= kBody);
+  system.GiveUpBody();
+  CHECK(caller.ReadUntil("\r\n\r\n").find("HTTP/1.1 503") == 0);
+  CHECK(server.bodies().empty());
+  system.bench_.Do([&] {
+    context.origin_log_ = nullptr;
+    log.reset();
+  });
+}
+
 TEST_CASE("request body: a released body is no empty one") {
   gateway::RequestBody body("prompt");
   CHECK(body.bytes() == "prompt");
