Caller session: an answer is answered once its caller has confirmed it

The log said `answered`, and the metric counted it, when an upstream had finished its response.

Change: a session counts the bytes that it gave to the system and learns every 200 ms, while there may be any, which of them are unconfirmed. It tells the exchange the outcome of each response: `answered` once the last byte is confirmed or the connection is closed in order, else `answer_lost` with the reason. A connection that is to be closed waits for the confirmation.

--- a/src/gateway/decision_history.cc
+++ b/src/gateway/decision_history.cc
@@ -172,7 +172,8 @@
         AddFinding(DecisionRule::kFalseNotExecuted, call->request_);
       }
       End(call);
-    } else if (event == "answered" || event == "answer_broken_off") {
+    } else if (event == "answered" || event == "answer_lost" ||
+               event == "answer_broken_off") {
       End(call);
     }
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -45,6 +45,25 @@
   }
 }
 
+void Exchange::OnResponseSettled(const char* loss) {
+  if (!is_served_) {
+    return;
+  }
+  RequestLine line = Log(loss == nullptr ? "answered" : "answer_lost");
+  if (loss != nullptr) {
+    line.Add("reason", loss);
+  }
+  line.Add("route", route_->name_)
+      .Add("status", int64_t{response_head_.status_})
+      .Add("upstream", choice_.upstream_.id_.value())
+      .Add("sends", int64_t{sends_})
+      .Add("first_byte_ms", (first_byte_at_ - arrived_).count())
+      .Add("served_ms", (served_at_ - arrived_).count())
+      .Write();
+  context_.metrics_.Add(loss == nullptr ? "bergamot_gateway_answered"
+                                        : "bergamot_gateway_answers_lost");
+}
+
 void Exchange::StartDeadline() {
   deadline_timer_.StartDeadlineTimer(time_limit_, [self = shared_from_this()] {
     if (!self->ended_) {
@@ -115,6 +134,9 @@
   web::CallerHooks hooks;
   hooks.on_disconnect_ = [exchange] { exchange->OnCallerLeft(); };
   hooks.on_writable_ = [exchange] { exchange->OnCallerWritable(); };
+  hooks.on_settled_ = [exchange](const char* loss) {
+    exchange->OnResponseSettled(loss);
+  };
   return hooks;
 }
 
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -34,6 +34,8 @@
   void Start();
   void OnCallerLeft();
   void OnCallerWritable();
+  // @param loss why the caller did not get the response; null if it did.
+  void OnResponseSettled(const char* loss);
 
  private:
   static constexpr int kStatusUnavailable = 503;
@@ -280,6 +282,7 @@
   int sends_ = 0;
   int executions_ = 0;  // sends that may have run
   int unreachable_ = 0;
+  Millis served_at_;
   int64_t stall_epoch_ = 0;  // changes when a stall ends
   policy::PrefillLimitParams admission_rule_;
   uint64_t admission_id_ = 0;
@@ -299,6 +302,7 @@
   bool is_answered_ = false;  // the upstream of the latest send has answered
   bool was_suspect_ = false;
   bool is_run_counted_ = false;
+  bool is_served_ = false;  // with an upstream's whole response
   bool caller_left_ = false;
   bool ended_ = false;
 };
--- a/src/gateway/exchange_response.cc
+++ b/src/gateway/exchange_response.cc
@@ -238,17 +238,13 @@
   RecordAnswered();
   RecordCompletion();
   context_.service_time_.OnServed(route_->name_, Now() - sent_at_);
-  Log("answered")
-      .Add("route", route_->name_)
-      .Add("status", int64_t{response_head_.status_})
-      .Add("upstream", choice_.upstream_.id_.value())
-      .Add("sends", int64_t{sends_})
-      .Add("first_byte_ms", (first_byte_at_ - arrived_).count())
-      .Write();
-  context_.metrics_.Add("bergamot_gateway_answered");
+  is_served_ = true;
+  served_at_ = Now();
   context_.metrics_.Observe("bergamot_gateway_answer_ms", route_->name_,
                             static_cast<double>((Now() - arrived_).count()));
-  if (!caller_left_) {
+  if (caller_left_) {
+    OnResponseSettled("the caller has left");
+  } else {
     if (IsStreamed()) {
       const std::string rest = splitter_.ExtractRemainder();
       if (!response_started_ || !rest.empty()) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -300,6 +300,7 @@
       (since >= kAcceptWhileStopping || is_ending) && callers_.sessions() == 0;
   if (idle || may_exit) {
     sessions_cut_ = callers_.sessions();
+    callers_.CutOff();
     io_.stop();
     return;
   }
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -41,6 +42,9 @@
 // Time for which input is still read after a rejection, so that closing the
 // socket does not reset the connection before the caller has read the response.
 constexpr Millis kLingerTime = Millis(1'000);
+// How often a session that is to be closed checks whether the caller has
+// confirmed the response.
+constexpr Millis kConfirmationCheckInterval = Millis(50);
 // Limit of the input that is discarded from a rejected caller.
 constexpr size_t kMaxLingerBytes = size_t{8} << 20;
 constexpr int64_t kMillisPerSecond = 1000;
@@ -62,6 +66,11 @@
 // A rejected caller whose fields take more memory is closed at once.
 constexpr size_t kMaxLingeringFields = size_t{32} << 10;
 constexpr char kNoMemory[] = "no memory for the request";
+// Why a caller did not get its response.
+constexpr char kNoMemoryForOutput[] = "no memory for the unread response";
+constexpr char kGaveWay[] = "other connections waited";
+constexpr char kBrokenConnection[] = "the connection broke";
+constexpr char kProcessEnds[] = "the process ends";
 
 // Keeps the memory of a small buffer for the next use.
 void ReleaseBuffer(std::string* buffer) {
@@ -104,23 +113,34 @@
   }
 
   void CloseIfIdle() {
-    if (awaiting_request_ && buffer_.size() == 0 && !HasUnread()) {
+    if (!awaiting_request_ || buffer_.size() > 0 || HasUnread()) {
+      return;
+    }
+    SettleConfirmed();
+    if (unsettled_.empty()) {
       Close();
+    } else {
+      Linger();
     }
   }
 
   void RejectUnread() { RejectIfReading("the process is stopping"); }
 
-  void CountHeld() {
+  void Inspect() {
     if (closed_) {
       return;
     }
     CountRequest(RequestSize() + UnreadBehind());
-    if (writing_) {
-      CountOutput(output_size_, UnconfirmedOutput(socket_));
+    if (has_output_) {
+      InspectOutput();
     }
   }
 
+  void CutOff() {
+    loss_ = kProcessEnds;
+    Close();
+  }
+
   std::optional<policy::WaitingSession> Waiting() const {
     using policy::SessionWait;
     if (closed_ || (in_call_ && !(responded_ && writing_)) ||
@@ -147,6 +167,7 @@
       hooks_.on_gave_way_(waiting->wait_);
     }
     resets_on_close_ = in_call_;
+    loss_ = kGaveWay;
     Close();
   }
 
@@ -237,6 +258,12 @@
  private:
   class CallResponder;
 
+  // A response that was written.
+  struct UnsettledResponse {
+    uint64_t end_ = 0;  // how many bytes the system has taken with it
+    std::function<void(const char* loss)> on_settled_;
+  };
+
   // @return a hook that acts later, as accounts must not change in it.
   std::function<void()> GiveUpHook(void (Impl::*act)()) {
     return [weak = weak_from_this(), act] {
@@ -270,6 +297,65 @@
   void SetResponded() {
     responded_ = true;
     waits_since_ = boot_.Now();
+    on_settled_ = std::move(caller_hooks_.on_settled_);
+  }
+
+  // Finds out what the caller has confirmed.
+  void InspectOutput() {
+    const size_t unconfirmed = UnconfirmedOutput(socket_);
+    if (writing_) {
+      CountOutput(output_size_, unconfirmed);
+    }
+    SettleConfirmed(unconfirmed);
+    has_output_ = writing_ || unconfirmed > 0;
+  }
+
+  void EndUnread(const char* loss) {
+    loss_ = loss;
+    resets_on_close_ = true;
+    HandleDisconnect();
+  }
+
+  // @param unconfirmed what the system holds for the caller.
+  void SettleConfirmed(size_t unconfirmed) {
+    const uint64_t written = written_ + written_part_;
+    const uint64_t confirmed =
+        written - std::min(written, uint64_t{unconfirmed});
+    while (!unsettled_.empty() && unsettled_.front().end_ <= confirmed) {
+      Settle(nullptr);
+    }
+  }
+
+  void SettleConfirmed() {
+    if (!unsettled_.empty()) {
+      SettleConfirmed(UnconfirmedOutput(socket_));
+    }
+  }
+
+  // Reports the outcome of the oldest response.
+  void Settle(const char* loss) {
+    const auto on_settled = std::move(unsettled_.front().on_settled_);
+    unsettled_.pop_front();
+    if (on_settled) {
+      on_settled(loss);
+    }
+  }
+
+  // The connection is about to be closed.
+  void SettleAll() {
+    SettleConfirmed();
+    // Unless it is broken, the system still delivers what it holds.
+    const bool is_lost =
+        !unsettled_.empty() && (resets_on_close_ || IsBroken());
+    while (!unsettled_.empty()) {
+      Settle(is_lost ? loss_ : nullptr);
+    }
+    if (responded_ && on_settled_) {
+      // It was not written as a whole.
+      const auto on_settled = std::move(on_settled_);
+      on_settled_ = nullptr;
+      on_settled(loss_);
+    }
   }
 
   // @return what the session itself holds of requests.
@@ -310,8 +396,7 @@
   // Disconnects the caller, unless it has read everything meanwhile.
   void OnOutputGivenUp() {
     if (output_size_ > 0) {
-      resets_on_close_ = true;
-      HandleDisconnect();
+      EndUnread(kNoMemoryForOutput);
     }
   }
 
@@ -389,7 +474,9 @@
     CountOutput(write_buffer_.size() + write_body_.size());
     const std::array<boost::asio::const_buffer, 2> buffers = {
         boost::asio::buffer(write_buffer_), boost::asio::buffer(write_body_)};
-    written_ = 0;
+    written_part_ = 0;
+    progress_ = 0;
+    has_output_ = true;
     boost::asio::async_write(
         socket_, buffers,
         // Called after each part; continues until all is written.
@@ -397,20 +484,23 @@
           self->OnPartWritten(written);
           return boost::asio::transfer_all()(error, written);
         },
-        [self = shared_from_this()](const error_code& error, size_t /*bytes*/) {
-          self->OnFlushed(error);
+        [self = shared_from_this()](const error_code& error, size_t written) {
+          self->OnFlushed(error, written);
         });
   }
 
   void OnPartWritten(size_t written) {
-    if (written >= written_ + kMinReadBytes) {
-      written_ = written;
+    written_part_ = written;
+    if (written >= progress_ + kMinReadBytes) {
+      progress_ = written;
       waits_since_ = boot_.Now();
     }
   }
 
-  void OnFlushed(const error_code& error) {
+  void OnFlushed(const error_code& error, size_t written) {
     writing_ = false;
+    written_ += written;
+    written_part_ = 0;
     ReleaseBuffer(&write_buffer_);
     std::string().swap(write_body_);
     CountOutput(pending_output_.size() + pending_body_.size());
@@ -418,6 +508,7 @@
       return;
     }
     if (error) {
+      is_broken_ = true;
       HandleDisconnect();
       return;
     }
@@ -460,11 +551,11 @@
     }
     socket_.async_wait(tcp::socket::wait_read,
                        [self = shared_from_this()](const error_code& error) {
-                         if (self->closed_) {
+                         if (self->closed_ || !self->awaiting_request_) {
                            return;
                          }
                          if (error) {
-                           self->Close();
+                           self->CloseBroken();
                          } else {
                            self->ReadHead();
                          }
@@ -553,8 +644,11 @@
         error == http::error::partial_message ||
         error.category() !=
             make_error_code(http::error::end_of_stream).category();
-    if (disconnected) {
-      Close();
+    if (error == http::error::end_of_stream ||
+        error == http::error::partial_message) {
+      CloseOnceConfirmed();
+    } else if (disconnected) {
+      CloseBroken();
     } else {
       Refuse(StatusForError(error), error.message());
     }
@@ -693,6 +787,20 @@
            (state.revents & (events | POLLERR | POLLHUP | POLLNVAL)) != 0;
   }
 
+  // @return whether the caller or the system has reset the connection.
+  bool IsBroken() {
+    pollfd state{socket_.native_handle(), 0, 0};
+    is_broken_ = is_broken_ ||
+                 (poll(&state, 1, 0) > 0 && (state.revents & POLLERR) != 0);
+    return is_broken_;
+  }
+
+  // A read or write has failed, which the system tells only once.
+  void CloseBroken() {
+    is_broken_ = true;
+    Close();
+  }
+
   // @return whether bytes that belong to the response can be written early.
   bool CanProbe() const { return !head_sent_ || chunked_; }
 
@@ -716,6 +824,10 @@
                               MSG_DONTWAIT | MSG_NOSIGNAL);
     // Without room for it, what is on the way already shows a close.
     has_probed_ = has_probed_ || sent == 1 || (sent < 0 && WouldBlock());
+    if (sent == 1) {
+      ++written_;
+      has_output_ = true;
+    }
     if (sent < 0 && !WouldBlock()) {
       DisconnectSoon();
     }
@@ -737,8 +849,12 @@
       return;
     }
     if (error) {
-      Close();
-    } else if (!keeps_open_) {
+      CloseBroken();
+      return;
+    }
+    unsettled_.push_back({written_, std::move(on_settled_)});
+    on_settled_ = nullptr;
+    if (!keeps_open_) {
       Linger();
     } else {
       AwaitRequest();
@@ -748,12 +864,30 @@
   // Closes the connection after the caller has had time to read the response.
   void Linger() {
     in_call_ = false;
+    awaiting_request_ = false;
     error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
-    StartTimer(kLingerTime, [](Impl& self) { self.Close(); });
+    // The system counts the end of the output as a byte.
+    ++written_;
+    has_output_ = true;
+    StartTimer(kLingerTime, [](Impl& self) { self.CloseOnceConfirmed(); });
     DiscardInput();
   }
 
+  // Closes the connection once the caller has confirmed all responses. Until
+  // then Inspect() watches it.
+  void CloseOnceConfirmed() {
+    in_call_ = false;
+    awaiting_request_ = false;
+    SettleConfirmed();
+    if (unsettled_.empty() || IsBroken()) {
+      Close();
+    } else {
+      StartTimer(kConfirmationCheckInterval,
+                 [](Impl& self) { self.CloseOnceConfirmed(); });
+    }
+  }
+
   void DiscardInput() {
     discard_buffer_.resize(4096);
     socket_.async_read_some(
@@ -763,7 +897,11 @@
             return;
           }
           self->discarded_bytes_ += bytes;
-          if (error || self->discarded_bytes_ > kMaxLingerBytes) {
+          if (error == boost::asio::error::eof) {
+            self->CloseOnceConfirmed();
+          } else if (error) {
+            self->CloseBroken();
+          } else if (self->discarded_bytes_ > kMaxLingerBytes) {
             self->Close();
           } else {
             self->DiscardInput();
@@ -800,6 +938,7 @@
     if (closed_) {
       return;
     }
+    SettleAll();
     closed_ = true;
     caller_hooks_ = CallerHooks();
     request_account_.reset();
@@ -833,7 +972,7 @@
   std::vector<char> discard_buffer_;
   size_t discarded_bytes_ = 0;
   size_t output_size_ = 0;  // not written yet
-  size_t written_ = 0;      // of the write in progress, at waits_since_
+  size_t progress_ = 0;     // of the write in progress, at waits_since_
   size_t fields_size_ = 0;  // memory of the head of the request
   Millis waits_since_;      // as Waiting() tells
   int version_ = 11;
@@ -857,6 +996,13 @@
   bool closed_ = false;
   bool over_high_water_ = false;
   bool resets_on_close_ = false;
+  bool is_broken_ = false;  // as a failed read or write told
+  const char* loss_ = kBrokenConnection;
+  bool has_output_ = false;  // that the caller may not have confirmed
+  uint64_t written_ = 0;     // bytes that the system took, but for a write...
+  size_t written_part_ = 0;  // ... that is in progress
+  std::function<void(const char* loss)> on_settled_;  // of that one
+  std::deque<UnsettledResponse> unsettled_;
 };
 
 class CallerSession::Impl::CallResponder : public Responder {
@@ -925,8 +1071,12 @@
   impl_->CloseIfIdle();
 }
 
-void CallerSession::CountHeld() {
-  impl_->CountHeld();
+void CallerSession::Inspect() {
+  impl_->Inspect();
+}
+
+void CallerSession::CutOff() {
+  impl_->CutOff();
 }
 
 std::optional<policy::WaitingSession> CallerSession::Waiting() const {
--- a/src/web/caller_session.h
+++ b/src/web/caller_session.h
@@ -72,6 +72,10 @@
   // that only sends nothing more still gets its response.
   std::function<void()> on_disconnect_;
   std::function<void()> on_writable_;
+  // Called once after Reply() or EndStream(), when the caller has confirmed the
+  // whole response or the connection has been closed in order.
+  // @param loss why the caller did not get it; null if it did.
+  std::function<void(const char* loss)> on_settled_;
 };
 
 struct SessionHooks {
@@ -96,7 +100,7 @@
   Bytes system_buffer_ = kMaxSystemBuffer;
 };
 
-inline constexpr Millis kCountInterval = Millis(200);
+inline constexpr Millis kInspectInterval = Millis(200);
 
 // Serves requests on an accepted socket. Once started, it owns itself until the
 // connection is closed.
@@ -113,9 +117,12 @@
   void CloseIfIdle();
   // Rejects a request that was not read as a whole, with 503.
   void RejectUnread();
-  // Counts what the system's buffers hold towards the budget. Call it about
-  // every kCountInterval.
-  void CountHeld();
+  // Counts what the system's buffers hold towards the budget, and finds out
+  // whether the caller confirms what it was sent. Call it about every
+  // kInspectInterval.
+  void Inspect();
+  // Closes the connection at once, as the process ends.
+  void CutOff();
   // @return what the session waits for; none while a request is in progress or
   // the next one has arrived.
   std::optional<policy::WaitingSession> Waiting() const;
--- a/src/web/listener.cc
+++ b/src/web/listener.cc
@@ -48,7 +48,7 @@
        int backlog)
       : acceptor_(io),
         accept_timer_(io),
-        count_timer_(io),
+        inspect_timer_(io),
         hooks_(std::move(hooks)),
         max_sessions_(max_sessions),
         backlog_(backlog) {}
@@ -95,12 +95,14 @@
   }
 
   // Call before the listener is destroyed.
-  void StopCounting() { count_timer_.cancel(); }
+  void StopInspecting() { inspect_timer_.cancel(); }
 
   void CloseIdle() { ForEachSession(&CallerSession::CloseIfIdle); }
 
   void RejectUnread() { ForEachSession(&CallerSession::RejectUnread); }
 
+  void CutOff() { ForEachSession(&CallerSession::CutOff); }
+
   size_t sessions() const { return sessions_.size(); }
 
  private:
@@ -201,18 +203,18 @@
         });
   }
 
-  void CountHeldLater() {
-    if (is_counting_ || sessions_.empty()) {
+  void InspectLater() {
+    if (is_inspecting_ || sessions_.empty()) {
       return;
     }
-    is_counting_ = true;
-    count_timer_.expires_after(ToChrono(kCountInterval));
-    count_timer_.async_wait(
+    is_inspecting_ = true;
+    inspect_timer_.expires_after(ToChrono(kInspectInterval));
+    inspect_timer_.async_wait(
         [self = shared_from_this()](const error_code& error) {
-          self->is_counting_ = false;
+          self->is_inspecting_ = false;
           if (!error) {
-            self->ForEachSession(&CallerSession::CountHeld);
-            self->CountHeldLater();
+            self->ForEachSession(&CallerSession::Inspect);
+            self->InspectLater();
           }
         });
   }
@@ -246,17 +248,17 @@
     CallerSession* raw = session.get();
     sessions_[number] = std::move(session);
     raw->Start();
-    CountHeldLater();
+    InspectLater();
   }
 
   tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
-  boost::asio::steady_timer count_timer_;
+  boost::asio::steady_timer inspect_timer_;
   const Clock boot_ = Clock::Boot();
   const SessionHooks hooks_;
   const size_t max_sessions_;
   const int backlog_;
-  bool is_counting_ = false;
+  bool is_inspecting_ = false;
   std::unordered_map<uint64_t, std::unique_ptr<CallerSession>> sessions_;
   uint64_t last_session_number_ = 0;
 };
@@ -271,7 +273,7 @@
 
 Listener::~Listener() {
   impl_->Close();
-  impl_->StopCounting();
+  impl_->StopInspecting();
 }
 
 Status Listener::Start(const tcp::endpoint& address) {
@@ -290,6 +292,10 @@
   impl_->RejectUnread();
 }
 
+void Listener::CutOff() {
+  impl_->CutOff();
+}
+
 size_t Listener::sessions() const {
   return impl_->sessions();
 }
--- a/src/web/listener.h
+++ b/src/web/listener.h
@@ -46,6 +46,8 @@
   // Rejects the requests that were not read as a whole, with 503. The process
   // ends soon.
   void RejectUnread();
+  // Closes all sessions at once, as the process ends.
+  void CutOff();
   // @return the number of open sessions.
   size_t sessions() const;
 
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -31,7 +31,8 @@
 // One caller, and a listener that leaves its requests to the test.
 class OneCaller {
  public:
-  OneCaller() : listener_(io_, Hooks(), 10), caller_(callers_) {
+  explicit OneCaller(policy::BufferBudget* budget = nullptr)
+      : budget_(budget), listener_(io_, Hooks(), 10), caller_(callers_) {
     const tcp::endpoint address(boost::asio::ip::make_address("127.0.0.1"),
                                 tests::FreePort());
     REQUIRE(listener_.Start(address).ok());
@@ -56,6 +57,9 @@
   }
 
   tcp::socket& caller() { return caller_; }
+  int times_writable() const { return times_writable_; }
+  // What was told of the responses, "whole" or why they were lost.
+  const std::vector<std::string>& settled() const { return settled_; }
   web::SessionLimits& limits() { return limits_; }
   bool has_left() const { return has_left_; }
 
@@ -68,16 +72,24 @@
       responder_ = std::move(responder);
       web::CallerHooks caller;
       caller.on_disconnect_ = [this] { has_left_ = true; };
+      caller.on_writable_ = [this] { ++times_writable_; };
+      caller.on_settled_ = [this](const char* loss) {
+        settled_.emplace_back(loss == nullptr ? "whole" : loss);
+      };
       return caller;
     };
     hooks.on_refused_ = [](int /*status*/, const std::string& /*reason*/) {};
     hooks.on_closed_ = [] {};
     hooks.stopping_ = [] { return false; };
+    hooks.buffers_ = budget_;
     return hooks;
   }
 
   boost::asio::io_context io_;
   boost::asio::io_context callers_;
+  policy::BufferBudget* const budget_;
+  std::vector<std::string> settled_;
+  int times_writable_ = 0;
   web::SessionLimits limits_{Bytes(8'192), Bytes(8'192), Millis(5'000),
                              Millis(5'000)};
   std::shared_ptr<web::Responder> responder_;
@@ -206,6 +218,17 @@
   CHECK(written <= kOwnBuffers + kSystemBuffers);
 }
 
+// The log named responses answered whose callers had got a reset.
+TEST_CASE("caller session: a reset by the caller is told") {
+  OneCaller bench;
+  bench.Request()->Reply(200, {}, std::string(kLongBody, 'a'));
+  bench.Run(milliseconds(300));
+  CHECK(bench.settled().empty());
+  bench.caller().close();
+  bench.Run(milliseconds(500));
+  CHECK(bench.settled() == std::vector<std::string>{"the connection broke"});
+}
+
 // A listener of two sessions whose requests are answered at once.
 class SmallListener {
  public:
@@ -379,7 +402,7 @@
   boost::asio::write(caller, boost::asio::buffer(std::string(30'000, 'x')));
   bench.Run(milliseconds(10));
   const size_t counted = budget.held();
-  bench.Run(milliseconds{web::kCountInterval.count() + 50});
+  bench.Run(milliseconds{web::kInspectInterval.count() + 50});
   CHECK(budget.held() > counted + 60'000);
 }
 
