Caller session: a caller that stops reading for seconds gets its answer

Cause: TCP_USER_TIMEOUT of 2.5 s, meant for peers that are gone, also ends a connection whose peer confirms each probe of its closed window.

Change: PeerWatch asks the system (TCP_INFO) whether what it repeats is confirmed. A peer that is silent for 2.3 s behind the first repetition is lost, one that confirms probes is slow. TCP_USER_TIMEOUT is switched off on a connection once the system is seen to tell this, and stays where it doesn't. What a caller leaves unread counts toward the memory as before and ends with its request's own time.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -137,6 +137,7 @@
   hooks.on_settled_ = [exchange](const char* loss) {
     exchange->OnResponseSettled(loss);
   };
+  hooks.time_limit_ = exchange->time_limit();
   return hooks;
 }
 
--- a/src/gateway/exchange_impl.h
+++ b/src/gateway/exchange_impl.h
@@ -37,6 +37,10 @@
   // @param loss why the caller did not get the response; null if it did.
   void OnResponseSettled(const char* loss);
 
+  // @return how long after its arrival the request ends; zero if it was
+  // rejected before that was known.
+  Millis time_limit() const { return time_limit_; }
+
  private:
   static constexpr int kStatusUnavailable = 503;
   // Approximate size of a request's headers on the link.
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -20,6 +20,7 @@
 
 #include "bergamotscale/clock.h"
 #include "src/web/one_shot_timer.h"
+#include "src/web/peer_watch.h"
 #include "src/web/socket_options.h"
 
 namespace bergamotscale::web {
@@ -68,6 +69,8 @@
 constexpr char kNoMemory[] = "no memory for the request";
 // Why a caller did not get its response.
 constexpr char kNoMemoryForOutput[] = "no memory for the unread response";
+constexpr char kSilentCaller[] = "the caller confirms nothing";
+constexpr char kUnreadTooLong[] = "the caller did not read it in time";
 constexpr char kGaveWay[] = "other connections waited";
 constexpr char kBrokenConnection[] = "the connection broke";
 constexpr char kProcessEnds[] = "the process ends";
@@ -131,6 +134,9 @@
       return;
     }
     CountRequest(RequestSize() + UnreadBehind());
+    if (!std::exchange(has_begun_watch_, true)) {
+      watch_.Begin(socket_);
+    }
     if (has_output_) {
       InspectOutput();
     }
@@ -298,16 +304,27 @@
     responded_ = true;
     waits_since_ = boot_.Now();
     on_settled_ = std::move(caller_hooks_.on_settled_);
+    unread_deadline_ =
+        deadline_.value_or(waits_since_ + hooks_.limits_().idle_timeout_);
   }
 
-  // Finds out what the caller has confirmed.
+  // Finds out what the caller has confirmed, and ends the connection if it
+  // never will confirm the rest.
   void InspectOutput() {
-    const size_t unconfirmed = UnconfirmedOutput(socket_);
+    const Millis now = boot_.Now();
+    const bool is_lost = watch_.Check(socket_, now);
     if (writing_) {
-      CountOutput(output_size_, unconfirmed);
+      CountOutput(output_size_, watch_.unconfirmed());
+    }
+    SettleConfirmed(watch_.unconfirmed());
+    has_output_ = writing_ || watch_.unconfirmed() > 0;
+    const bool is_unread = !unsettled_.empty() || (responded_ && writing_);
+    if (is_lost) {
+      EndUnread(kSilentCaller);
+    } else if (is_unread && now > unread_deadline_ &&
+               now - confirmed_at_ >= policy::kMinUnreadTime) {
+      EndUnread(kUnreadTooLong);
     }
-    SettleConfirmed(unconfirmed);
-    has_output_ = writing_ || unconfirmed > 0;
   }
 
   void EndUnread(const char* loss) {
@@ -321,7 +338,11 @@
     const uint64_t written = written_ + written_part_;
     const uint64_t confirmed =
         written - std::min(written, uint64_t{unconfirmed});
-    while (!unsettled_.empty() && unsettled_.front().end_ <= confirmed) {
+    if (confirmed > confirmed_) {
+      confirmed_ = confirmed;
+      confirmed_at_ = boot_.Now();
+    }
+    while (!unsettled_.empty() && unsettled_.front().end_ <= confirmed_) {
       Settle(nullptr);
     }
   }
@@ -541,6 +562,7 @@
     leading_zeros_ = 0;
     has_probed_ = false;
     in_call_ = false;
+    deadline_.reset();
     caller_hooks_ = CallerHooks();
     const Millis idle_timeout =
         std::max(hooks_.limits_().idle_timeout_, announced_idle_ + kIdleMargin);
@@ -998,9 +1020,15 @@
   bool resets_on_close_ = false;
   bool is_broken_ = false;  // as a failed read or write told
   const char* loss_ = kBrokenConnection;
+  PeerWatch watch_;
+  bool has_begun_watch_ = false;
   bool has_output_ = false;  // that the caller may not have confirmed
   uint64_t written_ = 0;     // bytes that the system took, but for a write...
   size_t written_part_ = 0;  // ... that is in progress
+  uint64_t confirmed_ = 0;   // of them by the caller, as far as known
+  Millis confirmed_at_;      // when that last grew
+  std::optional<Millis> deadline_;  // of the request in progress
+  Millis unread_deadline_;          // of the latest response
   std::function<void(const char* loss)> on_settled_;  // of that one
   std::deque<UnsettledResponse> unsettled_;
 };
@@ -1044,8 +1072,12 @@
   is_head_request_ = call.method_ == "HEAD";
   in_call_ = true;
   WatchForDisconnect();
+  const Millis arrived = boot_.Now();
   CallerHooks caller = hooks_.on_request_(
       std::move(call), std::make_shared<CallResponder>(shared_from_this()));
+  if (caller.time_limit_ > Millis(0)) {
+    deadline_ = arrived + caller.time_limit_;
+  }
   // The response may already be written.
   if (in_call_ && !responded_ && !closed_) {
     caller_hooks_ = std::move(caller);
--- a/src/web/caller_session.h
+++ b/src/web/caller_session.h
@@ -76,6 +76,9 @@
   // whole response or the connection has been closed in order.
   // @param loss why the caller did not get it; null if it did.
   std::function<void(const char* loss)> on_settled_;
+  // From the arrival of the request. A response that the caller doesn't read
+  // is dropped after it. Zero for the time that an idle connection has.
+  Millis time_limit_;
 };
 
 struct SessionHooks {
--- a/src/web/socket_options.cc
+++ b/src/web/socket_options.cc
@@ -17,6 +17,13 @@
 constexpr int kKeepIdleSeconds = 1;
 constexpr int kKeepIntervalSeconds = 1;
 constexpr int kKeepProbes = 3;
+// Without TCP_USER_TIMEOUT, which ends the connection one probe earlier.
+constexpr int kKeepProbesAlone = 2;
+// TCP_RTO_MAX_MS, which the headers of Debian 12 don't have. Systems before
+// Linux 6.15 ignore it and repeat probes of a closed window at growing
+// intervals.
+constexpr int kRetransmissionLimitOption = 44;
+constexpr int kMaxRetransmissionMs = 1'000;
 
 }  // namespace
 
@@ -38,6 +45,17 @@
   setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepProbes, sizeof(kKeepProbes));
 }
 
+void AllowClosedWindow(boost::asio::ip::tcp::socket& socket) {
+  const int fd = socket.native_handle();
+  const unsigned no_timeout = 0;
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &no_timeout,
+             sizeof(no_timeout));
+  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepProbesAlone,
+             sizeof(kKeepProbesAlone));
+  setsockopt(fd, IPPROTO_TCP, kRetransmissionLimitOption, &kMaxRetransmissionMs,
+             sizeof(kMaxRetransmissionMs));
+}
+
 size_t UnreadInput(const boost::asio::ip::tcp::socket& socket) {
   boost::system::error_code error;
   return socket.available(error);
--- a/src/web/socket_options.h
+++ b/src/web/socket_options.h
@@ -26,6 +26,11 @@
 void SetConnectionOptions(boost::asio::ip::tcp::socket& socket,
                           Bytes buffer = kMaxSystemBuffer);
 
+// Keeps a connection whose peer confirms probes of its closed window.
+// Afterwards the caller must watch for a peer that confirms nothing while bytes
+// are outstanding; idle connections are still probed.
+void AllowClosedWindow(boost::asio::ip::tcp::socket& socket);
+
 // @return the bytes that wait in the system's buffers: received and not read.
 size_t UnreadInput(const boost::asio::ip::tcp::socket& socket);
 // @return the bytes that were written and that the peer has not confirmed.
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -14,7 +14,9 @@
 #include <boost/asio/write.hpp>
 
 #include "src/web/listener.h"
+#include "src/web/peer_watch.h"
 #include "tests/support/child_process.h"
+#include "tests/support/silent_socket.h"
 
 namespace bergamotscale::testing {
 namespace {
@@ -27,6 +29,10 @@
 // Far more than a caller receives that reads nothing.
 constexpr int kReceiveBuffer = 4'096;
 constexpr size_t kLongBody = size_t{48} << 10;
+// More than the system's buffers hold.
+constexpr size_t kHugeBody = size_t{400} << 10;
+// A caller notices a silent peer by then, too.
+constexpr milliseconds kLossNoticed{4'000};
 
 // One caller, and a listener that leaves its requests to the test.
 class OneCaller {
@@ -56,7 +62,28 @@
     io_.run_for(time);
   }
 
+  // Reads up to the end of the connection or the given number of bytes.
+  size_t Read(size_t limit) {
+    std::string bytes(limit, ' ');
+    boost::system::error_code error;
+    caller_.non_blocking(true);
+    size_t received = 0;
+    for (int i = 0; i < 2'000 && received < limit; ++i) {
+      const size_t count = caller_.read_some(
+          boost::asio::buffer(&bytes[received], limit - received), error);
+      received += count;
+      if (error && error != boost::asio::error::would_block) {
+        break;
+      }
+      if (count == 0) {
+        Run(milliseconds(1));
+      }
+    }
+    return received;
+  }
+
   tcp::socket& caller() { return caller_; }
+  Millis& time_limit() { return time_limit_; }
   int times_writable() const { return times_writable_; }
   // What was told of the responses, "whole" or why they were lost.
   const std::vector<std::string>& settled() const { return settled_; }
@@ -76,6 +103,7 @@
       caller.on_settled_ = [this](const char* loss) {
         settled_.emplace_back(loss == nullptr ? "whole" : loss);
       };
+      caller.time_limit_ = time_limit_;
       return caller;
     };
     hooks.on_refused_ = [](int /*status*/, const std::string& /*reason*/) {};
@@ -88,6 +116,7 @@
   boost::asio::io_context io_;
   boost::asio::io_context callers_;
   policy::BufferBudget* const budget_;
+  Millis time_limit_ = Millis(10'000);
   std::vector<std::string> settled_;
   int times_writable_ = 0;
   web::SessionLimits limits_{Bytes(8'192), Bytes(8'192), Millis(5'000),
@@ -218,6 +247,91 @@
   CHECK(written <= kOwnBuffers + kSystemBuffers);
 }
 
+// A caller that stopped reading for 4 s got a reset in place of the rest of its
+// response, which was complete.
+TEST_CASE("caller session: a caller that stops reading gets its response") {
+  for (const size_t size : {kLongBody, kHugeBody}) {
+    CAPTURE(size);
+    OneCaller bench;
+    bench.Request()->Reply(200, {}, std::string(size, 'a'));
+    bench.Run(milliseconds(4'500));
+    CHECK(bench.settled().empty());
+    CHECK(bench.Read(size) == size);
+    bench.Run(milliseconds(1'500));
+    CHECK(bench.settled() == std::vector<std::string>{"whole"});
+    CHECK_FALSE(bench.has_left());
+  }
+}
+
+// So did one whose stream went on, and one that had been idle before.
+TEST_CASE("caller session: a caller that stops reading gets its stream") {
+  OneCaller bench;
+  bench.Request()->Reply(200, {}, "first");
+  bench.Run(milliseconds(1'500));
+  CHECK(bench.settled().size() == 1);
+  const auto responder = bench.Request();
+  responder->BeginStream(200, {});
+  for (int i = 0; i < 20; ++i) {
+    responder->Write(std::string(10'000, 'a'));
+    bench.Run(milliseconds(200));
+  }
+  responder->EndStream();
+  bench.Run(milliseconds(500));
+  CHECK(bench.settled().size() == 1);
+  CHECK(bench.Read(200'000) == 200'000);
+  bench.Run(milliseconds(1'500));
+  CHECK(bench.settled() == std::vector<std::string>{"whole", "whole"});
+}
+
+// What tells a lost caller from a slow one is whether it confirms anything.
+TEST_CASE("caller session: a caller that is lost is noticed") {
+  for (const int stop_ms : {0, 700, 3'500}) {
+    const milliseconds stops_reading{stop_ms};
+    CAPTURE(stops_reading.count());
+    OneCaller bench;
+    const auto responder = bench.Request();
+    responder->BeginStream(200, {});
+    // With the window closed before the loss, unless it comes at once.
+    if (stops_reading.count() > 0) {
+      responder->Write(std::string(kLongBody, 'a'));
+    }
+    bench.Run(stops_reading);
+    CHECK_FALSE(bench.has_left());
+    REQUIRE(LosePackets(bench.caller().native_handle()));
+    responder->Write("b");
+    bench.Run(kLossNoticed);
+    CHECK(bench.has_left());
+  }
+}
+
+TEST_CASE("caller session: an unread response ends with its request's time") {
+  OneCaller bench;
+  bench.time_limit() = Millis(3'000);
+  bench.Request()->Reply(200, {}, std::string(kHugeBody, 'a'));
+  bench.Run(milliseconds(2'800));
+  CHECK(bench.settled().empty());
+  bench.Run(milliseconds(1'500));
+  CHECK(bench.settled() ==
+        std::vector<std::string>{"the caller did not read it in time"});
+  CHECK(bench.Read(kHugeBody) < kHugeBody);
+}
+
+// The caller reads on all the time, but slowly.
+TEST_CASE("caller session: a response that is being read has time") {
+  OneCaller bench;
+  bench.time_limit() = Millis(500);
+  bench.Request()->Reply(200, {}, std::string(kHugeBody, 'a'));
+  size_t received = 0;
+  for (int i = 0; i < 20; ++i) {
+    received += bench.Read(kHugeBody / 40);
+    bench.Run(milliseconds(100));
+  }
+  received += bench.Read(kHugeBody / 2);
+  bench.Run(milliseconds(1'500));
+  CHECK(received >= kHugeBody - 40);
+  CHECK(bench.settled() == std::vector<std::string>{"whole"});
+}
+
 // The log named responses answered whose callers had got a reset.
 TEST_CASE("caller session: a reset by the caller is told") {
   OneCaller bench;
@@ -229,6 +343,46 @@
   CHECK(bench.settled() == std::vector<std::string>{"the connection broke"});
 }
 
+// A caller that sends nothing more was left to the system with its response.
+TEST_CASE("caller session: a half-closed caller has time to read") {
+  OneCaller bench;
+  bench.Request()->Reply(200, {}, std::string(kLongBody, 'a'));
+  bench.caller().shutdown(tcp::socket::shutdown_send);
+  bench.Run(milliseconds(3'500));
+  CHECK(bench.settled().empty());
+  CHECK(bench.Read(kLongBody) == kLongBody);
+  bench.Run(milliseconds(1'500));
+  CHECK(bench.settled() == std::vector<std::string>{"whole"});
+}
+
+// Samples as the system gives them, 200 ms apart.
+TEST_CASE("peer silence: confirmed probes are no silence") {
+  web::PeerSilence slow;
+  web::PeerSilence lost;
+  Millis now(50'000);
+  const Millis step(200);
+  int lost_after = 0;
+  for (int i = 1; i <= 50; ++i) {
+    now += step;
+    // Each fifth sample meets a probe on its way, which is then confirmed.
+    const bool has_probe = i % 5 == 0;
+    CHECK_FALSE(slow.Observe(
+        {100, has_probe ? 1 : 0, has_probe ? step * 4 : step}, now));
+    if (lost.Observe({100, i, step * i}, now) && lost_after == 0) {
+      lost_after = i;
+    }
+  }
+  CHECK(step * lost_after >= Millis(2'400));
+  CHECK(step * lost_after <= Millis(2'600));
+}
+
+TEST_CASE("peer silence: a suspension of the process is no silence") {
+  web::PeerSilence silence;
+  CHECK_FALSE(silence.Observe({100, 1, Millis(200)}, Millis(50'000)));
+  CHECK_FALSE(silence.Observe({100, 2, Millis(5'200)}, Millis(55'000)));
+  CHECK_FALSE(silence.Observe({100, 2, Millis(5'400)}, Millis(55'200)));
+}
+
 // A listener of two sessions whose requests are answered at once.
 class SmallListener {
  public:
