Client connection: an upstream that stops reading for seconds gets its request

Callers got 502 "may have run" when an upstream stopped reading their upload for 3.5 s and read on; the log said `end of stream`.

Cause: as for callers, TCP_USER_TIMEOUT ends a connection whose window stays closed. The read beside the failed write only meets the end of the input.

Change: PeerWatch watches a request until its upstream has confirmed it, from 400 ms after it was sent. A broken write's error goes before the end of the input.

--- a/src/web/client_connection.cc
+++ b/src/web/client_connection.cc
@@ -12,7 +12,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamotscale/clock.h"
 #include "src/core/chrono_time.h"
+#include "src/web/one_shot_timer.h"
+#include "src/web/peer_watch.h"
 #include "src/web/socket_options.h"
 
 namespace bergamotscale::web {
@@ -35,6 +38,10 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kLastStatus = 599;
 constexpr int64_t kMillisPerSecond = 1000;
+// A peer that confirms nothing is looked for this long after a request was
+// sent, and then at this interval until it has confirmed the request.
+constexpr Millis kFirstWatch = Millis(400);
+constexpr Millis kWatchInterval = Millis(200);
 
 using Parser = http::response_parser<http::string_body>;
 
@@ -61,7 +68,10 @@
 class ClientConnection::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& io, tcp::endpoint peer)
-      : socket_(io), timer_(io), peer_(std::move(peer)) {}
+      : socket_(io),
+        timer_(io),
+        watch_timer_(io.get_executor()),
+        peer_(std::move(peer)) {}
 
   void Connect(Millis timeout, OnConnected on_connected) {
     on_connected_ = std::move(on_connected);
@@ -110,6 +120,8 @@
       request_->content_length(request_->body().size());
     }
     writing_ = true;
+    watch_.Begin(socket_);
+    WatchPeer(kFirstWatch);
     http::async_write(
         socket_, *request_,
         [self = shared_from_this()](const error_code& error, size_t /*bytes*/) {
@@ -135,6 +147,7 @@
     in_call_ = false;
     keeps_open_ = false;
     timer_.cancel();
+    watch_timer_.Cancel();
     error_code ignored;
     socket_.close(ignored);
   }
@@ -202,6 +215,31 @@
     }
   }
 
+  // Ends the request if the peer is lost.
+  void WatchPeer(Millis after) {
+    watch_timer_.Start(after, [self = shared_from_this()] {
+      if (!self->in_call_) {
+        return;
+      }
+      if (self->watch_.Check(self->socket_, self->boot_.Now())) {
+        self->OnPeerLost();
+      } else if (self->writing_ || self->watch_.unconfirmed() > 0) {
+        self->WatchPeer(kWatchInterval);
+      }
+    });
+  }
+
+  void OnPeerLost() {
+    write_error_ = boost::asio::error::timed_out;
+    ResetOnClose();
+    error_code ignored;
+    socket_.close(ignored);
+    // A paused response has no read that would fail.
+    if (paused_) {
+      Fail(write_error_);
+    }
+  }
+
   void OnWritten(const error_code& error) {
     writing_ = false;
     request_.reset();
@@ -209,7 +247,7 @@
     // notice the end of the connection themselves.
     if (error) {
       keeps_open_ = false;
-      write_error_ = error;
+      write_error_ = write_error_ ? write_error_ : error;
     }
   }
 
@@ -343,7 +381,11 @@
 
   void Fail(const error_code& error) {
     keeps_open_ = false;
-    end_.error_ = error;
+    // The end of the input tells less than why the connection broke.
+    const bool is_end = error == http::error::end_of_stream ||
+                        error == http::error::partial_message ||
+                        error == boost::asio::error::operation_aborted;
+    end_.error_ = is_end && write_error_ ? write_error_ : error;
     end_.malformed_ =
         error.category() ==
             make_error_code(http::error::end_of_stream).category() &&
@@ -354,6 +396,7 @@
 
   void End() {
     in_call_ = false;
+    watch_timer_.Cancel();
     parser_.reset();
     const std::shared_ptr<const ResponseHooks> hooks = std::move(hooks_);
     hooks_ = nullptr;
@@ -364,6 +407,9 @@
 
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  OneShotTimer watch_timer_;
+  PeerWatch watch_;
+  const Clock boot_ = Clock::Boot();
   const tcp::endpoint peer_;
   // Bounds what precedes and follows a body, too.
   boost::beast::flat_buffer buffer_{kMaxHeaderField};
--- a/tests/request_body_test.cc
+++ b/tests/request_body_test.cc
@@ -210,6 +210,24 @@
   CHECK(server.bodies() == std::vector<std::string>{MakeBody()});
 }
 
+// A server that stopped reading an upload for 3.5 s lost the request.
+TEST_CASE("request body: an upstream that stops reading gets it whole") {
+  BodyServer server(
+      [](int /*number*/, RawServer::Socket& socket) {
+        Write(socket, GatewayBench::Answer("served"));
+        return true;
+      },
+      Millis(3'500));
+  GatewayBench bench(kMaxBody, kLongTimeout);
+  bench.SetUpstreams({server.url()});
+  RawCaller caller(bench.port());
+  std::string request = GatewayBench::Request("/order/1", "", MakeBody());
+  request.replace(request.find("3000"), 4, "8000");
+  REQUIRE(caller.Send(request));
+  CHECK(caller.ReadUntil("served").find("200 OK") != std::string::npos);
+  CHECK(server.bodies() == std::vector<std::string>{MakeBody()});
+}
+
 TEST_CASE("request body: a rejected request without a body is not run") {
   BodyServer server([](int /*number*/, RawServer::Socket& socket) {
     Pause(Millis(500));
