Caller session: an upstream is read on while its caller doesn't read

A stream of which 256 KiB were unread made the gateway stop reading its upstream, and servers cut off responses that stay unread for seconds, so a whole answer depended on how fast its caller reads.

Change: the upstream is read on as long as less than half of the memory for requests and responses is used.

--- a/src/policy/buffer_budget.h
+++ b/src/policy/buffer_budget.h
@@ -87,6 +87,10 @@
   // @return the size of all buffers that are not given up.
   size_t held() const { return held_; }
   Bytes limit() const { return limit_; }
+  // @return whether less than half of the limit is used.
+  bool HasSpare() const {
+    return held_ < static_cast<size_t>(limit_.count()) / 2;
+  }
 
  private:
   void SetSize(Buffer& buffer, size_t size);
--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -38,7 +38,8 @@
 // Retry-After, in seconds, of a request that was rejected while it was read:
 // other processes can take it.
 constexpr char kRetryAfter[] = "0.1";
-// The source pauses while more than this is buffered for the caller.
+// The source pauses while more than this is buffered for the caller, unless
+// there is memory to spare: servers cut off responses that nobody reads.
 constexpr size_t kWriteHighWater = size_t{256} << 10;
 // Time for which input is still read after a rejection, so that closing the
 // socket does not reset the connection before the caller has read the response.
@@ -140,6 +141,9 @@
     if (has_output_) {
       InspectOutput();
     }
+    if (!closed_ && over_high_water_ && HasSpareMemory()) {
+      ResumeSource();
+    }
   }
 
   void CutOff() {
@@ -222,7 +226,8 @@
       Flush();
     }
     CountOutput(write_buffer_.size() + pending_output_.size());
-    over_high_water_ = pending_output_.size() > kWriteHighWater;
+    over_high_water_ =
+        pending_output_.size() > kWriteHighWater && !HasSpareMemory();
     return !over_high_water_;
   }
 
@@ -379,6 +384,18 @@
     }
   }
 
+  bool HasSpareMemory() const {
+    return hooks_.buffers_ != nullptr && hooks_.buffers_->HasSpare();
+  }
+
+  void ResumeSource() {
+    over_high_water_ = false;
+    if (caller_hooks_.on_writable_) {
+      const auto on_writable = caller_hooks_.on_writable_;
+      on_writable();
+    }
+  }
+
   // @return what the session itself holds of requests.
   size_t RequestSize() const {
     const bool has_body = parser_.has_value() && !refused_;
@@ -540,11 +557,7 @@
     if (responded_) {
       OnResponseWritten({});
     } else if (over_high_water_) {
-      over_high_water_ = false;
-      if (caller_hooks_.on_writable_) {
-        const auto on_writable = caller_hooks_.on_writable_;
-        on_writable();
-      }
+      ResumeSource();
     }
   }
 
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -355,6 +355,31 @@
   CHECK(bench.settled() == std::vector<std::string>{"whole"});
 }
 
+// While its caller didn't read, a stream's upstream was not read either, and
+// servers cut off what stays unread for seconds.
+TEST_CASE("caller session: a source goes on while there is memory to spare") {
+  policy::BufferBudget budget{Bytes(8'000'000)};
+  OneCaller bench(&budget);
+  const auto responder = bench.Request();
+  responder->BeginStream(200, {});
+  const std::string part(100'000, 'a');
+  for (int i = 0; i < 30; ++i) {
+    CHECK(responder->Write(part));
+    bench.Run(milliseconds(5));
+  }
+  // Others need the memory now.
+  policy::BufferBudget::Account other(budget, policy::BufferUse::kRequest,
+                                      [] {});
+  other.SetSize(2'000'000);
+  CHECK_FALSE(responder->Write(part));
+  bench.Run(milliseconds(300));
+  CHECK(bench.times_writable() == 0);
+  other.SetSize(0);
+  bench.Run(milliseconds(300));
+  CHECK(bench.times_writable() == 1);
+  CHECK(responder->Write(part));
+}
+
 // Samples as the system gives them, 200 ms apart.
 TEST_CASE("peer silence: confirmed probes are no silence") {
   web::PeerSilence slow;
