--- a/tests/upstream_call_test.cc
+++ b/tests/upstream_call_test.cc
@@ -201,6 +201,22 @@
   }
 }
 
+// The system ends a connection whose window stays closed for 1.8 s.
+TEST_CASE("upstream call: an upstream that stops reading is awaited") {
+  constexpr size_t kUpload = size_t{12} << 20;
+  RawServer server(
+      [](int, const std::string& request, RawServer::Socket& socket) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(3'500));
+        const size_t body = request.size() - request.find("\r\n\r\n") - 4;
+        std::string rest(kUpload - body, ' ');
+        boost::system::error_code error;
+        boost::asio::read(socket, boost::asio::buffer(rest), error);
+        Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        return false;
+      });
+  CHECK(Caller().Run(server.url(), std::string(kUpload, 'u')).ok());
+}
+
 // An answer that is reset during the upload must not look whole.
 TEST_CASE("upstream call: a reset during the upload completes no response") {
   constexpr size_t kUpload = size_t{32} << 20;
