Exchange: the body of a request is released when it ends

An exchange now stays until its caller has confirmed the response, and kept its request's body for that time without counting it.

Change: End() releases it.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -107,6 +107,8 @@
   deadline_timer_.Cancel();
   pause_timer_.Cancel();
   responder_.reset();
+  // The caller may take long to read the response, for which this object stays.
+  request_body_.Release();
   request_account_.reset();
   response_account_.reset();
 }
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -304,6 +304,18 @@
   }
 }
 
+// Without output, keep-alive probes tell.
+TEST_CASE("caller session: a caller that is lost in a silence is noticed") {
+  OneCaller bench;
+  bench.Request()->Reply(200, {}, "first");
+  bench.Run(milliseconds(1'500));
+  const auto responder = bench.Request();
+  bench.Run(milliseconds(500));
+  REQUIRE(LosePackets(bench.caller().native_handle()));
+  bench.Run(kLossNoticed);
+  CHECK(bench.has_left());
+}
+
 TEST_CASE("caller session: an unread response ends with its request's time") {
   OneCaller bench;
   bench.time_limit() = Millis(3'000);
--- a/tests/client_connection_test.cc
+++ b/tests/client_connection_test.cc
@@ -107,5 +107,23 @@
   }
 }
 
+// Nothing is outstanding then, so that keep-alive probes tell.
+TEST_CASE("client connection: an upstream that is lost at work is noticed") {
+  std::atomic<bool> done{false};
+  RawServer server([&](int, const std::string&, RawServer::Socket& socket) {
+    std::this_thread::sleep_for(milliseconds(1'000));
+    CHECK(LosePackets(socket.native_handle()));
+    while (!done) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return false;
+  });
+  const Outcome outcome = Upload(server, 100);
+  done = true;
+  CHECK_FALSE(outcome.end_.complete_);
+  CHECK(outcome.end_.error_ == boost::asio::error::timed_out);
+  CHECK(outcome.took_ < milliseconds(1'000) + kLossNoticed);
+}
+
 }  // namespace
 }  // namespace bergamotscale::testing
