Soak: callers that stop reading long streams, and small clean-ups

The soak's late readers never closed their window, as all answers fit into the buffers on the way. A few streams are now larger than these, and their callers stop reading for up to 4.5 s.

Socket options are set by one function; the members of CallerSession that count output say so.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -1036,13 +1036,17 @@
   PeerWatch watch_;
   bool has_begun_watch_ = false;
   bool has_output_ = false;  // that the caller may not have confirmed
-  uint64_t written_ = 0;     // bytes that the system took, but for a write...
-  size_t written_part_ = 0;  // ... that is in progress
-  uint64_t confirmed_ = 0;   // of them by the caller, as far as known
-  Millis confirmed_at_;      // when that last grew
+  // Bytes that the system has taken, and of the write in progress.
+  uint64_t written_ = 0;
+  size_t written_part_ = 0;
+  // What the caller has confirmed of them, and when that last grew.
+  uint64_t confirmed_ = 0;
+  Millis confirmed_at_;
   std::optional<Millis> deadline_;  // of the request in progress
   Millis unread_deadline_;          // of the latest response
-  std::function<void(const char* loss)> on_settled_;  // of that one
+  // Of the latest response, until it is written.
+  std::function<void(const char* loss)> on_settled_;
+  // Written responses that the caller has not confirmed, in their order.
   std::deque<UnsettledResponse> unsettled_;
 };
 
--- a/src/web/socket_options.cc
+++ b/src/web/socket_options.cc
@@ -12,7 +12,7 @@
 
 // Longer than the longest interruption from which a path recovers by
 // retransmission. Callers time out on a silent stream after two seconds.
-constexpr unsigned kUserTimeoutMs = 2'500;
+constexpr int kUserTimeoutMs = 2'500;
 // A dead peer is noticed after the idle time plus this many probes.
 constexpr int kKeepIdleSeconds = 1;
 constexpr int kKeepIntervalSeconds = 1;
@@ -25,6 +25,11 @@
 constexpr int kRetransmissionLimitOption = 44;
 constexpr int kMaxRetransmissionMs = 1'000;
 
+// If it can't be set, the default of the system applies.
+void SetTcpOption(int fd, int option, int value) {
+  setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
 }  // namespace
 
 void SetConnectionOptions(boost::asio::ip::tcp::socket& socket, Bytes buffer) {
@@ -36,24 +41,17 @@
   socket.set_option(boost::asio::socket_base::receive_buffer_size(size),
                     ignored);
   const int fd = socket.native_handle();
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-             sizeof(kUserTimeoutMs));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepIdleSeconds,
-             sizeof(kKeepIdleSeconds));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepIntervalSeconds,
-             sizeof(kKeepIntervalSeconds));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepProbes, sizeof(kKeepProbes));
+  SetTcpOption(fd, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetTcpOption(fd, TCP_KEEPIDLE, kKeepIdleSeconds);
+  SetTcpOption(fd, TCP_KEEPINTVL, kKeepIntervalSeconds);
+  SetTcpOption(fd, TCP_KEEPCNT, kKeepProbes);
 }
 
 void AllowClosedWindow(boost::asio::ip::tcp::socket& socket) {
   const int fd = socket.native_handle();
-  const unsigned no_timeout = 0;
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &no_timeout,
-             sizeof(no_timeout));
-  setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &kKeepProbesAlone,
-             sizeof(kKeepProbesAlone));
-  setsockopt(fd, IPPROTO_TCP, kRetransmissionLimitOption, &kMaxRetransmissionMs,
-             sizeof(kMaxRetransmissionMs));
+  SetTcpOption(fd, TCP_USER_TIMEOUT, 0);
+  SetTcpOption(fd, TCP_KEEPCNT, kKeepProbesAlone);
+  SetTcpOption(fd, kRetransmissionLimitOption, kMaxRetransmissionMs);
 }
 
 size_t UnreadInput(const boost::asio::ip::tcp::socket& socket) {
--- a/tests/soak/gateway_soak.cc
+++ b/tests/soak/gateway_soak.cc
@@ -51,6 +51,9 @@
   int gateway_ = 0;
   bool is_order_ = false;
   int64_t events_ = 0;  // zero: no stream
+  // Of a stream whose caller stops reading: the size of an event. All of them
+  // are more than the buffers on the way hold.
+  size_t event_bytes_ = 0;
   Millis began_;
   // Of a stream that is taken up: what its caller had received.
   std::string received_;
@@ -208,6 +211,11 @@
           "X-Bergamotscale-Prefix-Hash: " +
           std::to_string(10 + random.Between(0, 40)) + ":350," + id +
           ":1110\r\n" + (kind < 3 ? "" : "X-Names-Version: 1\r\n");
+      if (kind < 3 && random.Between(0, 7) == 0) {
+        sent.event_bytes_ = 8'000;
+        request.headers_ +=
+            "X-Event-Bytes: " + std::to_string(sent.event_bytes_) + "\r\n";
+      }
       if (sent.events_ <= 40 && random.Between(0, 3) == 0) {
         // An engine may pause, for instance to preempt a request.
         request.headers_ +=
@@ -271,10 +279,11 @@
         sends_no_more = true;
         sent.answer_ = Exchange(*wire, sent.request_,
                                 [&wire] { wire->ShutdownSending(); });
-      } else if (random.Between(0, 11) == 0) {
+      } else if (sent.event_bytes_ > 0 || random.Between(0, 11) == 0) {
         // A caller that reads late, perhaps after its gateway has ended.
-        sent.answer_ = Exchange(*wire, sent.request_, [&random] {
-          SleepFor(Millis(random.Between(0, 3'000)));
+        const Millis longest(sent.event_bytes_ > 0 ? 4'500 : 3'000);
+        sent.answer_ = Exchange(*wire, sent.request_, [&random, longest] {
+          SleepFor(Millis(random.Between(0, longest.count())));
         });
       } else {
         sent.answer_ = Exchange(*wire, sent.request_);
@@ -532,10 +541,11 @@
     const std::string all = sent.received_ + sent.answer_.body_;
     const size_t data = all.find("data: ");
     const bool names_version = sent.request_.path_ == kResumePath;
-    const std::string text =
+    std::string text =
         names_version && data != std::string::npos
             ? all.substr(data + 6, all.find('\n', data) - data - 6)
             : sent.request_.id_;
+    text.resize(std::max(text.size(), sent.event_bytes_), 'x');
     std::string body;
     for (int64_t i = 1; i <= sent.events_; ++i) {
       body += "id: " + std::to_string(i) + "\ndata: " + text + "\n\n";
--- a/tests/support/gateway_process.cc
+++ b/tests/support/gateway_process.cc
@@ -604,9 +604,12 @@
   const int64_t first = call.Number("Last-Event-Id", 0) + 1;
   const int64_t pauses_at = call.Number("X-Pause-At", 0);
   const Millis pause = Millis(call.Number("X-Pause-Ms", 0));
-  const std::string& data = HeaderOf(call.head_, "X-Names-Version").empty()
-                                ? call.id_
-                                : call.version_;
+  std::string data = HeaderOf(call.head_, "X-Names-Version").empty()
+                         ? call.id_
+                         : call.version_;
+  data.resize(std::max(data.size(),
+                       static_cast<size_t>(call.Number("X-Event-Bytes", 0))),
+              'x');
   if (!wire.Write(AnswerHead(call, "200 OK",
                              "Content-Type: text/event-stream\r\n"
                              "Transfer-Encoding: chunked\r\n"))) {
--- a/tests/support/gateway_process.h
+++ b/tests/support/gateway_process.h
@@ -182,8 +182,9 @@
 // X-Answer-Bytes says.
 bool AnswerWhole(const ServerCall& call, Wire& wire);
 // Sends as many events as X-Events says, one each X-Pace-Ms. They hold the id
-// of the call, or with X-Names-Version the version of the server. A response
-// that begins a stream pauses for X-Pause-Ms before the event X-Pause-At.
+// of the call, or with X-Names-Version the version of the server, padded to
+// X-Event-Bytes. A response that begins a stream pauses for X-Pause-Ms before
+// the event X-Pause-At.
 bool AnswerEvents(const ServerCall& call, Wire& wire);
 // Sends bytes until the connection ends: X-Endless is "answer" for a body
 // without a length or "event" for one event.
