Exchange: the headers of a request are released when it ends

As its body, they stayed uncounted until the caller had confirmed the response; a request with thousands of short fields holds some 400 kB in them.

Measured: unit cases of the gateway and its sessions that touch this passed.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -109,6 +109,7 @@
   responder_.reset();
   // The caller may take long to read the response, for which this object stays.
   request_body_.Release();
+  call_.headers_ = web::HeaderList();
   request_account_.reset();
   response_account_.reset();
 }
