Request body test: wait for the request in place of a fixed time

The cases that mean a request in flight, or one that is counted, now wait until it is; their checks are the same.

--- a/tests/request_body_test.cc
+++ b/tests/request_body_test.cc
@@ -1,6 +1,7 @@
 // Tests what upstreams and callers get when memory for request bodies is short.
 #include "src/gateway/request_body.h"
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <mutex>
@@ -79,6 +80,14 @@
           return answer_(number, socket);
         }) {}
 
+  // Waits until a request has arrived, at least the beginning of it.
+  void AwaitRequest() const {
+    for (int i = 0; i < 500 && !has_request_; ++i) {
+      Pause(Millis(10));
+    }
+    REQUIRE(has_request_);
+  }
+
   std::string url() const { return server_.url(); }
   std::vector<std::string> bodies() const {
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -87,6 +96,7 @@
 
  private:
   void Read(const std::string& request, RawServer::Socket& socket) {
+    has_request_ = true;
     Pause(pause_);
     const std::string field = "Content-Length: ";
     const size_t length =
@@ -102,6 +112,7 @@
 
   const Answer answer_;
   const Millis pause_;
+  std::atomic<bool> has_request_{false};
   mutable std::mutex mutex_;
   std::vector<std::string> bodies_;
   RawServer server_;
@@ -204,7 +215,7 @@
   RawCaller caller(system.bench_.port());
   REQUIRE(caller.Send(system.Request("/read/1")));
   // The upstream hasn't read all of it.
-  Pause(Millis(200));
+  server.AwaitRequest();
   system.GiveUpBody();
   CHECK(caller.ReadUntil("served").find("200 OK") != std::string::npos);
   CHECK(server.bodies() == std::vector<std::string>{MakeBody()});
@@ -240,7 +251,7 @@
   system.bench_.SetUpstreams({server.url()});
   RawCaller caller(system.bench_.port());
   REQUIRE(caller.Send(system.Request("/order/1")));
-  Pause(Millis(200));
+  server.AwaitRequest();
   system.GiveUpBody();
   const std::string answer = caller.ReadUntil("\r\n\r\n");
   CHECK(answer.find("HTTP/1.1 503") == 0);
@@ -290,9 +301,11 @@
   RawCaller caller(system.bench_.port());
   REQUIRE(caller.Send(
       GatewayBench::Request("/resume/1", "Last-Event-Id: 1\r\n", MakeBody())));
-  Pause(Millis(300));
   size_t held = 0;
-  system.bench_.Do([&] { held = system.budget_.held(); });
+  for (int i = 0; i < 500 && held < kBody; ++i) {
+    Pause(Millis(10));
+    system.bench_.Do([&] { held = system.budget_.held(); });
+  }
   CHECK(held >= kBody);
   system.GiveUpBody();
   CHECK(caller.ReadUntil("\r\n\r\n").find("HTTP/1.1 503") == 0);
