Caller session: a response at the end of its request's time is not cut off

A response that came at the end of that time was unconfirmed for some milliseconds, and an inspection in them reset the connection, as the caller had confirmed nothing for more than 1 s: it had been waiting.

Change: a response has at least 2 s to be read.

Evidence: "caller session: a response that comes late has time to be read" failed before (the connection was reset at the next inspection) and passes.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -67,6 +67,9 @@
 constexpr size_t kMinReadBytes = 4'096;
 // A rejected caller whose fields take more memory is closed at once.
 constexpr size_t kMaxLingeringFields = size_t{32} << 10;
+// A response that comes at the end of its request's time, or later, is kept for
+// this long. A lost packet is repeated within it.
+constexpr Millis kMinTimeToRead = Millis(2'000);
 constexpr char kNoMemory[] = "no memory for the request";
 // Why a caller did not get its response.
 constexpr char kNoMemoryForOutput[] = "no memory for the unread response";
@@ -309,8 +312,9 @@
     responded_ = true;
     waits_since_ = boot_.Now();
     on_settled_ = std::move(caller_hooks_.on_settled_);
-    unread_deadline_ =
-        deadline_.value_or(waits_since_ + hooks_.limits_().idle_timeout_);
+    unread_deadline_ = std::max(
+        deadline_.value_or(waits_since_ + hooks_.limits_().idle_timeout_),
+        waits_since_ + kMinTimeToRead);
   }
 
   // Finds out what the caller has confirmed, and ends the connection if it
--- a/tests/caller_session_test.cc
+++ b/tests/caller_session_test.cc
@@ -328,6 +328,22 @@
   CHECK(bench.Read(kHugeBody) < kHugeBody);
 }
 
+// An answer at the end of its request's time was cut off if its caller's system
+// had not confirmed it at the next inspection.
+TEST_CASE("caller session: a response that comes late has time to be read") {
+  OneCaller bench;
+  bench.time_limit() = Millis(1'000);
+  const auto responder = bench.Request();
+  bench.Run(milliseconds(1'300));
+  REQUIRE(LosePackets(bench.caller().native_handle()));
+  responder->Reply(504, {}, "late");
+  bench.Run(milliseconds(500));
+  CHECK(bench.settled().empty());
+  REQUIRE(ReceivePackets(bench.caller().native_handle()));
+  bench.Run(milliseconds(1'500));
+  CHECK(bench.settled() == std::vector<std::string>{"whole"});
+}
+
 // The caller reads on all the time, but slowly.
 TEST_CASE("caller session: a response that is being read has time") {
   OneCaller bench;
--- a/tests/support/silent_socket.h
+++ b/tests/support/silent_socket.h
@@ -16,6 +16,13 @@
                     sizeof(program)) == 0;
 }
 
+// Ends LosePackets(). @return whether the socket had a filter.
+inline bool ReceivePackets(int socket) {
+  const int unused = 0;
+  return setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, &unused,
+                    sizeof(unused)) == 0;
+}
+
 }  // namespace bergamotscale::testing
 
 #endif  // BERGAMOTSCALE_TESTS_SUPPORT_SILENT_SOCKET_H_
