Tests: one function reads the rest of an upload

A lambda that only called a function is gone, and CallerSession::OnReadFailed() compares each error once.

Behaviour is unchanged.

--- a/src/web/caller_session.cc
+++ b/src/web/caller_session.cc
@@ -678,15 +678,11 @@
   // A caller that disconnected gets no response; any other failure is a
   // malformed request.
   void OnReadFailed(const error_code& error) {
-    const bool disconnected =
-        error == http::error::end_of_stream ||
-        error == http::error::partial_message ||
-        error.category() !=
-            make_error_code(http::error::end_of_stream).category();
     if (error == http::error::end_of_stream ||
         error == http::error::partial_message) {
       CloseOnceConfirmed();
-    } else if (disconnected) {
+    } else if (error.category() !=
+               make_error_code(http::error::end_of_stream).category()) {
       CloseBroken();
     } else {
       Refuse(StatusForError(error), error.message());
--- a/tests/client_connection_test.cc
+++ b/tests/client_connection_test.cc
@@ -65,10 +65,8 @@
 RawServer::Answer ReadAfter(milliseconds pause) {
   return [pause](int, const std::string& request, RawServer::Socket& socket) {
     std::this_thread::sleep_for(pause);
-    const size_t body = request.size() - request.find("\r\n\r\n") - 4;
-    std::string rest(kUpload - body, ' ');
+    tests::ReadBody(request, socket, kUpload);
     boost::system::error_code error;
-    boost::asio::read(socket, boost::asio::buffer(rest), error);
     boost::asio::write(socket,
                        boost::asio::buffer(std::string(
                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -823,11 +823,9 @@
   constexpr size_t kUpload = 500'000;
   RawServer server(
       [](int, const std::string& request, RawServer::Socket& socket) {
-        // The head was read together with the first bytes of the body.
-        const size_t rest =
-            kUpload - (request.size() - request.find("\r\n\r\n") - 4);
-        std::string body(rest, ' ');
-        boost::asio::read(socket, boost::asio::buffer(body));
+        const bool is_whole =
+            tests::ReadBody(request, socket, kUpload).size() == kUpload;
+        CHECK(is_whole);
         Write(socket, UnframedHead() + "all of it");
         return false;
       });
--- a/tests/request_body_test.cc
+++ b/tests/request_body_test.cc
@@ -101,13 +101,9 @@
     const std::string field = "Content-Length: ";
     const size_t length =
         std::stoul(request.substr(request.find(field) + field.size()));
-    const size_t begin = request.find("\r\n\r\n") + 4;
-    std::string body = request.substr(begin);
-    std::string rest(length - body.size(), ' ');
-    boost::system::error_code error;
-    rest.resize(boost::asio::read(socket, boost::asio::buffer(rest), error));
+    const std::string body = tests::ReadBody(request, socket, length);
     const std::lock_guard<std::mutex> lock(mutex_);
-    bodies_.push_back(body + rest);
+    bodies_.push_back(body);
   }
 
   const Answer answer_;
@@ -166,9 +162,7 @@
 // upstreams, its body was given up, and the next upstream ran an empty one.
 TEST_CASE("request body: a resumed stream never goes on without its body") {
   BodyServer first(SendsEventAndBreaks);
-  BodyServer second([](int number, RawServer::Socket& socket) {
-    return SendsRest(number, socket);
-  });
+  BodyServer second(SendsRest);
   ShortOfMemory system;
   system.bench_.SetUpstreams({first.url()});
   RawCaller caller(system.bench_.port());
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -104,6 +104,18 @@
   std::thread thread_;
 };
 
+// Reads the rest of a body whose beginning was read with the head.
+// @return the body; shorter than `size` if the connection ended before.
+inline std::string ReadBody(const std::string& request,
+                            RawServer::Socket& socket,
+                            size_t size) {
+  std::string body = request.substr(request.find("\r\n\r\n") + 4);
+  std::string rest(size - body.size(), ' ');
+  boost::system::error_code error;
+  rest.resize(boost::asio::read(socket, boost::asio::buffer(rest), error));
+  return body + rest;
+}
+
 }  // namespace bergamotscale::tests
 
 #endif  // BERGAMOTSCALE_TESTS_SUPPORT_RAW_SERVER_H_
--- a/tests/upstream_call_test.cc
+++ b/tests/upstream_call_test.cc
@@ -207,10 +207,7 @@
   RawServer server(
       [](int, const std::string& request, RawServer::Socket& socket) {
         std::this_thread::sleep_for(std::chrono::milliseconds(3'500));
-        const size_t body = request.size() - request.find("\r\n\r\n") - 4;
-        std::string rest(kUpload - body, ' ');
-        boost::system::error_code error;
-        boost::asio::read(socket, boost::asio::buffer(rest), error);
+        tests::ReadBody(request, socket, kUpload);
         Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
         return false;
       });
